--- /dev/null
+++ b/cmd/promptbook/main.go
@@ -0,0 +1,8 @@
+// Command promptbook is the layout store on each core seat.
+package main
+
+import "beaconvane/internal/marquee"
+
+func main() {
+	marquee.Main(marquee.Program{Role: "promptbook", Short: "the layout store on each core seat", Module: marquee.PromptbookModule})
+}
--- /dev/null
+++ b/cmd/stagehand/main.go
@@ -0,0 +1,63 @@
+// Command stagehand runs a whole deployment on this machine, loads it, causes faults,
+// and holds the records of both ends against the brief's list.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"beaconvane/internal/repertoire"
+	"beaconvane/internal/stagehand"
+)
+
+func main() {
+	name, bin, folder, scenario := "", "", "", ""
+	rate, length, keep := 0.0, 10*time.Second, false
+	seed := uint64(1)
+	root := &cobra.Command{Use: "stagehand", Short: "run a fleet on this machine, with faults, and check it", SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			deployment, known := repertoire.Named(name)
+			if !known {
+				return fmt.Errorf("no deployment %q", name)
+			}
+			if rate > 0 {
+				deployment.Rate = rate
+			}
+			if folder == "" {
+				made, err := os.MkdirTemp("", "beaconvane")
+				if err != nil {
+					return err
+				}
+				folder = made
+				if !keep {
+					defer os.RemoveAll(made)
+				}
+			}
+			outcome, err := stagehand.Play(deployment, bin, folder, scenario, length, seed)
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(os.Stdout)
+			encoder.SetIndent("", "  ")
+			encoder.Encode(outcome)
+			if len(outcome.Review.Violations) > 0 {
+				return fmt.Errorf("%d violations", len(outcome.Review.Violations))
+			}
+			return nil
+		}}
+	root.Flags().StringVar(&name, "deployment", "small", "small, umuyoboro or jendela")
+	root.Flags().StringVar(&bin, "bin", "bin", "folder of the programs")
+	root.Flags().StringVar(&folder, "folder", "", "folder for settings, logs and data (default: a new one)")
+	root.Flags().StringVar(&scenario, "scenario", "calm", "one of: "+stagehand.ScenarioNames())
+	root.Flags().Float64Var(&rate, "rate", 0, "queries a second (default: the deployment's)")
+	root.Flags().DurationVar(&length, "length", length, "length of the load")
+	root.Flags().Uint64Var(&seed, "seed", seed, "seed of the load")
+	root.Flags().BoolVar(&keep, "keep", false, "keep the folder")
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/callboard/usage.go
@@ -0,0 +1,296 @@
+// This file is the usage report. Ushers count answered queries by window and tenant,
+// cumulatively, and repeat the counts with their beats until the window is sealed.
+// The keeper of the usage tag sums a window a while after its end, gets the sum synced
+// on a majority under its epoch, and only then reports it. A new keeper first reads a
+// majority: a value found there is settled again unchanged, so that a window has one
+// value for ever, whoever reports it.
+package callboard
+
+import (
+	"maps"
+	"sort"
+	"strconv"
+	"time"
+
+	"beaconvane/internal/cue"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+const (
+	windowsKept = 720
+	lateWindows = 3
+)
+
+type usage struct {
+	m        *Machine
+	sealed   map[int64]script.UsageSealed
+	final    map[int64]bool
+	counts   map[int64]map[string]map[string]int64
+	closed   map[string]int64
+	reported int64
+	epoch    int64
+	reading  bool
+	ready    bool
+	reads    map[string]string
+	acks     map[string]string
+	open     *script.UsageSealed
+	sentAt   time.Duration
+	reportAt time.Duration
+}
+
+func newUsage(m *Machine, sealed []script.UsageSealed, reported int64) *usage {
+	u := &usage{m: m, sealed: map[int64]script.UsageSealed{}, final: map[int64]bool{}, counts: map[int64]map[string]map[string]int64{},
+		closed: map[string]int64{}, reported: reported}
+	for _, window := range sealed {
+		u.restore(window)
+	}
+	return u
+}
+
+func (u *usage) restore(sealed script.UsageSealed) {
+	if held, known := u.sealed[sealed.Window]; !known || held.Epoch <= sealed.Epoch {
+		u.sealed[sealed.Window] = sealed
+	}
+	for window := range u.sealed {
+		if window < u.newest()-windowsKept {
+			delete(u.sealed, window)
+		}
+	}
+}
+
+func (u *usage) newest() int64 {
+	newest := int64(0)
+	for window := range u.sealed {
+		newest = max(newest, window)
+	}
+	return newest
+}
+
+func (u *usage) list() []script.UsageSealed {
+	list := []script.UsageSealed{}
+	for _, sealed := range u.sealed {
+		list = append(list, sealed)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Window < list[j].Window })
+	return list
+}
+
+func (u *usage) sealedBelow() int64 { return u.reported + 1 }
+
+// count takes the cumulative counts of a usher; the largest per life of a usher holds.
+func (u *usage) count(batch script.BeatBatch) {
+	life := batch.Usher + "/" + strconv.FormatInt(batch.Birth, 36)
+	u.closed[batch.Usher] = batch.Windows
+	for _, told := range batch.Usage {
+		if told.Window <= u.reported {
+			continue
+		}
+		if u.counts[told.Window] == nil {
+			u.counts[told.Window] = map[string]map[string]int64{}
+		}
+		u.counts[told.Window][life] = told.Counts
+	}
+}
+
+func (u *usage) took(s *cue.Stage, epoch int64) {
+	u.epoch, u.reading, u.ready, u.open = epoch, true, false, nil
+	u.reads = map[string]string{u.m.config.Seat: u.m.seating.State.Identity}
+	u.sentAt = 0
+}
+
+func (u *usage) lost() { u.reading, u.ready, u.open = false, false, nil }
+
+func (u *usage) tick(s *cue.Stage) {
+	for window := range u.counts {
+		if window <= u.reported {
+			delete(u.counts, window)
+		}
+	}
+	if !u.m.tenures.Holding(playbill.UsageTag, s.Now) {
+		return
+	}
+	again := s.Now-u.sentAt >= u.m.config.DigestEvery()
+	switch {
+	case u.reading && again:
+		u.sentAt = s.Now
+		for _, peer := range u.m.Peers() {
+			s.Send(peer.Address, script.UsageRead{Epoch: u.epoch, Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity})
+		}
+	case u.open != nil && again:
+		u.send(s)
+	case u.ready && u.open == nil:
+		u.sealNext(s)
+	}
+	u.report(s)
+}
+
+// sealNext takes the oldest window that is over, was not reported and has no final
+// value under this epoch.
+func (u *usage) sealNext(s *cue.Stage) {
+	length := u.m.config.UsageWindow()
+	current := int64(s.Wall / length)
+	if u.reported == 0 && len(u.sealed) == 0 {
+		u.reported = current - 1
+	}
+	first := max(u.reported+1, current-windowsKept)
+	for window := first; window < current; window++ {
+		if u.final[window] {
+			continue
+		}
+		end := time.Duration(window+1) * length
+		if s.Wall < end+u.m.config.SealAfter() && !(s.Wall >= end+u.m.config.SealAfter()/4 && u.allClosed(window)) {
+			return
+		}
+		value, known := u.sealed[window]
+		if !known {
+			value = script.UsageSealed{Window: window, Counts: u.sum(window)}
+		}
+		value.Epoch = u.epoch
+		u.open, u.acks = &value, map[string]string{}
+		u.sealed[window] = value
+		u.sentAt = s.Now
+		u.m.Persist(s, value, func(s *cue.Stage, failure error) {
+			if failure == nil && u.open != nil && u.open.Window == value.Window && u.open.Epoch == value.Epoch {
+				u.ack(s, u.m.config.Seat, u.m.seating.State.Identity)
+			}
+		})
+		u.send(s)
+		return
+	}
+}
+
+func (u *usage) allClosed(window int64) bool {
+	for _, member := range u.m.company.Alive(script.RoleUsher) {
+		if u.closed[member.Name] <= window {
+			return false
+		}
+	}
+	return true
+}
+
+func (u *usage) sum(window int64) map[string]int64 {
+	total := map[string]int64{}
+	for _, counts := range u.counts[window] {
+		for tenant, count := range counts {
+			total[tenant] += count
+		}
+	}
+	return total
+}
+
+func (u *usage) send(s *cue.Stage) {
+	u.sentAt = s.Now
+	for _, peer := range u.m.Peers() {
+		s.Send(peer.Address, script.UsageSeal{Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity, Sealed: *u.open, Reported: u.reported})
+	}
+}
+
+func (u *usage) ack(s *cue.Stage, seat, identity string) {
+	u.acks[seat] = identity
+	if !u.m.seating.Majority(u.acks) {
+		return
+	}
+	u.final[u.open.Window] = true
+	s.Note("usage-sealed", 0, u.epoch, strconv.FormatInt(u.open.Window, 10))
+	u.open = nil
+	u.reportAt = 0
+}
+
+// report sends the oldest sealed window until the collector has it.
+func (u *usage) report(s *cue.Stage) {
+	window := u.reported + 1
+	if !u.final[window] || s.Now < u.reportAt || u.m.config.Collector == "" {
+		if u.final[window] && u.m.config.Collector == "" {
+			u.done(s, window)
+		}
+		return
+	}
+	u.reportAt = s.Now + u.m.config.ReportEvery()
+	s.Report(Report{Window: window, Counts: u.sealed[window].Counts, Epoch: u.epoch, Until: s.Now + u.m.config.Tenure()/2})
+}
+
+// Report is the effect's body: what the collector gets, and until when it may be sent.
+type Report struct {
+	Window int64
+	Counts map[string]int64
+	Epoch  int64
+	Until  time.Duration
+}
+
+// Reported is the question by which the process says that the collector has a window.
+type Reported struct{ Window int64 }
+
+func (u *usage) done(s *cue.Stage, window int64) {
+	if window != u.reported+1 {
+		return
+	}
+	u.reported = window
+	u.reportAt = 0
+	delete(u.final, window)
+	u.m.Persist(s, script.UsageReported{Window: window}, func(*cue.Stage, error) {})
+}
+
+func (u *usage) hear(s *cue.Stage, from string, message any) bool {
+	switch heard := message.(type) {
+	case script.UsageRead:
+		if u.m.tenures.Epoch(playbill.UsageTag) == heard.Epoch && u.m.seating.Standing() && u.m.seating.Holds(heard.Seat, heard.Identity) {
+			s.Send(from, script.UsageReadTold{Epoch: heard.Epoch, Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity,
+				Sealed: u.tail(), Reported: u.reported})
+		}
+	case script.UsageReadTold:
+		if !u.reading || heard.Epoch != u.epoch {
+			return true
+		}
+		for _, sealed := range heard.Sealed {
+			u.restore(sealed)
+		}
+		u.reported = max(u.reported, heard.Reported)
+		u.reads[heard.Seat] = heard.Identity
+		if u.m.seating.Majority(u.reads) {
+			u.reading, u.ready = false, true
+			u.final = map[int64]bool{}
+		}
+	case script.UsageSeal:
+		u.hearSeal(s, from, heard)
+	case script.UsageSealTold:
+		if u.open != nil && heard.Window == u.open.Window && heard.Epoch == u.epoch {
+			u.ack(s, heard.Seat, heard.Identity)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (u *usage) hearSeal(s *cue.Stage, from string, seal script.UsageSeal) {
+	if seal.Sealed.Epoch < u.m.tenures.Epoch(playbill.UsageTag) || !u.m.seating.Standing() || !u.m.seating.Holds(seal.Seat, seal.Identity) {
+		return
+	}
+	u.reported = max(u.reported, seal.Reported)
+	u.restore(seal.Sealed)
+	u.m.Persist(s, seal.Sealed, func(s *cue.Stage, failure error) {
+		if failure == nil {
+			s.Send(from, script.UsageSealTold{Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity, Window: seal.Sealed.Window, Epoch: seal.Sealed.Epoch})
+		}
+	})
+}
+
+// tail lists the sealed windows that may not have been reported yet.
+func (u *usage) tail() []script.UsageSealed {
+	list := u.list()
+	if len(list) > windowsKept/4 {
+		list = list[len(list)-windowsKept/4:]
+	}
+	return list
+}
+
+// read answers an outside question for a sealed window.
+func (u *usage) read(window int64) Answer {
+	held, known := u.sealed[window]
+	if !known || window > u.reported && !u.final[window] {
+		return answerCode(notice.UsageNotFound, strconv.FormatInt(window, 10))
+	}
+	return answerJSON(notice.OK, map[string]any{"window": window, "counts": maps.Clone(held.Counts)})
+}
--- /dev/null
+++ b/internal/casting/seating.go
@@ -0,0 +1,344 @@
+// Package casting decides who acts. This file is the seating: which disk, by a random
+// identity made when it was empty, holds which of a group's three seats. All three
+// found the group together, once, when each reports empty and each has pledged, on
+// disk, the same roll. From then on every vote and every settling message bears the
+// sender's identity, and counts only against the receiver's roll at the moment of
+// counting. A seat that lost its disk claims its place anew: both others first write
+// the new identity down, which voids the old one's acks, also those in flight, and
+// then tell it what they hold; only with both grants in hand does it stand. The old
+// machine, should it wake, is on nobody's roll.
+package casting
+
+import (
+	"maps"
+	"sort"
+	"strconv"
+	"time"
+
+	"beaconvane/internal/cue"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+	"beaconvane/internal/wardrobe"
+)
+
+// Host is the machine around the seating and the tenures.
+type Host interface {
+	Persist(s *cue.Stage, record any, then wardrobe.Then)
+	CompactNow(s *cue.Stage, then wardrobe.Then)
+	Peers() []script.Member
+	StateForGrant() []byte
+	AbsorbGrants(s *cue.Stage, states [][]byte)
+}
+
+type heardSeat struct {
+	told script.SeatTold
+	at   time.Duration
+}
+
+// Seating is one seat's view of who sits where.
+type Seating struct {
+	Group   string
+	Seat    string
+	State   script.SeatState
+	config  playbill.Config
+	host    Host
+	heard   map[string]heardSeat
+	grants  map[string]script.SeatGrant
+	nextAt  time.Duration
+	pledged bool
+	writing bool
+	ShutOut bool
+	stoodAt time.Duration
+	standUp func(s *cue.Stage, fresh bool)
+}
+
+// NewSeating restores a seating; an empty state gets an identity from the dice on
+// the first tick.
+func NewSeating(group string, config playbill.Config, host Host, state script.SeatState, standUp func(s *cue.Stage, fresh bool)) *Seating {
+	return &Seating{Group: group, Seat: config.Seat, State: state, config: config, host: host,
+		heard: map[string]heardSeat{}, grants: map[string]script.SeatGrant{}, standUp: standUp,
+		pledged: len(state.Pledge) > 0}
+}
+
+// Standing says that this seat may vote.
+func (g *Seating) Standing() bool { return g.State.Standing && !g.ShutOut && !g.writing }
+
+// Holds checks an identity against the roll, now.
+func (g *Seating) Holds(seat, identity string) bool {
+	return g.State.Formed && identity != "" && g.State.Roll[seat] == identity
+}
+
+// Majority counts the seats whose identity still holds.
+func (g *Seating) Majority(acks map[string]string) bool {
+	count := 0
+	for seat, identity := range acks {
+		if g.Holds(seat, identity) {
+			count++
+		}
+	}
+	return count*2 > len(g.config.Seats)
+}
+
+func (g *Seating) told(answer bool) script.SeatTold {
+	told := script.SeatTold{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity, Formed: g.State.Formed,
+		Standing: g.Standing(), Pledge: map[string]string{}, Roll: map[string]string{}, Answer: answer}
+	if g.pledged {
+		told.Pledge = maps.Clone(g.State.Pledge)
+	}
+	if !g.writing && g.State.Roll != nil {
+		told.Roll = maps.Clone(g.State.Roll)
+	}
+	told.Formed = told.Formed && !g.writing
+	return told
+}
+
+// Tick asks around, founds, or claims.
+func (g *Seating) Tick(s *cue.Stage) {
+	if g.State.Identity == "" {
+		g.State.Identity = strconv.FormatUint(s.Dice.Uint64(), 36) + strconv.FormatUint(s.Dice.Uint64(), 36)
+		g.State.Roll, g.State.Pledge = map[string]string{}, map[string]string{}
+		g.writing = true
+		g.host.CompactNow(s, func(s *cue.Stage, failure error) { g.writing = failure != nil })
+		s.Note("seat-identity-made", 0, 0, g.Seat)
+		return
+	}
+	if s.Now < g.nextAt || g.writing {
+		return
+	}
+	g.nextAt = s.Now + g.config.DigestEvery()
+	settled := g.Standing()
+	if settled {
+		g.nextAt = s.Now + g.config.DigestEvery()*10
+	}
+	for _, peer := range g.host.Peers() {
+		if peer.Seat == g.Seat {
+			continue
+		}
+		if g.replaced() {
+			s.Send(peer.Address, script.SeatClaim{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity})
+		} else {
+			s.Send(peer.Address, g.told(true))
+		}
+	}
+}
+
+// replaced: some seated peer's roll has another identity in this seat, and this one
+// was never formed, so it is the newcomer.
+func (g *Seating) replaced() bool {
+	if g.State.Standing {
+		return false
+	}
+	for _, heard := range g.heard {
+		if heard.told.Formed && heard.told.Roll[g.Seat] != g.State.Identity {
+			return true
+		}
+	}
+	return g.State.Formed && !g.State.Standing
+}
+
+// Hear takes a seating message; false when it is another part's.
+func (g *Seating) Hear(s *cue.Stage, from string, message any) bool {
+	switch heard := message.(type) {
+	case script.SeatTold:
+		if heard.Group == g.Group && heard.Seat != g.Seat {
+			g.hearTold(s, from, heard)
+		}
+	case script.SeatClaim:
+		if heard.Group == g.Group && heard.Seat != g.Seat {
+			g.hearClaim(s, from, heard)
+		}
+	case script.SeatGrant:
+		if heard.Group == g.Group && heard.To == g.State.Identity {
+			g.hearGrant(s, heard)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (g *Seating) hearTold(s *cue.Stage, from string, told script.SeatTold) {
+	if g.State.Identity == "" || g.writing {
+		return
+	}
+	if told.Answer {
+		s.Send(from, g.told(false))
+	}
+	if g.State.Formed && !g.Holds(told.Seat, told.Identity) {
+		return
+	}
+	g.heard[told.Seat] = heardSeat{told, s.Now}
+	if told.Formed {
+		switch {
+		case told.Roll[g.Seat] == g.State.Identity && !g.State.Formed:
+			g.form(s, told.Roll)
+		case told.Roll[g.Seat] != g.State.Identity && g.State.Standing && !g.ShutOut:
+			g.ShutOut = true
+			s.Note("seat-shut-out", 5001, 0, g.Seat+" by the roll of "+told.Seat)
+		}
+		return
+	}
+	g.found(s)
+}
+
+// found: all three empty, freshly heard, all pledged to the same roll.
+func (g *Seating) found(s *cue.Stage) {
+	if g.State.Formed {
+		return
+	}
+	roll := map[string]string{g.Seat: g.State.Identity}
+	for _, seat := range g.config.Seats {
+		if seat == g.Seat {
+			continue
+		}
+		heard, known := g.heard[seat]
+		if !known || heard.told.Formed || s.Now-heard.at > g.config.DigestEvery()*5 {
+			return
+		}
+		roll[seat] = heard.told.Identity
+	}
+	if !maps.Equal(roll, g.State.Pledge) {
+		g.State.Pledge = roll
+		g.pledged = false
+		g.host.Persist(s, g.State, func(s *cue.Stage, failure error) { g.pledged = failure == nil && maps.Equal(roll, g.State.Pledge) })
+		return
+	}
+	for _, seat := range g.config.Seats {
+		if seat != g.Seat && !maps.Equal(g.heard[seat].told.Pledge, roll) {
+			return
+		}
+	}
+	if g.pledged {
+		g.form(s, roll)
+	}
+}
+
+func (g *Seating) form(s *cue.Stage, roll map[string]string) {
+	g.State.Formed, g.State.Standing, g.State.Roll = true, true, maps.Clone(roll)
+	g.writing = true
+	g.host.CompactNow(s, func(s *cue.Stage, failure error) {
+		g.writing = failure != nil
+		if failure == nil {
+			s.Note("seat-founded", 0, 0, g.Seat)
+			g.standUp(s, true)
+		}
+	})
+}
+
+func (g *Seating) hearClaim(s *cue.Stage, from string, claim script.SeatClaim) {
+	if !g.Standing() {
+		return
+	}
+	for _, former := range g.State.Former {
+		if former == claim.Identity {
+			s.Send(from, script.SeatGrant{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity, To: claim.Identity, Refused: true, Roll: map[string]string{}})
+			return
+		}
+	}
+	if g.State.Roll[claim.Seat] != claim.Identity {
+		if old := g.State.Roll[claim.Seat]; old != "" {
+			g.State.Former = append(g.State.Former, old)
+		}
+		g.State.Roll[claim.Seat] = claim.Identity
+		delete(g.heard, claim.Seat)
+		s.Note("seat-replaced", 0, 0, claim.Seat)
+		g.host.Persist(s, g.State, func(s *cue.Stage, failure error) {
+			if failure == nil {
+				g.grant(s, from, claim)
+			}
+		})
+		return
+	}
+	// Already written, or being written: a write behind it keeps the order.
+	g.host.Persist(s, g.State, func(s *cue.Stage, failure error) {
+		if failure == nil {
+			g.grant(s, from, claim)
+		}
+	})
+}
+
+func (g *Seating) grant(s *cue.Stage, to string, claim script.SeatClaim) {
+	if !g.Holds(claim.Seat, claim.Identity) {
+		return
+	}
+	s.Send(to, script.SeatGrant{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity, To: claim.Identity,
+		Roll: maps.Clone(g.State.Roll), Votes: []script.Vote{}, State: g.host.StateForGrant()})
+}
+
+func (g *Seating) hearGrant(s *cue.Stage, grant script.SeatGrant) {
+	if g.State.Standing || g.writing {
+		return
+	}
+	if grant.Refused {
+		if !g.ShutOut {
+			s.Note("seat-shut-out", 5001, 0, g.Seat+" refused by "+grant.Seat)
+		}
+		g.ShutOut = true
+		return
+	}
+	g.grants[grant.Seat] = grant
+	roll := map[string]string{g.Seat: g.State.Identity}
+	states := [][]byte{}
+	seats := append([]string{}, g.config.Seats...)
+	sort.Strings(seats)
+	for _, seat := range seats {
+		if seat == g.Seat {
+			continue
+		}
+		held, granted := g.grants[seat]
+		if !granted {
+			if g.vacant(seat) {
+				roll[seat] = ""
+				continue
+			}
+			return
+		}
+		roll[seat] = held.Identity
+		states = append(states, held.State)
+	}
+	// Two grantors must agree on each other, or one of them is not who it was.
+	for _, held := range g.grants {
+		for _, seat := range seats {
+			if seat != g.Seat && held.Roll[seat] != roll[seat] {
+				delete(g.grants, held.Seat)
+				return
+			}
+		}
+	}
+	g.host.AbsorbGrants(s, states)
+	g.State.Formed, g.State.Standing, g.State.Roll = true, true, roll
+	g.writing = true
+	g.host.CompactNow(s, func(s *cue.Stage, failure error) {
+		g.writing = failure != nil
+		if failure == nil {
+			s.Note("seat-recovered", 0, 0, g.Seat)
+			g.standUp(s, false)
+		}
+	})
+}
+
+// vacant: a grantor's roll says that an operator has given the seat up.
+func (g *Seating) vacant(seat string) bool {
+	for _, held := range g.grants {
+		if identity, listed := held.Roll[seat]; listed && identity == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Forsake marks every other seat vacant: what an operator does, by a command on the
+// stopped survivor's disk, after two disks were lost.
+func Forsake(state script.SeatState) script.SeatState {
+	roll := map[string]string{}
+	for seat, identity := range state.Roll {
+		if identity == state.Identity {
+			roll[seat] = identity
+		} else {
+			roll[seat] = ""
+			state.Former = append(state.Former, identity)
+		}
+	}
+	state.Roll = roll
+	return state
+}
--- /dev/null
+++ b/internal/chorus/slice.go
@@ -0,0 +1,115 @@
+// This file is the content of one district's slice of the roster: the registrations,
+// their position, and the last changes, so that a follower that is a little behind
+// gets changes and one that is far behind gets the view. The digest is a sum over
+// the registrations, so it can be kept up to date change by change.
+package chorus
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"beaconvane/internal/script"
+)
+
+const changesKept = 256
+
+// Slice is one district's registrations.
+type Slice struct {
+	Mark          script.Mark
+	Registrations map[string]script.Registration
+	changes       []script.RosterChange
+}
+
+// NewSlice makes an empty slice.
+func NewSlice(topic string) *Slice {
+	return &Slice{Mark: script.Mark{Topic: topic}, Registrations: map[string]script.Registration{}}
+}
+
+func digest(registration script.Registration) int64 {
+	hash := fnv.New64a()
+	body, err := script.Encode(registration)
+	if err != nil {
+		panic("chorus: digest: " + err.Error())
+	}
+	hash.Write(body)
+	return int64(hash.Sum64())
+}
+
+// Change makes the next change under an epoch, applies and returns it.
+func (l *Slice) Change(epoch int64, registration script.Registration, gone bool, cause string) script.RosterChange {
+	if epoch != l.Mark.Epoch {
+		l.Mark.Epoch, l.Mark.Seq = epoch, 0
+		l.changes = nil
+	}
+	l.put(registration, gone)
+	l.Mark.Seq++
+	change := script.RosterChange{Mark: l.Mark, Registration: registration, Gone: gone, Cause: cause}
+	l.keep(change)
+	return change
+}
+
+// Adopt moves the slice to a new epoch with its content as it is.
+func (l *Slice) Adopt(epoch int64) {
+	l.Mark.Epoch, l.Mark.Seq = epoch, 0
+	l.changes = nil
+}
+
+// Follow applies another's change; false when it does not continue this position.
+func (l *Slice) Follow(change script.RosterChange) bool {
+	if change.Mark.Epoch != l.Mark.Epoch || change.Mark.Seq != l.Mark.Seq+1 {
+		return false
+	}
+	l.put(change.Registration, change.Gone)
+	l.Mark.Seq++
+	l.keep(change)
+	return l.Mark.Same(change.Mark)
+}
+
+// Replace takes a whole view.
+func (l *Slice) Replace(mark script.Mark, registrations []script.Registration) {
+	l.Registrations = map[string]script.Registration{}
+	l.Mark.Count, l.Mark.Hash = 0, 0
+	for _, registration := range registrations {
+		l.put(registration, false)
+	}
+	l.Mark.Epoch, l.Mark.Seq = mark.Epoch, mark.Seq
+	l.changes = nil
+}
+
+// List gives the registrations in the order of their keys.
+func (l *Slice) List() []script.Registration {
+	list := make([]script.Registration, 0, len(l.Registrations))
+	for _, registration := range l.Registrations {
+		list = append(list, registration)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key() < list[j].Key() })
+	return list
+}
+
+// Since gives the changes after a position, or false when the view is needed.
+func (l *Slice) Since(mark script.Mark) ([]script.RosterChange, bool) {
+	if mark.Epoch != l.Mark.Epoch || mark.Seq > l.Mark.Seq || len(l.changes) == 0 || l.changes[0].Mark.Seq > mark.Seq+1 {
+		return nil, false
+	}
+	return append([]script.RosterChange{}, l.changes[mark.Seq+1-l.changes[0].Mark.Seq:]...), true
+}
+
+func (l *Slice) put(registration script.Registration, gone bool) {
+	key := registration.Key()
+	if old, held := l.Registrations[key]; held {
+		l.Mark.Hash -= digest(old)
+		delete(l.Registrations, key)
+	}
+	if !gone {
+		l.Mark.Hash += digest(registration)
+		l.Registrations[key] = registration
+	}
+	l.Mark.Count = int64(len(l.Registrations))
+}
+
+func (l *Slice) keep(change script.RosterChange) {
+	l.changes = append(l.changes, change)
+	if len(l.changes) > changesKept {
+		l.changes = append([]script.RosterChange{}, l.changes[len(l.changes)-changesKept:]...)
+	}
+}
--- /dev/null
+++ b/internal/critic/critic.go
@@ -0,0 +1,465 @@
+// Package critic checks the brief's list from the records of both ends: what callers
+// asked and were told, what upstreams ran, what nodes had in force, what the platform
+// was reported. It serves the real fleet and the simulator alike. Each check gives
+// its violations and the worst figure seen; a run that never exercised what it was
+// for is reported as empty.
+package critic
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Asked is one query as its caller saw it.
+type Asked struct {
+	ID       string        `json:"id"`
+	Usher    string        `json:"usher"`
+	Route    string        `json:"route"`
+	Service  string        `json:"service"`
+	Tenant   string        `json:"tenant"`
+	Caller   string        `json:"caller"`
+	Key      string        `json:"-"`
+	Once     bool          `json:"once"`
+	Intended time.Duration `json:"intended"`
+	Sent     time.Duration `json:"sent"`
+	Done     time.Duration `json:"done"`
+	Status   int           `json:"status"`
+	Code     int           `json:"code"`
+	Retry    bool          `json:"retry_after"`
+	Wire     bool          `json:"wire_error"` // no answer at all
+	Body     string        `json:"body"`
+}
+
+// Ran is one run at an upstream.
+type Ran struct {
+	ID       string        `json:"id"`
+	Service  string        `json:"service"`
+	Instance string        `json:"instance"`
+	Address  string        `json:"address"`
+	Path     string        `json:"path"`
+	Tenant   string        `json:"tenant"`
+	Caller   string        `json:"caller"`
+	KeySeen  bool          `json:"key_seen"`
+	At       time.Duration `json:"at"`
+	Whole    time.Duration `json:"whole"` // when the answer was sent whole; 0: never
+	Answer   string        `json:"answer"`
+}
+
+// Put is an acknowledged layout: who it allows from then on.
+type Put struct {
+	Sheet    string
+	Version  int64
+	At       time.Duration
+	Services map[string]string // route to service
+	Keys     map[string]string // key to tenant
+}
+
+// Force is a node taking a version into force.
+type Force struct {
+	Node    string
+	Sheet   string
+	Version int64
+	At      time.Duration
+}
+
+// Span is a stretch of time on a node or upstream.
+type Span struct {
+	Name string
+	From time.Duration
+	To   time.Duration
+}
+
+// Leaving is an upstream that said it leaves.
+type Leaving struct {
+	Service  string
+	Instance string
+	At       time.Duration
+}
+
+// Reported is a usage window as the collector got it.
+type Reported struct {
+	Window int64
+	From   string
+	Counts map[string]int64
+	At     time.Duration
+	End    time.Duration // end of the window on the same clock
+}
+
+// Keeping is one seat acting for a tag.
+type Keeping struct {
+	Tag   string
+	Seat  string
+	Epoch int64
+	At    time.Duration
+}
+
+// Record is all that a run left.
+type Record struct {
+	Asked    []Asked
+	Ran      []Ran
+	Puts     []Put
+	Forced   []Force
+	Up       []Span // nodes alive and connected to the core, by name
+	Leaving  []Leaving
+	Reported []Reported
+	Keeping  []Keeping
+	Counted  map[int64]int64 // answered queries by usage window, as callers saw them
+	Final    map[string]int64
+	Bounds   Bounds
+}
+
+// Bounds are the promises to hold the record against.
+type Bounds struct {
+	LayoutInForce time.Duration
+	SlipBack      time.Duration
+	KeyWithdrawal time.Duration
+	Drain         time.Duration
+	AnswerHold    time.Duration
+	KeeperRest    time.Duration
+	UsageLate     time.Duration
+	UsageOff      float64
+	RetryShare    float64
+	RetryWindow   time.Duration
+	RetryMore     int
+}
+
+// BriefBounds are the brief's numbers.
+func BriefBounds(withdrawal bool) Bounds {
+	bounds := Bounds{LayoutInForce: 2 * time.Second, SlipBack: 250 * time.Millisecond, Drain: 2 * time.Second, AnswerHold: 200 * time.Millisecond,
+		KeeperRest: 3 * time.Second, UsageLate: 10 * time.Second, UsageOff: 0.05, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryMore: 10}
+	if withdrawal {
+		bounds.KeyWithdrawal = 5 * time.Second
+	}
+	return bounds
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Rule   string
+	Detail string
+}
+
+// Review is the verdict on a run.
+type Review struct {
+	Violations []Violation
+	Worst      map[string]float64
+	Seen       map[string]int
+}
+
+func (r *Review) add(rule, format string, values ...any) {
+	r.Violations = append(r.Violations, Violation{rule, fmt.Sprintf(format, values...)})
+}
+
+func (r *Review) worst(rule string, value float64) {
+	if held, known := r.Worst[rule]; !known || value > held {
+		r.Worst[rule] = value
+	}
+}
+
+// Check holds a record against the list.
+func Check(record Record) Review {
+	review := Review{Worst: map[string]float64{}, Seen: map[string]int{}}
+	runs := map[string][]Ran{}
+	for _, ran := range record.Ran {
+		runs[ran.ID] = append(runs[ran.ID], ran)
+	}
+	asked := map[string]Asked{}
+	for _, query := range record.Asked {
+		asked[query.ID] = query
+	}
+	review.queries(record, runs)
+	review.runs(record, asked)
+	review.layouts(record)
+	review.keys(record)
+	review.drains(record)
+	review.retries(record, runs)
+	review.usage(record)
+	review.keepers(record)
+	return review
+}
+
+func (r *Review) queries(record Record, runs map[string][]Ran) {
+	for _, query := range record.Asked {
+		mine := runs[query.ID]
+		r.Seen["asked"]++
+		if query.Once && len(mine) > 1 {
+			r.add("once", "%s (%s) ran %d times", query.ID, query.Route, len(mine))
+		}
+		switch {
+		case query.Wire:
+			r.Seen["no answer"]++
+		case query.Status == 503:
+			r.Seen["busy"]++
+			if len(mine) > 0 {
+				r.add("busy-ran", "%s was told busy (%d) and ran at %s", query.ID, query.Code, mine[0].Instance)
+			}
+			if !query.Retry {
+				r.add("retry-after", "%s was told busy (%d) without Retry-After", query.ID, query.Code)
+			}
+		case query.Code == 0:
+			r.Seen["answered"]++
+			own := false
+			held := time.Duration(1 << 62)
+			for _, ran := range mine {
+				if ran.Answer == query.Body && ran.Whole > 0 {
+					own = true
+					held = min(held, query.Done-ran.Whole)
+				}
+			}
+			if !own {
+				r.add("own-answer", "%s got status %d and a body of %d bytes that no run of it sent", query.ID, query.Status, len(query.Body))
+				continue
+			}
+			r.worst("answer-hold-ms", float64(held.Milliseconds()))
+			if held > record.Bounds.AnswerHold {
+				r.add("answer-hold", "%s was held for %s", query.ID, held)
+			}
+		default:
+			r.Seen["refused or unknown"]++
+			if query.Status >= 502 {
+				r.Seen["unknown"]++
+			}
+		}
+	}
+}
+
+func (r *Review) runs(record Record, asked map[string]Asked) {
+	allowed := map[string]bool{}
+	for _, put := range record.Puts {
+		for route, service := range put.Services {
+			allowed[route+">"+service] = true
+		}
+	}
+	for _, ran := range record.Ran {
+		r.Seen["ran"]++
+		query, known := asked[ran.ID]
+		if !known {
+			r.add("stray", "%s ran unknown query %q", ran.Instance, ran.ID)
+			continue
+		}
+		if ran.Tenant != query.Tenant || ran.Caller != query.Caller {
+			r.add("identity", "%s ran as tenant %q caller %q, want %q %q", ran.ID, ran.Tenant, ran.Caller, query.Tenant, query.Caller)
+		}
+		if ran.KeySeen {
+			r.add("key-seen", "%s showed the key to %s", ran.ID, ran.Instance)
+		}
+		if ran.Service != query.Service || len(allowed) > 0 && !allowed[query.Route+">"+ran.Service] {
+			r.add("landing", "%s for %s landed at %s %s", ran.ID, query.Service, ran.Service, ran.Address)
+		}
+	}
+}
+
+// layouts: in force in time on every node that was up and connected all the while,
+// and never back to an older one.
+func (r *Review) layouts(record Record) {
+	for _, put := range record.Puts {
+		for _, span := range record.Up {
+			if span.From > put.At || span.To < put.At+record.Bounds.LayoutInForce {
+				continue
+			}
+			at := time.Duration(-1)
+			for _, force := range record.Forced {
+				if force.Node == span.Name && force.Sheet == put.Sheet && force.Version >= put.Version && force.At >= span.From && (at < 0 || force.At < at) {
+					at = force.At
+				}
+			}
+			r.Seen["layout arrivals"]++
+			if at < 0 || at > put.At+record.Bounds.LayoutInForce {
+				r.add("layout-late", "version %d acknowledged at %s is in force on %s at %s", put.Version, put.At, span.Name, at)
+				continue
+			}
+			r.worst("layout-in-force-ms", float64(max(0, at-put.At).Milliseconds()))
+		}
+	}
+	newest := map[string]Force{}
+	for _, force := range record.Forced {
+		key := force.Node + "|" + force.Sheet
+		if last, known := newest[key]; known && force.Version < last.Version && force.At > last.At+record.Bounds.SlipBack {
+			r.add("layout-slip", "%s went from %d to %d", force.Node, last.Version, force.Version)
+		} else if !known || force.Version >= last.Version {
+			newest[key] = force
+		}
+	}
+	for sheet, version := range record.Final {
+		for _, put := range record.Puts {
+			if put.Sheet == sheet && put.Version > version {
+				r.add("layout-lost", "%s %d was acknowledged, %d is read back", sheet, put.Version, version)
+			}
+		}
+	}
+}
+
+// keys: a withdrawn key is not honoured past its bound.
+func (r *Review) keys(record Record) {
+	if record.Bounds.KeyWithdrawal == 0 {
+		return
+	}
+	withdrawn := map[string]time.Duration{}
+	puts := append([]Put{}, record.Puts...)
+	sort.Slice(puts, func(i, j int) bool { return puts[i].Version < puts[j].Version })
+	for index := 1; index < len(puts); index++ {
+		for key := range puts[index-1].Keys {
+			if _, still := puts[index].Keys[key]; !still {
+				withdrawn[key] = puts[index].At
+			}
+		}
+		for key := range puts[index].Keys {
+			delete(withdrawn, key)
+		}
+	}
+	asked := map[string]Asked{}
+	for _, query := range record.Asked {
+		asked[query.ID] = query
+	}
+	for _, ran := range record.Ran {
+		query := asked[ran.ID]
+		at, gone := withdrawn[query.Key]
+		if !gone || query.Key == "" {
+			continue
+		}
+		r.Seen["withdrawn key runs"]++
+		if late := query.Sent - at; late > record.Bounds.KeyWithdrawal {
+			r.add("key-late", "%s ran with a key withdrawn %s before it was sent", ran.ID, late)
+		} else if late > 0 {
+			r.worst("key-withdrawal-ms", float64(late.Milliseconds()))
+		}
+	}
+}
+
+func (r *Review) drains(record Record) {
+	for _, leaving := range record.Leaving {
+		r.Seen["drains"]++
+		for _, ran := range record.Ran {
+			if ran.Service != leaving.Service || ran.Instance != leaving.Instance || ran.At < leaving.At {
+				continue
+			}
+			late := ran.At - leaving.At
+			r.worst("drain-ms", float64(late.Milliseconds()))
+			if late > record.Bounds.Drain {
+				r.add("drain-late", "%s got %s %s after it said it leaves", leaving.Instance, ran.ID, late)
+			}
+		}
+	}
+}
+
+// retries: runs past the first of a query, against the traffic of its service, in
+// any span of the window.
+func (r *Review) retries(record Record, runs map[string][]Ran) {
+	type event struct {
+		at    time.Duration
+		again bool
+	}
+	events := map[string][]event{}
+	for _, list := range runs {
+		sort.Slice(list, func(i, j int) bool { return list[i].At < list[j].At })
+		for index, ran := range list {
+			events[ran.Service] = append(events[ran.Service], event{ran.At, index > 0})
+			if index > 0 {
+				r.Seen["retries seen"]++
+			}
+		}
+	}
+	for service, list := range events {
+		sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
+		first, again, begin := 0, 0, 0
+		for _, now := range list {
+			if now.again {
+				again++
+			} else {
+				first++
+			}
+			for now.at-list[begin].at > record.Bounds.RetryWindow {
+				if list[begin].again {
+					again--
+				} else {
+					first--
+				}
+				begin++
+			}
+			if float64(again) > record.Bounds.RetryShare*float64(first)+float64(record.Bounds.RetryMore) {
+				r.add("retry-share", "%s: %d retries to %d first tries before %s", service, again, first, now.at)
+				return
+			}
+			if first > 20 {
+				r.worst("retry-share", float64(again)/float64(first))
+			}
+		}
+	}
+}
+
+func (r *Review) usage(record Record) {
+	values := map[int64]Reported{}
+	for _, report := range record.Reported {
+		r.Seen["usage reports"]++
+		first, known := values[report.Window]
+		if !known {
+			values[report.Window] = report
+			late := report.At - report.End
+			r.worst("usage-late-ms", float64(late.Milliseconds()))
+			if late > record.Bounds.UsageLate {
+				r.add("usage-late", "window %d came %s after its end", report.Window, late)
+			}
+			continue
+		}
+		if fmt.Sprint(first.Counts) != fmt.Sprint(report.Counts) {
+			r.add("usage-twice", "window %d was %v, then %v", report.Window, first.Counts, report.Counts)
+		}
+	}
+	for window, want := range record.Counted {
+		report, known := values[window]
+		if !known {
+			continue
+		}
+		total := int64(0)
+		for _, count := range report.Counts {
+			total += count
+		}
+		off := 0.0
+		if want > 0 {
+			off = float64(abs(total-want)) / float64(want)
+		}
+		r.worst("usage-off", off)
+		if off > record.Bounds.UsageOff && abs(total-want) > 3 {
+			r.add("usage-off", "window %d reported %d, callers saw %d", window, total, want)
+		}
+	}
+}
+
+func abs(value int64) int64 {
+	if value < 0 {
+		return -value
+	}
+	return value
+}
+
+// keepers: no seat gets a tag back from another within the rest, and no epoch has two.
+func (r *Review) keepers(record Record) {
+	byTag := map[string][]Keeping{}
+	for _, keeping := range record.Keeping {
+		byTag[keeping.Tag] = append(byTag[keeping.Tag], keeping)
+	}
+	for tag, list := range byTag {
+		sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
+		owner := map[int64]string{}
+		for index, keeping := range list {
+			r.Seen["tenures"]++
+			if seat, known := owner[keeping.Epoch]; known && seat != keeping.Seat {
+				r.add("two-keepers", "%s epoch %d: %s and %s", tag, keeping.Epoch, seat, keeping.Seat)
+			}
+			owner[keeping.Epoch] = keeping.Seat
+			if index == 0 || list[index-1].Seat == keeping.Seat {
+				continue
+			}
+			r.Seen["takeovers"]++
+			for back := index - 2; back >= 0; back-- {
+				if list[back].Seat == keeping.Seat && keeping.At-list[back+1].At < record.Bounds.KeeperRest {
+					r.add("back-and-forth", "%s: %s, %s, %s within %s", tag, keeping.Seat, list[back+1].Seat, keeping.Seat, keeping.At-list[back+1].At)
+				}
+				if list[back].Seat != list[back+1].Seat {
+					break
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/foyer/foyer.go
@@ -0,0 +1,556 @@
+// Package foyer is the caller's side of traffic. This file decides, under one short
+// lock and with the time given: who asks (gate), which upstream gets the query
+// (choose), and what a verdict means for the caller (judge). The stages that run
+// these decisions, and the HTTP and wires around them, are in stages.go.
+//
+// A query that has begun at an upstream is never begun again on a once-only route
+// unless its home said that it had not started. "Busy" answers are given only where
+// nothing ran.
+package foyer
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"beaconvane/internal/blocking"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+	"beaconvane/internal/usher"
+)
+
+// Names under which a caller shows its tenant's key.
+const (
+	KeyHeader = "X-Api-Key"
+	KeyParam  = "api_key"
+)
+
+// Query is one caller's query on its way.
+type Query struct {
+	ID       string
+	Method   string
+	RawPath  string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+	Deadline time.Duration
+
+	Path     string
+	Layout   *blocking.Layout
+	Route    blocking.Route
+	Tenant   string
+	Caller   string
+	Tried    map[string]bool
+	Attempts int
+	Target   script.Registration
+	Started  bool // some attempt may have started
+}
+
+// Final is the answer to the caller.
+type Final struct {
+	Code       notice.Code
+	Status     int
+	Headers    []script.HeaderLine
+	Body       []byte
+	RetryAfter time.Duration
+}
+
+// Refusal makes a final answer of a code; busy ones say when to come back.
+func Refusal(code notice.Code) *Final {
+	final := &Final{Code: code, Status: code.Status()}
+	if final.Status == http.StatusServiceUnavailable {
+		final.RetryAfter = time.Second
+	}
+	return final
+}
+
+type peer struct {
+	mine       int64
+	reported   int64
+	slots      int64
+	load       float64
+	reportedAt time.Duration
+	avoidUntil time.Duration
+	readySince time.Duration
+	seen       bool
+}
+
+const budgetBuckets = 20
+
+type budget struct {
+	bucket  [budgetBuckets + 1]int64
+	firsts  [budgetBuckets + 1]int64
+	retries [budgetBuckets + 1]int64
+}
+
+// Foyer holds the caller's side of one usher.
+type Foyer struct {
+	config  playbill.Config
+	passOf  func(pass string) (greenroom.Pass, bool)
+	lock    sync.Mutex
+	view    *usher.View
+	peers   map[string]*peer
+	budgets map[string]*budget
+	usage   map[int64]map[string]int64
+	tallies map[notice.Code]int64
+	again   int64
+}
+
+// New makes a foyer; passOf asks the greenroom of the same usher.
+func New(config playbill.Config, passOf func(pass string) (greenroom.Pass, bool)) *Foyer {
+	return &Foyer{config: config, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usage: map[int64]map[string]int64{}, tallies: map[notice.Code]int64{}}
+}
+
+// Show takes a new view of the control state.
+func (f *Foyer) Show(now time.Duration, view *usher.View) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.view = view
+	present := map[string]bool{}
+	for _, list := range view.Upstreams {
+		for _, registration := range list {
+			key := peerKey(registration)
+			present[key] = true
+			held := f.peer(key)
+			if registration.State == script.StateReady && !held.seen {
+				held.seen, held.readySince = true, now
+			}
+		}
+	}
+	for key, held := range f.peers {
+		if !present[key] && held.mine == 0 {
+			delete(f.peers, key)
+		}
+	}
+}
+
+func peerKey(registration script.Registration) string {
+	return registration.Key() + "/" + registration.Address
+}
+
+func (f *Foyer) peer(key string) *peer {
+	held, known := f.peers[key]
+	if !known {
+		held = &peer{}
+		f.peers[key] = held
+	}
+	return held
+}
+
+// Ready is the answer to the platform's question.
+func (f *Foyer) Ready(now time.Duration) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.view.Ready(now, f.config.StaleReady())
+}
+
+// Gate decides who asks for what: key to tenant, caller, route, size.
+func (f *Foyer) Gate(now time.Duration, wall time.Time, query *Query) *Final {
+	f.lock.Lock()
+	view := f.view
+	f.lock.Unlock()
+	if view == nil || !view.Known {
+		return Refusal(notice.BusyNotReady)
+	}
+	if limit := f.config.StaleGate(); limit > 0 && now-view.FreshAt > limit {
+		return Refusal(notice.BusyStale)
+	}
+	path, err := blocking.NormalPath(query.RawPath)
+	if err != nil {
+		return Refusal(notice.QueryBadPath)
+	}
+	query.Path = path
+	key, pass := takeKey(query), query.Header.Get(greenroom.PassHeader)
+	claimed := query.Header.Get(greenroom.CallerHeader)
+	passed, byPass := greenroom.Pass{}, false
+	if pass != "" {
+		if passed, byPass = f.passOf(pass); !byPass {
+			return Refusal(notice.QueryPassInvalid)
+		}
+	} else if key == "" {
+		return Refusal(notice.QueryNoKey)
+	}
+	known := byPass
+	for _, layout := range view.Layouts {
+		if !byPass {
+			if _, held := layout.Tenant(key); held {
+				known = true
+			}
+		}
+	}
+	if !known {
+		return Refusal(notice.QueryKeyUnknown)
+	}
+	for _, layout := range view.Layouts {
+		route, found := layout.Match(query.Method, path)
+		if !found {
+			continue
+		}
+		tenant, held := layout.Tenant(key)
+		if byPass {
+			tenant, claimed, held = passed.Tenant, passed.Service, true
+		}
+		if !held || !route.Allows(tenant, claimed) {
+			return Refusal(notice.QueryCallerRefused)
+		}
+		if route.Calendar != nil && !route.Calendar.Open(wall) {
+			final := Refusal(notice.QueryRouteClosed)
+			final.RetryAfter = route.Calendar.NextOpen(wall)
+			return final
+		}
+		if route.BodyCap > 0 && int64(len(query.Body)) > route.BodyCap {
+			return Refusal(notice.QueryTooLarge)
+		}
+		query.Layout, query.Route, query.Tenant, query.Caller = layout, route, tenant, claimed
+		query.Deadline = min(query.Deadline, now+route.Limit)
+		query.Tried = map[string]bool{}
+		scrub(query, key)
+		f.first(now, route.Service)
+		return nil
+	}
+	return Refusal(notice.QueryNoRoute)
+}
+
+func takeKey(query *Query) string {
+	if key := query.Header.Get(KeyHeader); key != "" {
+		return key
+	}
+	if bearer, found := strings.CutPrefix(query.Header.Get("Authorization"), "Bearer "); found && bearer != "" {
+		return bearer
+	}
+	values, err := url.ParseQuery(query.RawQuery)
+	if err != nil {
+		return ""
+	}
+	return values.Get(KeyParam)
+}
+
+var ownHeaders = map[string]bool{"x-tenant": true, "x-calling-service": true, "x-beacon-pass": true, "x-query-id": true,
+	"x-api-key": true, "authorization": true, "host": true, "expect": true}
+
+// scrub removes what the mesh sets itself and the key wherever it stands.
+func scrub(query *Query, key string) {
+	clean := http.Header{}
+	dropped := greenroom.HopHeaders(query.Header)
+	for name, values := range query.Header {
+		if dropped[name] || ownHeaders[strings.ReplaceAll(strings.ToLower(name), "_", "-")] || key != "" && strings.Contains(name, key) {
+			continue
+		}
+		for _, value := range values {
+			if key == "" || !strings.Contains(value, key) {
+				clean.Add(name, value)
+			}
+		}
+	}
+	query.Header = clean
+	if query.RawQuery == "" {
+		return
+	}
+	kept := []string{}
+	for _, part := range strings.Split(query.RawQuery, "&") {
+		name, value, _ := strings.Cut(part, "=")
+		plainName, nameErr := url.QueryUnescape(name)
+		plainValue, valueErr := url.QueryUnescape(value)
+		if nameErr != nil || valueErr != nil || strings.EqualFold(plainName, KeyParam) ||
+			key != "" && (strings.Contains(plainValue, key) || strings.Contains(plainName, key)) {
+			continue
+		}
+		kept = append(kept, part)
+	}
+	query.RawQuery = strings.Join(kept, "&")
+}
+
+func (f *Foyer) bucketOf(now time.Duration, held *budget) int {
+	number := int64(now / (f.config.RetryWindow() / budgetBuckets))
+	slot := int(number % (budgetBuckets + 1))
+	if held.bucket[slot] != number {
+		held.bucket[slot], held.firsts[slot], held.retries[slot] = number, 0, 0
+	}
+	return slot
+}
+
+func (f *Foyer) budget(service string) *budget {
+	held, known := f.budgets[service]
+	if !known {
+		held = &budget{}
+		f.budgets[service] = held
+	}
+	return held
+}
+
+func (f *Foyer) first(now time.Duration, service string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	held := f.budget(service)
+	held.firsts[f.bucketOf(now, held)]++
+}
+
+// mayRetry spends from the service's budget: a share of the first tries of the last
+// window and this usher's part of the fleet's allowance.
+func (f *Foyer) mayRetry(now time.Duration, service string) bool {
+	held := f.budget(service)
+	slot := f.bucketOf(now, held)
+	firsts, retries := int64(0), int64(0)
+	for index := range held.bucket {
+		age := held.bucket[slot] - held.bucket[index]
+		if age <= budgetBuckets {
+			retries += held.retries[index]
+		}
+		if age < budgetBuckets {
+			firsts += held.firsts[index]
+		}
+	}
+	allowance := float64(f.config.Bounds.RetryAllowance) / float64(max(1, f.view.Ushers))
+	if float64(retries+1) > f.config.Bounds.RetryShare*float64(firsts)*0.9+allowance {
+		return false
+	}
+	held.retries[slot]++
+	f.again++
+	return true
+}
+
+// Choose picks the upstream for the next attempt.
+func (f *Foyer) Choose(now time.Duration, query *Query, dice *rand.Rand) *Final {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if now >= query.Deadline {
+		return f.giveUp(query, notice.BusyDeadline)
+	}
+	near, far := []script.Registration{}, []script.Registration{}
+	known := 0
+	for _, registration := range f.view.Upstreams[query.Route.Service] {
+		if registration.State != script.StateReady {
+			continue
+		}
+		known++
+		held := f.peer(peerKey(registration))
+		if query.Tried[peerKey(registration)] || now < held.avoidUntil {
+			continue
+		}
+		if registration.District == f.config.District {
+			near = append(near, registration)
+		} else {
+			far = append(far, registration)
+		}
+	}
+	if len(near)+len(far) == 0 {
+		if known > 0 {
+			return f.giveUp(query, notice.BusySlotsFull)
+		}
+		return f.giveUp(query, notice.BusyNoUpstream)
+	}
+	chosen, score := f.better(now, near, dice)
+	if other, otherScore := f.better(now, far, dice); len(near) == 0 || len(far) > 0 && (score >= 1 && otherScore < 1 || score > otherScore+f.config.Limits.SpillMargin) {
+		chosen = other
+	}
+	query.Target = chosen
+	query.Tried[peerKey(chosen)] = true
+	query.Attempts++
+	f.peer(peerKey(chosen)).mine++
+	return nil
+}
+
+// better takes two at random and keeps the less used.
+func (f *Foyer) better(now time.Duration, list []script.Registration, dice *rand.Rand) (script.Registration, float64) {
+	if len(list) == 0 {
+		return script.Registration{}, 0
+	}
+	first := dice.IntN(len(list))
+	chosen, score := list[first], f.score(now, list[first])
+	if len(list) > 1 {
+		second := (first + 1 + dice.IntN(len(list)-1)) % len(list)
+		if other := f.score(now, list[second]); other < score {
+			chosen, score = list[second], other
+		}
+	}
+	return chosen, score
+}
+
+// score is the use of an upstream: outstanding work against slots, with its own load
+// folded in, and slots scaled down while it is fresh.
+func (f *Foyer) score(now time.Duration, registration script.Registration) float64 {
+	held := f.peer(peerKey(registration))
+	outstanding := held.mine
+	if now-held.reportedAt < f.config.NewsEvery()*2 {
+		outstanding = max(outstanding, held.reported)
+	}
+	ramp := 1.0
+	if since := now - held.readySince; since < f.config.WarmSpan() {
+		ramp = 0.2 + 0.8*float64(since)/float64(f.config.WarmSpan())
+	}
+	return (float64(outstanding)/float64(max(1, registration.Slots)) + min(max(held.load, 0), 1)/2) / ramp
+}
+
+func (f *Foyer) giveUp(query *Query, code notice.Code) *Final {
+	if query.Started {
+		return Refusal(notice.UnknownOutcome)
+	}
+	return Refusal(code)
+}
+
+// Judge takes a verdict: a final answer, or nil to choose again.
+func (f *Foyer) Judge(now time.Duration, query *Query, verdict script.Verdict) *Final {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	code := notice.Code(verdict.Code)
+	held := f.peer(peerKey(query.Target))
+	held.mine = max(0, held.mine-1)
+	if verdict.Slots > 0 {
+		held.reported, held.slots, held.load, held.reportedAt = verdict.Outstanding, verdict.Slots, verdict.Load, now
+	}
+	switch verdict.Kind {
+	case script.StartedWhole:
+		return &Final{Code: notice.OK, Status: int(verdict.Status), Headers: verdict.Headers, Body: verdict.Body}
+	case script.NotStarted:
+		f.learn(now, held, query, code)
+		if now >= query.Deadline || code == notice.BusyDeadline {
+			return f.giveUp(query, notice.BusyDeadline)
+		}
+		if code.Status() != http.StatusServiceUnavailable {
+			return f.giveUp(query, code)
+		}
+	default:
+		query.Started = true
+		if query.Route.Once || now >= query.Deadline {
+			if code == notice.OK {
+				code = notice.UnknownOutcome
+			}
+			return Refusal(code)
+		}
+	}
+	if !f.mayRetry(now, query.Route.Service) {
+		if verdict.Kind == script.NotStarted {
+			return f.giveUp(query, notice.BusyBudget)
+		}
+		return Refusal(notice.UnknownOutcome)
+	}
+	return nil
+}
+
+// learn takes a home's refusal into the choice at once.
+func (f *Foyer) learn(now time.Duration, held *peer, query *Query, code notice.Code) {
+	switch code {
+	case notice.BusySlotsFull, notice.BusyPendingFull:
+		held.avoidUntil = now + f.config.NewsEvery()/4
+	case notice.BusyHomeLost:
+		for _, list := range f.view.Upstreams {
+			for _, registration := range list {
+				if registration.HomeAddress == query.Target.HomeAddress {
+					f.peer(peerKey(registration)).avoidUntil = now + f.config.NewsEvery()*2
+				}
+			}
+		}
+	case notice.BusyUpstreamGone, notice.BusyLeaving:
+		held.avoidUntil = now + f.config.BeatEvery()*2
+		held.seen = false
+	case notice.BusyNotReady, notice.BusyLayoutDiffers:
+		held.avoidUntil = now + f.config.NewsEvery()
+	}
+}
+
+// Abandon says what a caller is told whose time is up while a query is out.
+func (f *Foyer) Abandon(query *Query, carried bool) *Final {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if carried {
+		return Refusal(notice.UnknownTimeout)
+	}
+	return f.giveUp(query, notice.BusyDeadline)
+}
+
+// Release takes back the count of an attempt whose verdict nobody waits for.
+func (f *Foyer) Release(query *Query) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	held := f.peer(peerKey(query.Target))
+	held.mine = max(0, held.mine-1)
+}
+
+// Carry makes the frame for the chosen home.
+func (f *Foyer) Carry(now time.Duration, query *Query, self string, attempt string) script.Carry {
+	carry := script.Carry{ID: query.ID + "." + attempt, Usher: self, HomeBirth: query.Target.HomeBirth, Sheet: query.Layout.Sheet,
+		Version: query.Layout.Version, Route: query.Route.Name, Service: query.Route.Service, Instance: query.Target.Instance,
+		Incarnation: query.Target.Incarnation, Tenant: query.Tenant, Caller: query.Caller, Method: query.Method, Path: query.Path,
+		RawQuery: query.RawQuery, Headers: []script.HeaderLine{}, Body: query.Body, AnswerCap: f.config.Limits.Answer}
+	remaining := query.Deadline - now
+	carry.Remaining = int64(remaining - min(remaining/20, f.config.NewsEvery()/10))
+	for name, values := range query.Header {
+		for _, value := range values {
+			carry.Headers = append(carry.Headers, script.HeaderLine{Name: name, Value: value})
+		}
+	}
+	if carry.Body == nil {
+		carry.Body = []byte{}
+	}
+	return carry
+}
+
+// Allowed is the home's check of a carried query against its own layouts.
+func (f *Foyer) Allowed(carry script.Carry) notice.Code {
+	f.lock.Lock()
+	view := f.view
+	f.lock.Unlock()
+	if view == nil || !view.Known {
+		return notice.BusyNotReady
+	}
+	for _, layout := range view.Layouts {
+		if layout.Sheet != carry.Sheet {
+			continue
+		}
+		if route, found := layout.Match(carry.Method, carry.Path); found && route.Service == carry.Service && route.Allows(carry.Tenant, carry.Caller) {
+			return notice.OK
+		}
+	}
+	return notice.BusyLayoutDiffers
+}
+
+// Count notes a final answer: for the counters by code, and for the usage report when
+// it is the upstream's own.
+func (f *Foyer) Count(wall time.Duration, query *Query, final *Final) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.tallies[final.Code]++
+	if final.Code != notice.OK || query.Tenant == "" {
+		return
+	}
+	window := int64(wall / f.config.UsageWindow())
+	if f.usage[window] == nil {
+		f.usage[window] = map[string]int64{}
+	}
+	f.usage[window][query.Tenant]++
+}
+
+// Usage gives the windows not sealed yet; those below closed won't change any more.
+func (f *Foyer) Usage(wall time.Duration, sealedBelow int64) (usage []script.UsageCount, closed int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	closed = int64(wall / f.config.UsageWindow())
+	for window, counts := range f.usage {
+		if window < sealedBelow || window < closed-720 {
+			delete(f.usage, window)
+			continue
+		}
+		copied := map[string]int64{}
+		for tenant, count := range counts {
+			copied[tenant] = count
+		}
+		usage = append(usage, script.UsageCount{Window: window, Counts: copied})
+	}
+	return usage, closed
+}
+
+// Tallies gives the counters.
+func (f *Foyer) Tallies() (map[string]int64, int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	tallies := map[string]int64{}
+	for code, count := range f.tallies {
+		tallies[code.String()] = count
+	}
+	return tallies, f.again
+}
--- /dev/null
+++ b/internal/greenroom/calling.go
@@ -0,0 +1,303 @@
+// This file calls upstreams: one HTTP/1.1 exchange on a wire of its own keeping, read
+// and written by net/http's own functions. The standard Transport is not used, since
+// it sends some requests a second time by itself; here a request goes out at most
+// once, by construction. An idle wire belongs to one incarnation at one address, is
+// looked at before it is used again, and is closed long before the beat bound. An
+// answer counts only when it is whole: a length or chunks that end, a head that
+// parses, no bytes behind it.
+package greenroom
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"beaconvane/internal/crew"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+const headCap = 64 << 10
+
+// Headers that the mesh sets itself towards an upstream.
+const (
+	TenantHeader = "X-Tenant"
+	CallerHeader = "X-Calling-Service"
+	PassHeader   = "X-Beacon-Pass"
+	QueryHeader  = "X-Query-Id"
+)
+
+type heldWire struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	limit  *io.LimitedReader
+	idleAt time.Duration
+}
+
+// Caller carries out start orders.
+type Caller struct {
+	config playbill.Config
+	room   *Greenroom
+	crew   *crew.Crew
+	lock   sync.Mutex
+	idle   map[Target][]*heldWire
+}
+
+// NewCaller makes a caller for a greenroom.
+func NewCaller(config playbill.Config, room *Greenroom, members *crew.Crew) *Caller {
+	return &Caller{config: config, room: room, crew: members, idle: map[Target][]*heldWire{}}
+}
+
+func bare(target Target) Target {
+	target.Pass = ""
+	return target
+}
+
+// Call starts the query at the upstream and gives the verdict.
+func (c *Caller) Call(order Order) script.Verdict {
+	limit := time.Duration(order.Carry.Remaining)
+	limit -= min(limit/20, 20*time.Millisecond)
+	until := time.Now().Add(limit)
+	wire, verdict := c.take(order.Target, until)
+	if wire == nil {
+		return verdict
+	}
+	answer, keep, err := c.exchange(wire, order, until)
+	if err == nil && keep {
+		c.give(order.Target, wire)
+	} else {
+		wire.conn.Close()
+	}
+	if err == nil {
+		return answer
+	}
+	code := notice.CodeOf(err)
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		code = notice.UnknownTimeout
+	case code == notice.UnknownOutcome:
+		c.room.Broke(c.crew.Now(), order.Target)
+	}
+	return script.Verdict{Kind: script.StartedNoWhole, Code: int64(code)}
+}
+
+func (c *Caller) take(target Target, until time.Time) (*heldWire, script.Verdict) {
+	if wire := c.takeIdle(bare(target)); wire != nil {
+		return wire, script.Verdict{}
+	}
+	gone := script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)}
+	if !c.room.Dialable(c.crew.Now(), target) {
+		return nil, gone
+	}
+	dialer := net.Dialer{Deadline: until, Timeout: c.config.WireDial()}
+	conn, err := dialer.DialContext(c.crew.Context, "tcp", target.Address)
+	if err != nil {
+		c.room.Broke(c.crew.Now(), target)
+		return nil, gone
+	}
+	if !c.room.Dialable(c.crew.Now(), target) {
+		// Ended or moved while the wire was being made: nothing is sent on it.
+		conn.Close()
+		return nil, gone
+	}
+	limit := &io.LimitedReader{R: conn}
+	return &heldWire{conn: conn, limit: limit, reader: bufio.NewReader(limit)}, script.Verdict{}
+}
+
+func (c *Caller) takeIdle(target Target) *heldWire {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for list := c.idle[target]; len(list) > 0; list = c.idle[target] {
+		wire := list[len(list)-1]
+		c.idle[target] = list[:len(list)-1]
+		if c.crew.Now()-wire.idleAt < c.config.BeatBound()/3 && quiet(wire) {
+			return wire
+		}
+		wire.conn.Close()
+	}
+	delete(c.idle, target)
+	return nil
+}
+
+// quiet: nothing to read and not closed by the other side.
+func quiet(wire *heldWire) bool {
+	if wire.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := wire.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		size, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = size < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && still
+}
+
+func (c *Caller) give(target Target, wire *heldWire) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	wire.idleAt = c.crew.Now()
+	key := bare(target)
+	if len(c.idle[key]) >= 32 || !c.room.Dialable(wire.idleAt, target) {
+		wire.conn.Close()
+		return
+	}
+	c.idle[key] = append(c.idle[key], wire)
+}
+
+// Sweep closes wires that idled too long or whose target has ended.
+func (c *Caller) Sweep() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	now := c.crew.Now()
+	for target, list := range c.idle {
+		kept := list[:0]
+		for _, wire := range list {
+			if now-wire.idleAt < c.config.BeatBound()/3 && c.room.Dialable(now, target) {
+				kept = append(kept, wire)
+			} else {
+				wire.conn.Close()
+			}
+		}
+		c.idle[target] = kept
+		if len(kept) == 0 {
+			delete(c.idle, target)
+		}
+	}
+}
+
+// exchange sends once and reads one whole answer.
+func (c *Caller) exchange(wire *heldWire, order Order, until time.Time) (script.Verdict, bool, error) {
+	carry := order.Carry
+	request, err := requestOf(carry, order.Target)
+	if err != nil {
+		return script.Verdict{Kind: script.NotStarted, Code: int64(notice.QueryBadPath)}, false, nil
+	}
+	wire.conn.SetDeadline(until)
+	// The whole request is built first, so that what fails here never went out.
+	text := bytes.Buffer{}
+	if err := request.Write(&text); err != nil {
+		return script.Verdict{Kind: script.NotStarted, Code: int64(notice.QueryUnreadable)}, false, nil
+	}
+	if _, err := wire.conn.Write(text.Bytes()); err != nil {
+		return script.Verdict{}, false, notice.Wrap("greenroom.write", notice.UnknownOutcome, err)
+	}
+	wire.limit.N = carry.AnswerCap + headCap
+	response, err := readHead(wire.reader, request)
+	if err != nil {
+		code := notice.AnswerMalformed
+		if broken(err) {
+			code = notice.UnknownOutcome
+		}
+		return script.Verdict{}, false, notice.Wrap("greenroom.head", code, err)
+	}
+	defer response.Body.Close()
+	if !framed(response, carry.Method) {
+		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, errors.New("neither length nor chunks"))
+	}
+	if response.ContentLength > carry.AnswerCap {
+		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerTooLarge, nil)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, carry.AnswerCap+1))
+	if err != nil {
+		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, err)
+	}
+	if int64(len(body)) > carry.AnswerCap {
+		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerTooLarge, nil)
+	}
+	if wire.reader.Buffered() > 0 {
+		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, errors.New("bytes behind the answer"))
+	}
+	verdict := script.Verdict{Kind: script.StartedWhole, Status: int64(response.StatusCode), Headers: []script.HeaderLine{}, Body: body}
+	dropped := HopHeaders(response.Header)
+	for name, values := range response.Header {
+		if dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			verdict.Headers = append(verdict.Headers, script.HeaderLine{Name: name, Value: value})
+		}
+	}
+	return verdict, !response.Close, nil
+}
+
+func broken(err error) bool {
+	var operation *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &operation)
+}
+
+func readHead(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for range 8 {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols || response.StatusCode < 100 || response.StatusCode > 599:
+			return nil, fmt.Errorf("status %d", response.StatusCode)
+		case response.StatusCode >= 200:
+			return response, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// framed: the end of the body can be told from a broken wire.
+func framed(response *http.Response, method string) bool {
+	bodiless := method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	chunked := len(response.TransferEncoding) == 1 && response.TransferEncoding[0] == "chunked"
+	return bodiless || chunked || response.ContentLength >= 0
+}
+
+func requestOf(carry script.Carry, target Target) (*http.Request, error) {
+	path, err := url.PathUnescape(carry.Path)
+	if err != nil {
+		return nil, err
+	}
+	request := &http.Request{Method: carry.Method, Host: target.Address, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{Scheme: "http", Host: target.Address, Path: path, RawPath: carry.Path, RawQuery: carry.RawQuery}}
+	for _, line := range carry.Headers {
+		request.Header.Add(line.Name, line.Value)
+	}
+	if _, given := request.Header["User-Agent"]; !given {
+		request.Header.Set("User-Agent", "")
+	}
+	request.Header.Set(TenantHeader, carry.Tenant)
+	request.Header.Set(CallerHeader, carry.Caller)
+	request.Header.Set(PassHeader, target.Pass)
+	request.Header.Set(QueryHeader, carry.ID)
+	request.ContentLength = int64(len(carry.Body))
+	request.Body = http.NoBody
+	if len(carry.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(carry.Body))
+	}
+	return request.WithContext(context.Background()), nil
+}
+
+// HopHeaders lists the headers that end at this hop.
+func HopHeaders(header http.Header) map[string]bool {
+	dropped := map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+		"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true}
+	for _, value := range header["Connection"] {
+		for _, name := range bytes.Split([]byte(value), []byte(",")) {
+			dropped[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
+		}
+	}
+	return dropped
+}
--- /dev/null
+++ b/internal/greenroom/greenroom.go
@@ -0,0 +1,454 @@
+// Package greenroom is the home's side of traffic: the usher beside an upstream holds
+// as facts its slots, its drain, and whether each query was started. This file
+// decides, under one short lock and with the time given, so that the simulator runs
+// it as it stands; calling.go does the calling.
+//
+// A registration is bound to address, service and incarnation. Another announcement
+// from its address ends it at once; after a broken wire nothing is dialled until a
+// beat of the same incarnation newer than the break; without a beat in its bound
+// nothing is started. The verdict on each query id is kept a while, and asking for an
+// id never seen bars it from starting later.
+package greenroom
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sort"
+	"sync"
+	"time"
+
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+// Announcement is what an upstream says of itself.
+type Announcement struct {
+	Service     string  `json:"service"`
+	Instance    string  `json:"instance"`
+	Incarnation int64   `json:"incarnation"`
+	Address     string  `json:"address"`
+	District    string  `json:"district"`
+	Slots       int64   `json:"slots"`
+	Warming     bool    `json:"warming"`
+	Leaving     bool    `json:"leaving"`
+	Load        float64 `json:"load"`
+}
+
+// keptBody is the largest answer kept for a usher that lost its wire.
+const keptBody = 256 << 10
+
+// Order is what is to be done with a carried query: start it, or refuse it.
+type Order struct {
+	Carry  script.Carry
+	Start  bool
+	Code   notice.Code
+	Target Target
+}
+
+// Target is the upstream as bound at the moment of starting.
+type Target struct {
+	Key         string
+	Address     string
+	Incarnation int64
+	Pass        string
+}
+
+type waiting struct {
+	carry script.Carry
+	until time.Duration
+}
+
+type upstream struct {
+	announcement Announcement
+	announcedAt  time.Duration
+	brokenAt     time.Duration
+	broken       bool
+	running      map[string]bool
+	ghosts       []time.Duration
+	pending      []waiting
+	ended        bool
+}
+
+type kept struct {
+	verdict script.Verdict
+	at      time.Duration
+	done    bool
+	barred  bool
+	pending bool
+}
+
+// Pass is what a running query may be named by when its upstream calls on.
+type Pass struct {
+	Tenant  string
+	Service string
+	Key     string
+}
+
+// Allows checks a carried query against this home's own layouts.
+type Allows func(carry script.Carry) notice.Code
+
+// Greenroom is the home of the upstreams that announce here.
+type Greenroom struct {
+	config    playbill.Config
+	allows    Allows
+	newPass   func() string
+	lock      sync.Mutex
+	upstreams map[string]*upstream
+	verdicts  map[string]*kept
+	order     []string
+	passes    map[string]Pass
+	leaving   bool
+}
+
+// New makes a greenroom.
+func New(config playbill.Config, allows Allows) *Greenroom {
+	return &Greenroom{config: config, allows: allows, newPass: randomPass, upstreams: map[string]*upstream{}, verdicts: map[string]*kept{}, passes: map[string]Pass{}}
+}
+
+// UsePasses replaces the source of passes, for the simulator's dice.
+func (g *Greenroom) UsePasses(newPass func() string) { g.newPass = newPass }
+
+func randomPass() string {
+	var bytes [24]byte
+	rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+// State gives the roster's word for an announcement.
+func (a Announcement) State() string {
+	switch {
+	case a.Leaving:
+		return script.StateLeaving
+	case a.Warming:
+		return script.StateWarming
+	}
+	return script.StateReady
+}
+
+// Registration is the announcement as the roster holds it, less the home.
+func (a Announcement) Registration() script.Registration {
+	return script.Registration{Service: a.Service, Instance: a.Instance, Incarnation: a.Incarnation, Address: a.Address,
+		District: a.District, Slots: a.Slots, State: a.State()}
+}
+
+func (a Announcement) key() string { return a.Service + "/" + a.Instance }
+
+// Announce takes a beat. It gives the registrations that it ended, and orders for
+// queries that were pending.
+func (g *Greenroom) Announce(now time.Duration, told Announcement) (accepted bool, endings []Announcement, orders []Order) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	key := told.key()
+	held, known := g.upstreams[key]
+	if known && told.Incarnation < held.announcement.Incarnation {
+		return false, nil, nil
+	}
+	for _, otherKey := range g.keys() {
+		other := g.upstreams[otherKey]
+		replaced := otherKey == key && (told.Incarnation > other.announcement.Incarnation || told.Address != other.announcement.Address)
+		if otherKey != key && other.announcement.Address == told.Address || replaced {
+			if otherKey != key {
+				endings = append(endings, other.announcement)
+			}
+			orders = append(orders, g.end(other, notice.BusyUpstreamGone)...)
+			delete(g.upstreams, otherKey)
+		}
+	}
+	held, known = g.upstreams[key]
+	if !known {
+		held = &upstream{running: map[string]bool{}}
+		g.upstreams[key] = held
+	}
+	if held.announcement.Leaving {
+		told.Leaving = true
+	}
+	held.announcement, held.announcedAt = told, now
+	if held.broken && now > held.brokenAt {
+		held.broken = false
+	}
+	if told.Leaving {
+		orders = append(orders, g.end(held, notice.BusyLeaving)...)
+	}
+	return true, endings, append(orders, g.fill(now, held)...)
+}
+
+// SignOff ends a registration; false when it is not here.
+func (g *Greenroom) SignOff(service, instance string, incarnation int64) (bool, []Order) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	key := service + "/" + instance
+	held, known := g.upstreams[key]
+	if !known || held.announcement.Incarnation != incarnation {
+		return false, nil
+	}
+	delete(g.upstreams, key)
+	return true, g.end(held, notice.BusyLeaving)
+}
+
+// end refuses everything pending at an upstream.
+func (g *Greenroom) end(held *upstream, code notice.Code) []Order {
+	orders := []Order{}
+	for _, item := range held.pending {
+		orders = append(orders, g.refuse(item.carry, code))
+	}
+	held.pending = nil
+	return orders
+}
+
+func (g *Greenroom) refuse(carry script.Carry, code notice.Code) Order {
+	return Order{Carry: carry, Code: code}
+}
+
+func (g *Greenroom) keys() []string {
+	keys := make([]string, 0, len(g.upstreams))
+	for key := range g.upstreams {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Leave refuses all that has not started, from now on.
+func (g *Greenroom) Leave() []Order {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.leaving = true
+	orders := []Order{}
+	for _, key := range g.keys() {
+		orders = append(orders, g.end(g.upstreams[key], notice.BusyLeaving)...)
+	}
+	return orders
+}
+
+// Carried takes a query from another usher (or this one): started, pending, or
+// refused. A pending one gives no order now.
+func (g *Greenroom) Carried(now time.Duration, carry script.Carry) []Order {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if old, seen := g.verdicts[carry.ID]; seen {
+		if old.barred {
+			return []Order{g.refuse(carry, notice.BusyHomeLost)}
+		}
+		return nil
+	}
+	held, known := g.upstreams[carry.Service+"/"+carry.Instance]
+	if code := g.admits(now, held, known, carry); code != notice.OK {
+		return []Order{g.refuse(carry, code)}
+	}
+	until := now + time.Duration(carry.Remaining)
+	g.remember(carry.ID, &kept{at: until, pending: true})
+	held.pending = append(held.pending, waiting{carry, until})
+	orders := g.fill(now, held)
+	if len(held.pending) > int(held.announcement.Slots) {
+		last := held.pending[len(held.pending)-1]
+		held.pending = held.pending[:len(held.pending)-1]
+		delete(g.verdicts, last.carry.ID)
+		orders = append(orders, g.refuse(last.carry, notice.BusySlotsFull))
+	}
+	return orders
+}
+
+// admits: whether this upstream may be given this query now.
+func (g *Greenroom) admits(now time.Duration, held *upstream, known bool, carry script.Carry) notice.Code {
+	switch {
+	case g.leaving:
+		return notice.BusyLeaving
+	case !known || held.announcement.Incarnation != carry.Incarnation:
+		return notice.BusyUpstreamGone
+	case now-held.announcedAt > g.config.BeatBound():
+		return notice.BusyUpstreamGone
+	case held.broken:
+		return notice.BusyUpstreamGone
+	case held.announcement.Leaving:
+		return notice.BusyLeaving
+	case held.announcement.Warming:
+		return notice.BusyNotReady
+	case carry.Remaining <= 0:
+		return notice.BusyDeadline
+	}
+	return g.allows(carry)
+}
+
+// fill starts pending queries while slots are free.
+func (g *Greenroom) fill(now time.Duration, held *upstream) []Order {
+	orders := []Order{}
+	ghosts := held.ghosts[:0]
+	for _, until := range held.ghosts {
+		if now < until {
+			ghosts = append(ghosts, until)
+		}
+	}
+	held.ghosts = ghosts
+	for len(held.pending) > 0 && int64(len(held.running)+len(held.ghosts)) < held.announcement.Slots {
+		next := held.pending[0]
+		held.pending = held.pending[1:]
+		if now >= next.until {
+			orders = append(orders, g.refuse(next.carry, notice.BusyDeadline))
+			continue
+		}
+		if code := g.admits(now, held, true, next.carry); code != notice.OK {
+			orders = append(orders, g.refuse(next.carry, code))
+			continue
+		}
+		held.running[next.carry.ID] = true
+		g.remember(next.carry.ID, &kept{at: now})
+		pass := g.newPass()
+		g.passes[pass] = Pass{next.carry.Tenant, next.carry.Service, next.carry.ID}
+		carry := next.carry
+		carry.Remaining = int64(next.until - now)
+		orders = append(orders, Order{Carry: carry, Start: true,
+			Target: Target{held.announcement.key(), held.announcement.Address, held.announcement.Incarnation, pass}})
+	}
+	return orders
+}
+
+func (g *Greenroom) remember(id string, verdict *kept) {
+	if _, known := g.verdicts[id]; !known {
+		g.order = append(g.order, id)
+	}
+	g.verdicts[id] = verdict
+}
+
+// Dialable says, right before a dial, whether the target is still what it was.
+func (g *Greenroom) Dialable(now time.Duration, target Target) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	held, known := g.upstreams[target.Key]
+	return known && held.announcement.Incarnation == target.Incarnation && held.announcement.Address == target.Address &&
+		!held.broken && now-held.announcedAt <= g.config.BeatBound()
+}
+
+// Broke notes a refused, reset or closed wire: no dial until a newer beat.
+func (g *Greenroom) Broke(now time.Duration, target Target) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if held, known := g.upstreams[target.Key]; known && held.announcement.Incarnation == target.Incarnation {
+		held.broken, held.brokenAt = true, now
+	}
+}
+
+// Finish ends a started or refused query: the verdict is kept, the slot is free, and
+// what may start next comes back as orders. A query that ended without its answer may
+// still run at the upstream, so its slot stays taken for another query's time.
+func (g *Greenroom) Finish(now time.Duration, order Order, verdict script.Verdict) (script.Verdict, []Order) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	delete(g.passes, order.Target.Pass)
+	verdict.ID = order.Carry.ID
+	held, known := g.upstreams[order.Carry.Service+"/"+order.Carry.Instance]
+	orders := []Order{}
+	if known && held.running[verdict.ID] {
+		delete(held.running, verdict.ID)
+		if verdict.Kind == script.StartedNoWhole {
+			held.ghosts = append(held.ghosts, now+g.config.QueryLimit())
+		}
+		orders = g.fill(now, held)
+	}
+	if known {
+		verdict.Outstanding = int64(len(held.running) + len(held.pending))
+		verdict.Slots, verdict.Load = held.announcement.Slots, held.announcement.Load
+	}
+	if order.Start {
+		light := verdict
+		if len(light.Body) > keptBody {
+			// Too large to hold for the rare second asking: it then counts as lost.
+			light = script.Verdict{ID: verdict.ID, Kind: script.StartedNoWhole, Code: int64(notice.UnknownOutcome)}
+		}
+		g.remember(verdict.ID, &kept{verdict: light, at: now, done: true})
+	} else if old, seen := g.verdicts[verdict.ID]; !seen || !old.barred {
+		// A refused id may be carried here again by a retry with a new id only.
+		g.remember(verdict.ID, &kept{verdict: verdict, at: now, done: true, barred: true})
+	}
+	g.forget(now)
+	return verdict, orders
+}
+
+func (g *Greenroom) forget(now time.Duration) {
+	for len(g.order) > 0 {
+		oldest, known := g.verdicts[g.order[0]]
+		if known && (!oldest.done && !oldest.barred || now-oldest.at < g.config.VerdictKept()) {
+			return
+		}
+		delete(g.verdicts, g.order[0])
+		g.order = g.order[1:]
+	}
+}
+
+// Verdict answers a usher that lost the wire. An id never seen is barred: it can be
+// answered as not started, for it never will be.
+func (g *Greenroom) Verdict(now time.Duration, id string) script.Verdict {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	held, known := g.verdicts[id]
+	switch {
+	case !known:
+		g.remember(id, &kept{at: now, barred: true, done: true})
+		return script.Verdict{ID: id, Kind: script.NotStarted, Code: int64(notice.BusyHomeLost)}
+	case held.done && held.barred:
+		return script.Verdict{ID: id, Kind: script.NotStarted, Code: int64(notice.BusyHomeLost)}
+	case held.done:
+		return held.verdict
+	}
+	return script.Verdict{ID: id, Kind: script.StillRunning}
+}
+
+// Withdraw drops a query whose caller hung up, if it has not started.
+func (g *Greenroom) Withdraw(id string) []Order {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, key := range g.keys() {
+		held := g.upstreams[key]
+		for index, item := range held.pending {
+			if item.carry.ID == id {
+				held.pending = append(append([]waiting{}, held.pending[:index]...), held.pending[index+1:]...)
+				return []Order{g.refuse(item.carry, notice.BusyDeadline)}
+			}
+		}
+	}
+	return nil
+}
+
+// Expire refuses what has waited past its time.
+func (g *Greenroom) Expire(now time.Duration) []Order {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	orders := []Order{}
+	for _, key := range g.keys() {
+		held := g.upstreams[key]
+		rest := []waiting{}
+		for _, item := range held.pending {
+			if now >= item.until {
+				orders = append(orders, g.refuse(item.carry, notice.BusyDeadline))
+			} else {
+				rest = append(rest, item)
+			}
+		}
+		held.pending = rest
+		orders = append(orders, g.fill(now, held)...)
+		if now-held.announcedAt > g.config.BeatBound()*4 && len(held.running) == 0 {
+			delete(g.upstreams, key)
+		}
+	}
+	g.forget(now)
+	return orders
+}
+
+// PassOf names the tenant and calling service of a running query.
+func (g *Greenroom) PassOf(pass string) (Pass, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	held, known := g.passes[pass]
+	return held, known
+}
+
+// Running counts started queries, for a polite stop and the counters.
+func (g *Greenroom) Running() (running, pending int) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, held := range g.upstreams {
+		running += len(held.running)
+		pending += len(held.pending)
+	}
+	return running, pending
+}
--- /dev/null
+++ b/internal/marquee/usher.go
@@ -0,0 +1,210 @@
+// This file is the usher's face: announcements and sign-offs of upstreams, readiness,
+// counters, and callers' queries, which are every path not below /beacon/.
+package marquee
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/atomic"
+	"go.uber.org/fx"
+
+	"beaconvane/internal/crew"
+	"beaconvane/internal/foyer"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/house"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+	"beaconvane/internal/usher"
+	"beaconvane/internal/wings"
+)
+
+// UsherModule is the proxy.
+var UsherModule = fx.Module("usher", fx.Invoke(startUsher))
+
+type usherFace struct {
+	config   playbill.Config
+	tower    *house.House
+	crew     *crew.Crew
+	room     *greenroom.Greenroom
+	foyer    *foyer.Foyer
+	stages   *foyer.Stages
+	stopping atomic.Bool
+}
+
+func startUsher(life fx.Lifecycle, config playbill.Config, members *crew.Crew, tower *house.House) {
+	u := &usherFace{config: config, tower: tower, crew: members}
+	u.room = greenroom.New(config, func(carry script.Carry) notice.Code { return u.foyer.Allowed(carry) })
+	u.foyer = foyer.New(config, u.room.PassOf)
+	u.stages = foyer.NewStages(config, u.foyer, u.room, greenroom.NewCaller(config, u.room, members), members)
+	tower.OnTraffic(u.stages.Inbound)
+	tower.OnPublish(func(view any) { u.foyer.Show(members.Now(), view.(*usher.View)) })
+	machine := usher.New(config, house.Self(config, script.RoleUsher))
+	face := NewFace()
+	common(face.Router, "/beacon", tower, u.counters)
+	face.Router.HandleFunc("/beacon/ready", u.ready).Methods(http.MethodGet)
+	face.Router.HandleFunc("/beacon/announce", u.announce).Methods(http.MethodPost)
+	face.Router.HandleFunc("/beacon/signoff", u.signOff).Methods(http.MethodPost)
+	face.Router.PathPrefix("/beacon/").HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { writeCode(out, notice.QueryNoRoute, "") })
+	face.Router.NotFoundHandler = u.stages
+	face.Router.MethodNotAllowedHandler = http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { writeCode(out, notice.QueryNoRoute, "") })
+	face.Router.PathPrefix("/").Handler(u.stages)
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := tower.Run(machine, func(transport *wings.Wings) { u.stages.Start(transport, config.Address) }); err != nil {
+				return err
+			}
+			members.Go("usher.count", u.count)
+			return face.Serve(members, config.Outside)
+		},
+		OnStop: func(ctx context.Context) error { return u.stop(ctx, face) },
+	})
+}
+
+// stop: unready, tell the others, refuse what has not started, finish the rest.
+func (u *usherFace) stop(ctx context.Context, face *Face) error {
+	u.stopping.Store(true)
+	u.tower.Tell(usher.Stop{})
+	u.stages.CarryOut(u.room.Leave())
+	graced, cancel := context.WithTimeout(ctx, u.config.Grace())
+	defer cancel()
+	linger := time.NewTimer(u.config.NewsEvery())
+	defer linger.Stop()
+	<-linger.C
+	err := face.Shutdown(graced)
+	ticker := time.NewTicker(u.config.TickEvery())
+	defer ticker.Stop()
+	for u.stages.Inside() > 0 && graced.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-graced.Done():
+		}
+	}
+	// The last verdicts are on their wires; let them leave before those close.
+	<-ticker.C
+	u.tower.Wings.Close()
+	u.crew.Stop(u.config.NewsEvery())
+	return err
+}
+
+// count hands the usage counts to the control machine.
+func (u *usherFace) count(ctx context.Context) {
+	ticker := time.NewTicker(u.config.BeatEvery() / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			asked, cancel := context.WithTimeout(ctx, u.config.BeatEvery())
+			answer, err := u.tower.Ask(asked, usher.ReadSealed{})
+			cancel()
+			if err != nil {
+				continue
+			}
+			usage, closed := u.foyer.Usage(time.Duration(time.Now().UnixNano()), answer.(int64))
+			u.tower.Tell(usher.Counted{Usage: usage, Closed: closed})
+		}
+	}
+}
+
+func (u *usherFace) counters() map[string]any {
+	tallies, retries := u.foyer.Tallies()
+	running, pending := u.room.Running()
+	body := map[string]any{"answers": tallies, "retries": retries, "home_running": running, "home_pending": pending, "inside": u.stages.Inside()}
+	asked, cancel := context.WithTimeout(u.crew.Context, time.Second)
+	defer cancel()
+	if answer, err := u.tower.Ask(asked, usher.ReadStatus{}); err == nil {
+		body["control"] = answer
+	}
+	return body
+}
+
+func (u *usherFace) ready(out http.ResponseWriter, _ *http.Request) {
+	if u.stopping.Load() || !u.foyer.Ready(u.crew.Now()) {
+		writeCode(out, notice.BusyNotReady, "")
+		return
+	}
+	writeCode(out, notice.OK, "ready")
+}
+
+func (u *usherFace) announce(out http.ResponseWriter, in *http.Request) {
+	told := greenroom.Announcement{}
+	decoder := json.NewDecoder(http.MaxBytesReader(out, in.Body, 16<<10))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&told); err != nil {
+		writeCode(out, notice.AnnounceBad, err.Error())
+		return
+	}
+	if err := checkAnnouncement(u.config, told); err != nil {
+		writeCode(out, notice.AnnounceBad, err.Error())
+		return
+	}
+	if u.stopping.Load() {
+		writeCode(out, notice.BusyLeaving, "announce to another usher")
+		return
+	}
+	accepted, endings, orders := u.room.Announce(u.crew.Now(), told)
+	if !accepted {
+		writeCode(out, notice.AnnounceBad, "an incarnation higher than this one has announced")
+		return
+	}
+	for _, ending := range endings {
+		u.tower.Tell(usher.SignedOff{Service: ending.Service, Instance: ending.Instance, Incarnation: ending.Incarnation})
+	}
+	u.tower.Tell(usher.Announced{Registration: told.Registration()})
+	u.stages.CarryOut(orders)
+	writeCode(out, notice.OK, "")
+}
+
+func checkAnnouncement(config playbill.Config, told greenroom.Announcement) error {
+	host, port, err := net.SplitHostPort(told.Address)
+	known := false
+	for _, district := range config.Districts {
+		known = known || district == told.District
+	}
+	named := func(name string) bool {
+		return name != "" && len(name) <= 128 && !strings.ContainsAny(name, "/ \t\r\n")
+	}
+	switch {
+	case !named(told.Service) || !named(told.Instance):
+		return fmt.Errorf("service and instance want a name without slash or white space, at most 128 bytes")
+	case told.Incarnation <= 0:
+		return fmt.Errorf("incarnation wants a number above 0")
+	case err != nil || net.ParseIP(host) == nil || port == "" || port == "0":
+		return fmt.Errorf("address wants an IP number and a port")
+	case !known:
+		return fmt.Errorf("unknown district")
+	case told.Slots < 1 || told.Slots > 1<<20:
+		return fmt.Errorf("slots want 1 or more")
+	case told.Load < 0:
+		return fmt.Errorf("load wants 0 or more")
+	}
+	return nil
+}
+
+func (u *usherFace) signOff(out http.ResponseWriter, in *http.Request) {
+	told := struct {
+		Service     string `json:"service"`
+		Instance    string `json:"instance"`
+		Incarnation int64  `json:"incarnation"`
+	}{}
+	if err := json.NewDecoder(http.MaxBytesReader(out, in.Body, 16<<10)).Decode(&told); err != nil {
+		writeCode(out, notice.AnnounceBad, err.Error())
+		return
+	}
+	found, orders := u.room.SignOff(told.Service, told.Instance, told.Incarnation)
+	u.tower.Tell(usher.SignedOff{Service: told.Service, Instance: told.Instance, Incarnation: told.Incarnation})
+	u.stages.CarryOut(orders)
+	if !found {
+		writeCode(out, notice.AnnounceUnknown, "")
+		return
+	}
+	writeCode(out, notice.OK, "")
+}
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,168 @@
+// Package notice holds the numbered result codes of the whole system and the
+// one helper that wraps and names errors. A code is what a person or a program
+// outside sees; the text behind it is for the log. The table in docs/codes.md is
+// checked against this list by a test, so a code can't be added in one place only.
+package notice
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Code is a numbered result, stable across versions.
+type Code int
+
+const (
+	OK Code = 0
+
+	ConfigUnknownKey   Code = 1001
+	ConfigBadValue     Code = 1002
+	ConfigMissing      Code = 1003
+	ConfigBoundsClash  Code = 1004
+	ConfigUnreadable   Code = 1005
+	AnnounceBad        Code = 2001
+	AnnounceUnknown    Code = 2002
+	QueryNoKey         Code = 3001
+	QueryKeyUnknown    Code = 3002
+	QueryCallerRefused Code = 3003
+	QueryNoRoute       Code = 3004
+	QueryTooLarge      Code = 3005
+	QueryBadPath       Code = 3006
+	QueryPassInvalid   Code = 3007
+	QueryUnreadable    Code = 3008
+	QueryRouteClosed   Code = 3009
+	BusyPendingFull    Code = 3101
+	BusyNoUpstream     Code = 3102
+	BusySlotsFull      Code = 3103
+	BusyNotReady       Code = 3104
+	BusyStale          Code = 3105
+	BusyLeaving        Code = 3106
+	BusyHomeLost       Code = 3107
+	BusyUpstreamGone   Code = 3108
+	BusyLayoutDiffers  Code = 3109
+	BusyBudget         Code = 3110
+	BusyDeadline       Code = 3111
+	UnknownOutcome     Code = 3201
+	UnknownTimeout     Code = 3202
+	AnswerMalformed    Code = 3203
+	AnswerTooLarge     Code = 3204
+	LayoutBad          Code = 4001
+	LayoutTooLarge     Code = 4002
+	LayoutConflict     Code = 4003
+	LayoutNotFound     Code = 4004
+	LayoutNoHolder     Code = 4005
+	LayoutUnsure       Code = 4006
+	LayoutBehind       Code = 4007
+	UsageNotFound      Code = 4101
+	SeatShutOut        Code = 5001
+	SeatRecovering     Code = 5002
+	DiskFault          Code = 5003
+	DiskCorrupt        Code = 5004
+	WireLost           Code = 6001
+	WireFull           Code = 6002
+	FrameBad           Code = 6003
+	Internal           Code = 9001
+)
+
+// Entry describes one code for the table and for HTTP.
+type Entry struct {
+	Name   string
+	Status int
+	Text   string
+}
+
+// Entries is the whole table.
+var Entries = map[Code]Entry{
+	OK:                 {"OK", 200, "done"},
+	ConfigUnknownKey:   {"ConfigUnknownKey", 0, "the settings hold a key that no program knows"},
+	ConfigBadValue:     {"ConfigBadValue", 0, "a settings value is of the wrong kind or out of range"},
+	ConfigMissing:      {"ConfigMissing", 0, "a settings value that has no default is absent"},
+	ConfigBoundsClash:  {"ConfigBoundsClash", 0, "two bounds in the settings cannot be kept together"},
+	ConfigUnreadable:   {"ConfigUnreadable", 0, "the settings file cannot be read or is not JSON"},
+	AnnounceBad:        {"AnnounceBad", 400, "an upstream's announcement is malformed"},
+	AnnounceUnknown:    {"AnnounceUnknown", 404, "a sign-off for an upstream that is not registered here"},
+	QueryNoKey:         {"QueryNoKey", 401, "the query carries no tenant key"},
+	QueryKeyUnknown:    {"QueryKeyUnknown", 401, "no layout honours the key"},
+	QueryCallerRefused: {"QueryCallerRefused", 403, "the calling service or tenant may not use this route"},
+	QueryNoRoute:       {"QueryNoRoute", 404, "no layout has a route for this query"},
+	QueryTooLarge:      {"QueryTooLarge", 413, "the query's body is over the route's limit"},
+	QueryBadPath:       {"QueryBadPath", 400, "the path holds dot segments, encoded slashes or control bytes"},
+	QueryPassInvalid:   {"QueryPassInvalid", 403, "the pass is not of a query that runs now"},
+	QueryUnreadable:    {"QueryUnreadable", 400, "the query broke off or is not HTTP/1.1 as the library reads it"},
+	QueryRouteClosed:   {"QueryRouteClosed", 503, "the route's calendar has it closed now; nothing ran"},
+	BusyPendingFull:    {"BusyPendingFull", 503, "a pending queue is full; nothing ran"},
+	BusyNoUpstream:     {"BusyNoUpstream", 503, "no ready upstream is known for the service; nothing ran"},
+	BusySlotsFull:      {"BusySlotsFull", 503, "every slot of the chosen upstream is taken; nothing ran"},
+	BusyNotReady:       {"BusyNotReady", 503, "the upstream is warming up or this node is not ready; nothing ran"},
+	BusyStale:          {"BusyStale", 503, "this node's layouts are older than the bound; nothing ran"},
+	BusyLeaving:        {"BusyLeaving", 503, "the upstream or its home is leaving; nothing ran"},
+	BusyHomeLost:       {"BusyHomeLost", 503, "the upstream's home could not be reached; nothing ran"},
+	BusyUpstreamGone:   {"BusyUpstreamGone", 503, "the upstream refused the wire or stopped its beats; nothing ran"},
+	BusyLayoutDiffers:  {"BusyLayoutDiffers", 503, "the home's layout does not allow the query (yet); nothing ran"},
+	BusyBudget:         {"BusyBudget", 503, "not started, and the service's retry budget is spent; nothing ran"},
+	BusyDeadline:       {"BusyDeadline", 503, "the time was up before any upstream started; nothing ran"},
+	UnknownOutcome:     {"UnknownOutcome", 502, "the query was started and its answer was lost; it may have run"},
+	UnknownTimeout:     {"UnknownTimeout", 504, "the query was started and the time is up; it may have run"},
+	AnswerMalformed:    {"AnswerMalformed", 502, "the upstream's answer was not whole; the query may have run"},
+	AnswerTooLarge:     {"AnswerTooLarge", 502, "the upstream's answer is over the size cap; the query may have run"},
+	LayoutBad:          {"LayoutBad", 422, "the layout has faults; the old one stays in force"},
+	LayoutTooLarge:     {"LayoutTooLarge", 413, "the layout is over the size or entry limits"},
+	LayoutConflict:     {"LayoutConflict", 409, "the number is taken by other bytes, or is not higher than the current one"},
+	LayoutNotFound:     {"LayoutNotFound", 404, "no such layout or version is kept"},
+	LayoutNoHolder:     {"LayoutNoHolder", 503, "no promptbook holds the tenure now; nothing was changed"},
+	LayoutUnsure:       {"LayoutUnsure", 504, "the put may or may not have been settled; put the same bytes again to learn"},
+	LayoutBehind:       {"LayoutBehind", 503, "the holder has not settled its first read yet; nothing was changed"},
+	UsageNotFound:      {"UsageNotFound", 404, "no sealed usage window of that number"},
+	SeatShutOut:        {"SeatShutOut", 503, "this disk's identity no longer holds its seat"},
+	SeatRecovering:     {"SeatRecovering", 503, "the seat is reading the others and may not vote yet"},
+	DiskFault:          {"DiskFault", 503, "a write or sync failed; the seat has stopped voting"},
+	DiskCorrupt:        {"DiskCorrupt", 0, "settled data on disk fails its checksum; the seat refuses to vote"},
+	WireLost:           {"WireLost", 502, "a wire between processes broke"},
+	WireFull:           {"WireFull", 503, "a wire's pending queue is full"},
+	FrameBad:           {"FrameBad", 400, "a frame between processes cannot be read"},
+	Internal:           {"Internal", 500, "a fault of beaconvane's own"},
+}
+
+// Status gives the HTTP status for a code.
+func (c Code) Status() int {
+	if entry, found := Entries[c]; found && entry.Status != 0 {
+		return entry.Status
+	}
+	return http.StatusInternalServerError
+}
+
+func (c Code) String() string { return Entries[c].Name }
+
+// Fault is an error with a code and the operation it came from.
+type Fault struct {
+	Code  Code
+	Where string
+	Cause error
+}
+
+func (f *Fault) Error() string {
+	if f.Cause == nil {
+		return fmt.Sprintf("%s: %s (%d)", f.Where, f.Code, int(f.Code))
+	}
+	return fmt.Sprintf("%s: %s (%d): %v", f.Where, f.Code, int(f.Code), f.Cause)
+}
+
+func (f *Fault) Unwrap() error { return f.Cause }
+
+// Wrap names an error: where it happened and which code it answers to.
+func Wrap(where string, code Code, cause error) error {
+	return &Fault{Code: code, Where: where, Cause: cause}
+}
+
+// CodeOf digs the code out of an error; Internal when it bears none.
+func CodeOf(err error) Code {
+	var fault *Fault
+	if errors.As(err, &fault) {
+		return fault.Code
+	}
+	if err == nil {
+		return OK
+	}
+	return Internal
+}
--- /dev/null
+++ b/internal/repertoire/repertoire.go
@@ -0,0 +1,128 @@
+// Package repertoire has the two deployments as data: machines, districts, upstreams,
+// tenants, rates and sheets, for the fleet runner and the simulator.
+package repertoire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"beaconvane/internal/claque"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+// Service is a kind of upstream.
+type Service struct {
+	Name  string
+	Count int
+	Slots int64
+	Work  time.Duration
+	Load  bool
+}
+
+// Deployment is one of the brief's two.
+type Deployment struct {
+	Name       string
+	Districts  []string
+	Ushers     int
+	Services   []Service
+	Kinds      []claque.Kind
+	Rate       float64
+	Withdrawal bool
+	DiskDelay  time.Duration
+}
+
+// Umuyoboro sends patient messages in Kigali.
+func Umuyoboro() Deployment {
+	return Deployment{Name: "umuyoboro", Districts: []string{"gasabo", "kicukiro", "nyarugenge"}, Ushers: 10, Rate: 540, DiskDelay: 2 * time.Millisecond,
+		Services: []Service{{"dispatch", 7, 24, 25 * time.Millisecond, false}, {"registry", 3, 32, 10 * time.Millisecond, false}},
+		Kinds: []claque.Kind{
+			{Route: "send", Service: "dispatch", Method: "POST", Path: "/messages", Caller: "clinic", Once: true, Body: 400, Weight: 5},
+			{Route: "sent", Service: "dispatch", Method: "GET", Path: "/messages/state", Caller: "nurse", Weight: 3},
+			{Route: "contacts", Service: "registry", Method: "POST", Path: "/contacts", Caller: "clinic", Once: true, Body: 4000, Weight: 1},
+			{Route: "templates", Service: "registry", Method: "GET", Path: "/templates/list", Caller: "clinic", Weight: 1},
+		}}
+}
+
+// Jendela prices windows in the Klang Valley.
+func Jendela() Deployment {
+	return Deployment{Name: "jendela", Districts: []string{"klang", "petaling", "shah-alam"}, Ushers: 11, Rate: 510, Withdrawal: true, DiskDelay: 20 * time.Millisecond,
+		Services: []Service{{"quoting", 5, 24, 20 * time.Millisecond, true}, {"booking", 3, 24, 25 * time.Millisecond, true}, {"factory", 3, 24, 30 * time.Millisecond, true}},
+		Kinds: []claque.Kind{
+			{Route: "quote", Service: "quoting", Method: "GET", Path: "/quotes/window", Caller: "showroom", Weight: 5},
+			{Route: "deposit", Service: "booking", Method: "POST", Path: "/deposits", Caller: "showroom", Once: true, Body: 300, Weight: 2},
+			{Route: "order", Service: "factory", Method: "POST", Path: "/orders", Caller: "showroom", Once: true, Body: 600, Weight: 1},
+			{Route: "catalogue", Service: "factory", Method: "GET", Path: "/catalogue/frames", Caller: "showroom", Weight: 2},
+		}}
+}
+
+// Named finds a deployment; "small" is Umuyoboro with few machines, for quick runs.
+func Named(name string) (Deployment, bool) {
+	switch name {
+	case "umuyoboro":
+		return Umuyoboro(), true
+	case "jendela":
+		return Jendela(), true
+	case "small":
+		small := Umuyoboro()
+		small.Name, small.Ushers, small.Rate = "small", 3, 120
+		small.Services[0].Count, small.Services[1].Count = 3, 2
+		return small, true
+	}
+	return Deployment{}, false
+}
+
+// Tenants are the deployment's eight, each with a key.
+func (d Deployment) Tenants() []claque.Tenant {
+	tenants := []claque.Tenant{}
+	for number := range 8 {
+		tenants = append(tenants, claque.Tenant{Name: fmt.Sprintf("tenant-%d", number), Key: fmt.Sprintf("key-%s-%d-secret", d.Name, number)})
+	}
+	return tenants
+}
+
+// Sheet writes a route sheet for some tenants; more is the number of filler routes.
+func (d Deployment) Sheet(tenants []claque.Tenant, more int) []byte {
+	services, routes, listed := []string{}, []map[string]any{}, []map[string]any{}
+	for _, service := range d.Services {
+		services = append(services, service.Name)
+	}
+	for _, tenant := range tenants {
+		listed = append(listed, map[string]any{"name": tenant.Name, "keys": []string{tenant.Key}})
+	}
+	for _, kind := range d.Kinds {
+		routes = append(routes, map[string]any{"name": kind.Route, "service": kind.Service, "path": kind.Path, "methods": []string{kind.Method},
+			"callers": []string{kind.Caller}, "once": kind.Once, "timeout_ms": 3000})
+	}
+	for number := range more {
+		routes = append(routes, map[string]any{"name": fmt.Sprintf("more-%d", number), "service": services[0], "path": fmt.Sprintf("/more/%d", number),
+			"methods": []string{"GET"}, "callers": []string{"*"}})
+	}
+	body, err := json.Marshal(map[string]any{"services": services, "tenants": listed, "routes": routes})
+	if err != nil {
+		panic("repertoire: " + err.Error())
+	}
+	return body
+}
+
+// Seats of the core.
+var Seats = []string{"core-1", "core-2", "core-3"}
+
+// Config gives the settings of one process of the deployment; place gives addresses.
+func (d Deployment) Config(role, node, seat, district, address, outside string, seeds []string, data string) playbill.Config {
+	config := playbill.Default()
+	config.Node, config.Seat, config.Seats, config.District, config.Districts = node, seat, Seats, district, d.Districts
+	config.Address, config.Outside, config.Seeds, config.Data = address, outside, seeds, data
+	config.Active = map[string]string{playbill.BookTag: Seats[0], playbill.UsageTag: Seats[2]}
+	for index, name := range d.Districts {
+		config.Active[name] = Seats[index%len(Seats)]
+	}
+	if d.Withdrawal {
+		config.Bounds.KeyWithdrawal = 5000
+	}
+	if role == script.RoleUsher {
+		config.Seat, config.Data = "", ""
+	}
+	return config
+}
--- /dev/null
+++ b/internal/understudy/understudy.go
@@ -0,0 +1,218 @@
+// Package understudy is the stand-in upstream: it announces itself to a usher, runs
+// queries for a set time, keeps a record of every run, and can be told to misbehave:
+// lose answers, send garbage, truncated or excess answers, be slow, warm up, leave.
+package understudy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"beaconvane/internal/crew"
+	"beaconvane/internal/critic"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/notice"
+)
+
+// IDHeader bears the load generator's own id of a query.
+const IDHeader = "X-Claque-Id"
+
+// Faults are shares of runs that go wrong.
+type Faults struct {
+	Lose     float64 // run, then close without an answer
+	Garbage  float64 // bytes that are no HTTP
+	Truncate float64 // fewer bytes than the length says
+	Excess   float64 // more bytes than the length says
+	Slow     float64 // ten times the work
+}
+
+// Understudy is one stand-in upstream.
+type Understudy struct {
+	Told   greenroom.Announcement
+	Ushers []string // outside addresses; the first that answers is announced to
+	Work   time.Duration
+	Keys   []string // keys that must never be seen
+	Base   time.Time
+	Every  time.Duration
+
+	crew     *crew.Crew
+	lock     sync.Mutex
+	faults   Faults
+	runs     []critic.Ran
+	running  int
+	most     int
+	listener net.Listener
+	client   *http.Client
+	cancel   context.CancelFunc
+}
+
+// Start listens (Told.Address may have port 0) and begins to announce.
+func (u *Understudy) Start(members *crew.Crew) error {
+	listener, err := net.Listen("tcp", u.Told.Address)
+	if err != nil {
+		return notice.Wrap("understudy.listen", notice.WireLost, err)
+	}
+	u.listener, u.Told.Address, u.crew = listener, listener.Addr().String(), members
+	u.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{Proxy: nil}}
+	if u.Every == 0 {
+		u.Every = time.Second
+	}
+	server := &http.Server{Handler: http.HandlerFunc(u.serve)}
+	ctx, cancel := context.WithCancel(members.Context)
+	u.cancel = cancel
+	members.Go("understudy.serve", func(context.Context) { server.Serve(listener) })
+	members.Go("understudy.close", func(context.Context) { <-ctx.Done(); server.Close() })
+	members.Go("understudy.announce", func(context.Context) { u.announce(ctx) })
+	return nil
+}
+
+// Kill ends it at once, as by a hard signal.
+func (u *Understudy) Kill() { u.cancel() }
+
+// SetFaults changes its behaviour.
+func (u *Understudy) SetFaults(faults Faults) {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	u.faults = faults
+}
+
+// Change alters what it announces, and announces at once.
+func (u *Understudy) Change(alter func(told *greenroom.Announcement)) {
+	u.lock.Lock()
+	alter(&u.Told)
+	u.lock.Unlock()
+	u.AnnounceOnce()
+}
+
+// SignOff says the last word.
+func (u *Understudy) SignOff() {
+	u.lock.Lock()
+	told := u.Told
+	u.lock.Unlock()
+	body, _ := json.Marshal(map[string]any{"service": told.Service, "instance": told.Instance, "incarnation": told.Incarnation})
+	u.post("/beacon/signoff", body)
+}
+
+// Runs gives the record so far; Most is the most that ran at one time.
+func (u *Understudy) Runs() []critic.Ran {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	return append([]critic.Ran{}, u.runs...)
+}
+
+func (u *Understudy) Most() int {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	return u.most
+}
+
+func (u *Understudy) announce(ctx context.Context) {
+	ticker := time.NewTicker(u.Every)
+	defer ticker.Stop()
+	u.AnnounceOnce()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.AnnounceOnce()
+		}
+	}
+}
+
+// AnnounceOnce tells the first usher that takes it.
+func (u *Understudy) AnnounceOnce() {
+	u.lock.Lock()
+	body, _ := json.Marshal(u.Told)
+	u.lock.Unlock()
+	u.post("/beacon/announce", body)
+}
+
+func (u *Understudy) post(path string, body []byte) {
+	for _, usher := range u.Ushers {
+		response, err := u.client.Post("http://"+usher+path, "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNotFound {
+			return
+		}
+	}
+}
+
+func (u *Understudy) since() time.Duration { return time.Since(u.Base) }
+
+func (u *Understudy) keySeen(in *http.Request, body []byte) bool {
+	text := bytes.Buffer{}
+	in.Header.Write(&text)
+	text.WriteString(in.URL.String())
+	for _, key := range u.Keys {
+		if strings.Contains(text.String(), key) || bytes.Contains(body, []byte(key)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *Understudy) serve(out http.ResponseWriter, in *http.Request) {
+	body, err := io.ReadAll(in.Body)
+	if err != nil {
+		return
+	}
+	u.lock.Lock()
+	faults, work := u.faults, u.Work
+	ran := critic.Ran{ID: in.Header.Get(IDHeader), Service: u.Told.Service, Instance: u.Told.Instance, Address: u.Told.Address, Path: in.URL.Path,
+		Tenant: in.Header.Get(greenroom.TenantHeader), Caller: in.Header.Get(greenroom.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since()}
+	index := len(u.runs)
+	u.runs = append(u.runs, ran)
+	u.running++
+	u.most = max(u.most, u.running)
+	u.lock.Unlock()
+	if rand.Float64() < faults.Slow {
+		work *= 10
+	}
+	timer := time.NewTimer(work)
+	defer timer.Stop()
+	<-timer.C
+	answer := fmt.Sprintf("%s ran at %s as run %d, %d bytes", ran.ID, ran.Instance, index, len(body))
+	defer func() {
+		u.lock.Lock()
+		u.running--
+		u.lock.Unlock()
+	}()
+	raw := ""
+	switch roll := rand.Float64(); {
+	case roll < faults.Lose:
+		raw = " "
+	case roll < faults.Lose+faults.Garbage:
+		raw = "\x00\x01 this is no answer\r\n\r\n"
+	case roll < faults.Lose+faults.Garbage+faults.Truncate:
+		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer)+50, answer)
+	case roll < faults.Lose+faults.Garbage+faults.Truncate+faults.Excess:
+		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s and more", len(answer), answer)
+	}
+	if raw != "" {
+		if conn, _, err := http.NewResponseController(out).Hijack(); err == nil {
+			if raw != " " {
+				conn.Write([]byte(raw))
+			}
+			conn.Close()
+		}
+		return
+	}
+	u.lock.Lock()
+	u.runs[index].Whole, u.runs[index].Answer = u.since(), answer
+	u.lock.Unlock()
+	out.Header().Set("Content-Type", "text/plain")
+	io.WriteString(out, answer)
+}
--- /dev/null
+++ b/internal/usher/usher.go
@@ -0,0 +1,303 @@
+// Package usher is the proxy's control machine: it keeps membership, takes the news
+// of sheets and slices, tells the callboards of the upstreams beside it, and hands
+// the traffic side an immutable view after every change. Traffic itself lives in
+// foyer (the caller's side) and greenroom (the upstream's side).
+package usher
+
+import (
+	"sort"
+	"time"
+
+	"beaconvane/internal/blocking"
+	"beaconvane/internal/chorus"
+	"beaconvane/internal/company"
+	"beaconvane/internal/cue"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+// Questions and tidings from the process.
+type (
+	// Announced is what the greenroom has accepted from an upstream.
+	Announced struct {
+		Registration script.Registration
+	}
+	// SignedOff is an upstream's last word, or its end by another's announcement.
+	SignedOff struct {
+		Service     string
+		Instance    string
+		Incarnation int64
+	}
+	// Probed is the outcome of a probe.
+	Probed struct {
+		Key         string
+		Incarnation int64
+		Answered    bool
+	}
+	// Counted is what the foyer has counted; windows below Closed won't change.
+	Counted struct {
+		Usage  []script.UsageCount
+		Closed int64
+	}
+	// ReadSealed asks below which window all is sealed; ReadStatus for the counters.
+	ReadSealed struct{}
+	ReadStatus struct{}
+	// Stop is the polite end.
+	Stop struct{}
+)
+
+// View is what traffic sees of the control state. It is never changed after it was
+// published.
+type View struct {
+	Layouts    []*blocking.Layout
+	Upstreams  map[string][]script.Registration
+	Ushers     int
+	FreshAt    time.Duration // as of when all sheets are known current
+	Known      bool          // every sheet is here
+	RosterAt   time.Duration
+	RosterHere bool
+	Joined     bool
+	Stopping   bool
+}
+
+// Ready says whether this node should get traffic.
+func (v *View) Ready(now time.Duration, staleAfter time.Duration) bool {
+	return v != nil && v.Joined && !v.Stopping && v.Known && v.RosterHere && now-v.FreshAt <= staleAfter && now-v.RosterAt <= staleAfter
+}
+
+type local struct {
+	registration script.Registration
+	announcedAt  time.Duration
+	probed       int64
+}
+
+type signOff struct {
+	end script.SignOff
+	at  time.Duration
+}
+
+// Machine is the usher's control state.
+type Machine struct {
+	config   playbill.Config
+	company  *company.Company
+	chorus   *chorus.Chorus
+	locals   map[string]*local
+	ends     map[string]signOff
+	layouts  map[string]*blocking.Layout
+	usage    []script.UsageCount
+	closed   int64
+	sealed   map[string]int64
+	beatAt   time.Duration
+	viewAt   time.Duration
+	stopping bool
+}
+
+// New makes the machine; a usher keeps nothing on disk.
+func New(config playbill.Config, self script.Member) *Machine {
+	m := &Machine{config: config, locals: map[string]*local{}, ends: map[string]signOff{}, layouts: map[string]*blocking.Layout{}, sealed: map[string]int64{}}
+	m.company = company.New(config, self, nil)
+	m.chorus = chorus.New(config, m.company, m.changed)
+	for _, sheet := range config.Sheets {
+		m.chorus.Want(chorus.SheetTopic(sheet))
+	}
+	for _, district := range config.Districts {
+		m.chorus.Want(chorus.SliceTopic(district))
+	}
+	return m
+}
+
+// Limits are the sheet limits that every reader of sheets uses.
+func Limits(config playbill.Config) blocking.Limits {
+	return blocking.Limits{Bytes: config.Limits.Layout, Entries: config.Limits.Entries, Query: config.QueryLimit()}
+}
+
+func (m *Machine) changed(s *cue.Stage, topic string) {
+	for _, sheet := range m.config.Sheets {
+		if chorus.SheetTopic(sheet) != topic {
+			continue
+		}
+		if version, body, known := m.chorus.Sheet(sheet); known {
+			m.layouts[sheet] = blocking.Parse(sheet, version, body, Limits(m.config))
+			s.Note("layout-in-force", 0, version, sheet)
+			m.beatAt = s.Now
+		}
+	}
+	m.viewAt = s.Now
+}
+
+// Tick is one step of the clock.
+func (m *Machine) Tick(s *cue.Stage) {
+	m.company.Tick(s)
+	m.chorus.Tick(s)
+	m.settle(s)
+}
+
+// settle sends what is due: beats and views.
+func (m *Machine) settle(s *cue.Stage) {
+	if s.Now >= m.beatAt {
+		m.beatAt = s.Now + m.config.BeatEvery()
+		m.beat(s)
+	}
+	if s.Now >= m.viewAt {
+		m.viewAt = s.Now + m.config.NewsEvery()
+		s.Publish(m.view(s))
+	}
+}
+
+func (m *Machine) beat(s *cue.Stage) {
+	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.company.Self().Birth, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
+		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks(), Usage: m.usage, Windows: m.closed}
+	if batch.Usage == nil {
+		batch.Usage = []script.UsageCount{}
+	}
+	for _, key := range sortedKeys(m.locals) {
+		held := m.locals[key]
+		age := s.Now - held.announcedAt
+		if age > m.config.BeatBound()*2 {
+			delete(m.locals, key)
+			continue
+		}
+		batch.Beats = append(batch.Beats, script.Beat{Registration: held.registration, Age: int64(age), Probed: held.probed})
+	}
+	for _, key := range sortedKeys(m.ends) {
+		if s.Now-m.ends[key].at > m.config.BeatBound()*2 {
+			delete(m.ends, key)
+			continue
+		}
+		batch.Ends = append(batch.Ends, m.ends[key].end)
+	}
+	for _, callboard := range m.company.Alive(script.RoleCallboard) {
+		s.Send(callboard.Address, batch)
+	}
+}
+
+func (m *Machine) view(s *cue.Stage) *View {
+	view := &View{Upstreams: map[string][]script.Registration{}, Known: true, RosterHere: true, Joined: m.company.Joined(), Stopping: m.stopping,
+		Ushers: len(m.company.Alive(script.RoleUsher)) + 1, FreshAt: s.Now, RosterAt: s.Now}
+	for _, sheet := range m.config.Sheets {
+		layout, held := m.layouts[sheet]
+		freshAt, fresh := m.chorus.FreshAt(chorus.SheetTopic(sheet))
+		if !held || !fresh {
+			view.Known = false
+			continue
+		}
+		view.Layouts = append(view.Layouts, layout)
+		view.FreshAt = min(view.FreshAt, freshAt)
+	}
+	for _, district := range m.config.Districts {
+		registrations, known := m.chorus.Slice(district)
+		freshAt, fresh := m.chorus.FreshAt(chorus.SliceTopic(district))
+		if !known || !fresh {
+			view.RosterHere = false
+			continue
+		}
+		view.RosterAt = min(view.RosterAt, freshAt)
+		for _, registration := range registrations {
+			view.Upstreams[registration.Service] = append(view.Upstreams[registration.Service], registration)
+		}
+	}
+	return view
+}
+
+// Hear takes a message from another process.
+func (m *Machine) Hear(s *cue.Stage, from string, message any) {
+	if !m.company.Hear(s, from, message) && !m.chorus.Hear(s, from, message) {
+		switch heard := message.(type) {
+		case script.ProbeAsk:
+			key := heard.Service + "/" + heard.Instance
+			if held, known := m.locals[key]; known && held.registration.Incarnation == heard.Incarnation && s.Now-held.announcedAt < m.config.BeatBound() {
+				s.Probe(held.registration.Address, key, heard.Incarnation)
+			}
+		case script.BeatTold:
+			m.sealed[heard.Callboard] = heard.Sealed
+		}
+	}
+	m.settle(s)
+}
+
+// Asked takes tidings from the process.
+func (m *Machine) Asked(s *cue.Stage, ticket int64, question any) {
+	switch asked := question.(type) {
+	case Announced:
+		registration := asked.Registration
+		registration.Home, registration.HomeAddress, registration.HomeBirth = m.company.Self().Name, m.company.Self().Address, m.company.Self().Birth
+		key := registration.Key()
+		held, known := m.locals[key]
+		if !known || held.registration != registration {
+			probed := int64(0)
+			if known && held.registration.Incarnation == registration.Incarnation && held.registration.Address == registration.Address {
+				probed = held.probed
+			}
+			m.locals[key] = &local{registration, s.Now, probed}
+			m.beatAt = s.Now
+		} else {
+			held.announcedAt = s.Now
+		}
+	case SignedOff:
+		key := asked.Service + "/" + asked.Instance
+		m.ends[key] = signOff{script.SignOff{Service: asked.Service, Instance: asked.Instance, Incarnation: asked.Incarnation}, s.Now}
+		if held, known := m.locals[key]; known && held.registration.Incarnation <= asked.Incarnation {
+			delete(m.locals, key)
+		}
+		m.beatAt = s.Now
+	case Probed:
+		if held, known := m.locals[asked.Key]; known && held.registration.Incarnation == asked.Incarnation {
+			was := held.probed
+			held.probed = 2
+			if asked.Answered {
+				held.probed = 1
+			}
+			if held.probed != was {
+				m.beatAt = s.Now
+			}
+		}
+	case Counted:
+		m.usage, m.closed = asked.Usage, asked.Closed
+	case ReadSealed:
+		s.Reply(ticket, m.SealedBelow())
+	case ReadStatus:
+		s.Reply(ticket, m.Status(s.Now))
+	case Stop:
+		m.stopping = true
+		m.company.Leave(s)
+		s.Publish(m.view(s))
+	}
+	m.settle(s)
+}
+
+// SealedBelow is the lowest window that some callboard still has to seal.
+func (m *Machine) SealedBelow() int64 {
+	highest := int64(0)
+	for _, below := range m.sealed {
+		highest = max(highest, below)
+	}
+	return highest
+}
+
+// Status is for the counters page.
+func (m *Machine) Status(now time.Duration) map[string]any {
+	ages := map[string]int64{}
+	for _, mark := range m.chorus.Marks() {
+		if age, known := m.chorus.Age(mark.Topic, now); known {
+			ages[mark.Topic] = age.Milliseconds()
+		}
+	}
+	parent, path, moves := m.chorus.Parent()
+	versions := map[string]int64{}
+	for sheet, layout := range m.layouts {
+		versions[sheet] = layout.Version
+	}
+	return map[string]any{"parent": parent, "path": path, "moves": moves, "layouts": versions, "ages_ms": ages, "members": len(m.company.Alive("")) + 1}
+}
+
+// Synced never comes: nothing is written.
+func (m *Machine) Synced(*cue.Stage, int64, error) {}
+
+func sortedKeys[V any](set map[string]V) []string {
+	keys := make([]string, 0, len(set))
+	for key := range set {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
