--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -421,7 +421,7 @@
 			return
 		}
 		change := m.slices[tag].Change(epoch, registration, gone, cause)
-		s.Note("roster-change", 0, epoch, key+": "+cause)
+		s.Note("roster-change", 0, epoch, tag+" "+key+": "+cause)
 		for _, peer := range m.Peers() {
 			s.Send(peer.Address, change)
 		}
--- a/internal/critic/critic.go
+++ b/internal/critic/critic.go
@@ -104,6 +104,7 @@
 	Leaving  []Leaving
 	Reported []Reported
 	Keeping  []Keeping
+	Acts     []Keeping       // changes made by a keeper, with the epoch
 	Counted  map[int64]int64 // answered queries by usage window, as callers saw them
 	Final    map[string]int64
 	Bounds   Bounds
@@ -176,6 +177,7 @@
 	review.retries(record, runs)
 	review.usage(record)
 	review.keepers(record)
+	review.acts(record)
 	return review
 }
 
@@ -433,6 +435,18 @@
 	return value
 }
 
+// acts: once a keeper of a higher epoch has acted, no lower one does.
+func (r *Review) acts(record Record) {
+	highest := map[string]int64{}
+	for _, act := range record.Acts {
+		r.Seen["keeper acts"]++
+		if act.Epoch < highest[act.Tag] {
+			r.add("stale-act", "%s: %s acted in epoch %d after %d", act.Tag, act.Seat, act.Epoch, highest[act.Tag])
+		}
+		highest[act.Tag] = max(highest[act.Tag], act.Epoch)
+	}
+}
+
 // keepers: no seat gets a tag back from another within the rest, and no epoch has two.
 func (r *Review) keepers(record Record) {
 	byTag := map[string][]Keeping{}
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -454,13 +455,13 @@
 }
 
 // Abandon says what a caller is told whose time is up while a query is out.
-func (f *Foyer) Abandon(query *Query, carried bool) *Final {
+func (f *Foyer) Abandon(query *Query, carried bool, code notice.Code) *Final {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if carried {
 		return Refusal(notice.UnknownTimeout)
 	}
-	return f.giveUp(query, notice.BusyDeadline)
+	return f.giveUp(query, code)
 }
 
 // Release takes back the count of an attempt whose verdict nobody waits for.
@@ -479,8 +480,13 @@
 		RawQuery: query.RawQuery, Headers: []script.HeaderLine{}, Body: query.Body, AnswerCap: f.config.Limits.Answer}
 	remaining := query.Deadline - now
 	carry.Remaining = int64(remaining - min(remaining/20, f.config.NewsEvery()/10))
-	for name, values := range query.Header {
-		for _, value := range values {
+	names := make([]string, 0, len(query.Header))
+	for name := range query.Header {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		for _, value := range query.Header[name] {
 			carry.Headers = append(carry.Headers, script.HeaderLine{Name: name, Value: value})
 		}
 	}
@@ -541,6 +547,7 @@
 		}
 		usage = append(usage, script.UsageCount{Window: window, Counts: copied})
 	}
+	sort.Slice(usage, func(i, j int) bool { return usage[i].Window < usage[j].Window })
 	return usage, closed
 }
 
--- a/internal/marquee/usher.go
+++ b/internal/marquee/usher.go
@@ -42,10 +42,11 @@
 	u := &usherFace{config: config, tower: tower, crew: members}
 	u.room = greenroom.New(config, func(carry script.Carry) notice.Code { return u.foyer.Allowed(carry) })
 	u.foyer = foyer.New(config, u.room.PassOf)
-	u.stages = foyer.NewStages(config, u.foyer, u.room, greenroom.NewCaller(config, u.room, members), members)
-	tower.OnTraffic(u.stages.Inbound)
+	self := house.Self(config, script.RoleUsher)
+	u.stages = foyer.NewStages(config, u.foyer, u.room, greenroom.NewCaller(config, u.room, members), members, self, tower.Tell)
+	tower.OnTraffic(u.stages.Traffic)
 	tower.OnPublish(func(view any) { u.foyer.Show(members.Now(), view.(*usher.View)) })
-	machine := usher.New(config, house.Self(config, script.RoleUsher))
+	machine := usher.New(config, self)
 	face := NewFace()
 	common(face.Router, "/beacon", tower, u.counters)
 	face.Router.HandleFunc("/beacon/ready", u.ready).Methods(http.MethodGet)
@@ -57,7 +58,7 @@
 	face.Router.PathPrefix("/").Handler(u.stages)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			if err := tower.Run(machine, func(transport *wings.Wings) { u.stages.Start(transport, config.Address) }); err != nil {
+			if err := tower.Run(machine, func(transport *wings.Wings) { u.stages.Start(transport) }); err != nil {
 				return err
 			}
 			members.Go("usher.count", u.count)
@@ -71,7 +72,7 @@
 func (u *usherFace) stop(ctx context.Context, face *Face) error {
 	u.stopping.Store(true)
 	u.tower.Tell(usher.Stop{})
-	u.stages.CarryOut(u.room.Leave())
+	u.stages.Leave()
 	graced, cancel := context.WithTimeout(ctx, u.config.Grace())
 	defer cancel()
 	linger := time.NewTimer(u.config.NewsEvery())
@@ -150,16 +151,10 @@
 		writeCode(out, notice.BusyLeaving, "announce to another usher")
 		return
 	}
-	accepted, endings, orders := u.room.Announce(u.crew.Now(), told)
-	if !accepted {
+	if !u.stages.Announce(told) {
 		writeCode(out, notice.AnnounceBad, "an incarnation higher than this one has announced")
 		return
 	}
-	for _, ending := range endings {
-		u.tower.Tell(usher.SignedOff{Service: ending.Service, Instance: ending.Instance, Incarnation: ending.Incarnation})
-	}
-	u.tower.Tell(usher.Announced{Registration: told.Registration()})
-	u.stages.CarryOut(orders)
 	writeCode(out, notice.OK, "")
 }
 
@@ -199,10 +194,7 @@
 		writeCode(out, notice.AnnounceBad, err.Error())
 		return
 	}
-	found, orders := u.room.SignOff(told.Service, told.Instance, told.Incarnation)
-	u.tower.Tell(usher.SignedOff{Service: told.Service, Instance: told.Instance, Incarnation: told.Incarnation})
-	u.stages.CarryOut(orders)
-	if !found {
+	if !u.stages.SignOff(told.Service, told.Instance, told.Incarnation) {
 		writeCode(out, notice.AnnounceUnknown, "")
 		return
 	}
--- /dev/null
+++ b/internal/rehearsal/disk.go
@@ -0,0 +1,108 @@
+// Package rehearsal is the simulator: whole deployments in one process and one
+// thread, on a simulated network, clock and disk, all from one seed. It runs the real
+// machines, desks and disk format; only sockets, files, timers and dice are its own.
+// This file is the disk: what was not synced may vanish or be torn at a crash.
+package rehearsal
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+)
+
+type simFile struct {
+	synced  []byte
+	current []byte
+	durable bool // its name is in the folder for good
+}
+
+// Disk is a simulated folder; it implements wardrobe.Folder.
+type Disk struct {
+	files map[string]*simFile
+	fail  bool
+}
+
+// NewDisk is an empty one.
+func NewDisk() *Disk { return &Disk{files: map[string]*simFile{}} }
+
+var errDisk = errors.New("simulated disk failure")
+
+func (d *Disk) Read(name string) ([]byte, error) {
+	file, found := d.files[name]
+	if !found {
+		return nil, os.ErrNotExist
+	}
+	return append([]byte{}, file.current...), nil
+}
+
+func (d *Disk) Write(name string, body []byte) error {
+	if d.fail {
+		return errDisk
+	}
+	file, found := d.files[name]
+	if !found {
+		file = &simFile{}
+		d.files[name] = file
+	}
+	file.current = append([]byte{}, body...)
+	return nil
+}
+
+func (d *Disk) Append(name string, body []byte) error {
+	file, found := d.files[name]
+	if !found || d.fail {
+		return errDisk
+	}
+	file.current = append(append([]byte{}, file.current...), body...)
+	return nil
+}
+
+func (d *Disk) Sync(name string) error {
+	file, found := d.files[name]
+	if !found || d.fail {
+		return errDisk
+	}
+	file.synced = append([]byte{}, file.current...)
+	return nil
+}
+
+func (d *Disk) SyncFolder() error {
+	if d.fail {
+		return errDisk
+	}
+	for _, file := range d.files {
+		file.durable = true
+	}
+	return nil
+}
+
+// Crash forgets what was not synced, or keeps a part of it.
+func (d *Disk) Crash(dice *rand.Rand) {
+	names := []string{}
+	for _, name := range []string{"slot.0", "slot.1", "log"} {
+		if _, found := d.files[name]; found {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		file := d.files[name]
+		if !file.durable && dice.IntN(2) == 0 {
+			delete(d.files, name)
+			continue
+		}
+		if string(file.current) == string(file.synced) {
+			continue
+		}
+		appended := len(file.current) > len(file.synced) && string(file.current[:len(file.synced)]) == string(file.synced)
+		switch {
+		case appended:
+			kept := len(file.synced) + dice.IntN(len(file.current)-len(file.synced)+1)
+			file.current = file.current[:kept]
+		case dice.IntN(2) == 0:
+			file.current = append([]byte{}, file.synced...)
+		default:
+			file.current = file.current[:dice.IntN(len(file.current)+1)]
+		}
+		file.synced = append([]byte{}, file.current...)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/node.go
@@ -0,0 +1,539 @@
+// This file is a simulated process: a real machine with its stage, its own clock, its
+// disk, and for a usher the real desk, foyer and greenroom. A frozen node takes
+// nothing and its clock runs on; what came meanwhile is there when it wakes.
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"beaconvane/internal/callboard"
+	"beaconvane/internal/critic"
+	"beaconvane/internal/cue"
+	"beaconvane/internal/foyer"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/promptbook"
+	"beaconvane/internal/repertoire"
+	"beaconvane/internal/script"
+	"beaconvane/internal/usher"
+	"beaconvane/internal/wardrobe"
+)
+
+const inboxCap = 20000
+
+// Node is one simulated process.
+type Node struct {
+	world   *World
+	name    string
+	role    string
+	machine string // processes of one machine fail and are cut together
+	config  playbill.Config
+	up      bool
+	frozen  bool
+	life    int
+	drift   float64 // clock rate less 1
+	wallOff time.Duration
+	bootAt  time.Duration
+	inbox   []func()
+
+	control cue.Machine
+	stage   *cue.Stage
+	disk    *Disk
+	store   *wardrobe.Store
+	slow    time.Duration
+	diskAt  time.Duration
+
+	underway []cue.Write
+
+	desk    *foyer.Desk
+	foyer   *foyer.Foyer
+	room    *greenroom.Greenroom
+	view    *usher.View
+	wires   []*simWire
+	pools   map[greenroom.Target]*Upstream
+	replies map[int64]func(answer any)
+	tickets int64
+	born    time.Duration
+	spanAt  time.Duration
+	spanOn  bool
+}
+
+func (w *World) build() {
+	d := w.options.Deployment
+	seeds := []string{}
+	for index := range repertoire.Seats {
+		seeds = append(seeds, fmt.Sprintf("10.1.0.%d:7400", index+1))
+	}
+	for index, seat := range repertoire.Seats {
+		district := d.Districts[index%len(d.Districts)]
+		host := fmt.Sprintf("10.1.0.%d", index+1)
+		w.addNode(script.RoleCallboard, seat, seat, district, host+":7400", seeds)
+		w.addNode(script.RolePromptbook, seat, seat, district, host+":7500", seeds)
+	}
+	for number := range d.Ushers {
+		w.addNode(script.RoleUsher, fmt.Sprintf("edge-%d", number+1), "", d.Districts[number%len(d.Districts)], fmt.Sprintf("10.2.0.%d:7400", number+1), seeds)
+	}
+	number := 0
+	for _, service := range d.Services {
+		for index := range service.Count {
+			w.addUpstream(service, index, number)
+			number++
+		}
+	}
+}
+
+func (w *World) addNode(role, machine, seat, district, address string, seeds []string) *Node {
+	config := w.options.Deployment.Config(role, machine, seat, district, address, address, seeds, "data")
+	config.Collector = "http://collector/"
+	node := &Node{world: w, name: role + "/" + machine, role: role, machine: machine, config: config, disk: NewDisk(),
+		drift: (w.dice.Float64() - 0.5) * 0.002, wallOff: time.Duration(w.dice.Int64N(int64(60*time.Millisecond))) - 30*time.Millisecond,
+		slow: w.options.Deployment.DiskDelay, replies: map[int64]func(any){}}
+	w.nodes[node.name] = node
+	w.order = append(w.order, node.name)
+	w.byAddress[address] = node
+	return node
+}
+
+func (n *Node) address() string { return n.config.Address }
+
+// Now is the node's own clock: since its boot, at its own rate.
+func (n *Node) Now() time.Duration {
+	since := n.world.now - n.bootAt
+	return since + time.Duration(float64(since)*n.drift)
+}
+
+// Wall is the node's time of day.
+func (n *Node) Wall() time.Time {
+	return time.Unix(0, int64(epoch+n.world.now+n.wallOff)).UTC()
+}
+
+// trueWait turns a wait on the node's clock into true time.
+func (n *Node) trueWait(wait time.Duration) time.Duration {
+	return wait - time.Duration(float64(wait)*n.drift)
+}
+
+// boot starts the process from its disk.
+func (n *Node) boot() {
+	if n.up {
+		return
+	}
+	n.life++
+	n.up, n.frozen, n.bootAt, n.inbox, n.diskAt, n.underway = true, false, n.world.now, nil, 0, nil
+	n.stage = cue.NewStage(n.world.dice.Uint64())
+	n.replies = map[int64]func(any){}
+	self := script.Member{Name: n.name, Role: n.role, Seat: n.config.Seat, District: n.config.District, Address: n.config.Address,
+		Outside: n.config.Outside, Birth: int64(epoch + n.world.now + n.wallOff)}
+	n.born = n.world.now
+	var err error
+	switch n.role {
+	case script.RoleUsher:
+		n.bootUsher(self)
+	default:
+		var view []byte
+		var records [][]byte
+		n.store, view, records, err = wardrobe.Open(n.disk)
+		if err == nil && n.role == script.RoleCallboard {
+			n.control, err = callboard.New(n.config, self, view, records)
+		} else if err == nil {
+			n.control, err = promptbook.New(n.config, self, view, records)
+		}
+	}
+	if err != nil {
+		n.world.fail("%s does not boot: %v", n.name, err)
+		n.up = false
+		return
+	}
+	n.world.mark("boot %s", n.name)
+	n.openSpan()
+	n.tickSoon(n.life)
+}
+
+func (n *Node) bootUsher(self script.Member) {
+	n.pools, n.wires, n.view = map[greenroom.Target]*Upstream{}, nil, nil
+	n.room = greenroom.New(n.config, func(carry script.Carry) notice.Code { return n.foyer.Allowed(carry) })
+	n.room.UsePasses(func() string { return strconv.FormatUint(n.world.dice.Uint64(), 36) })
+	n.foyer = foyer.New(n.config, n.room.PassOf)
+	n.control = usher.New(n.config, self)
+	n.desk = foyer.NewDesk(n.config, n.foyer, n.room, &backstage{n, n.life}, self)
+	n.sweepSoon(n.life)
+}
+
+func (n *Node) sweepSoon(life int) {
+	n.world.after(n.trueWait(n.config.NewsEvery()/4), func() {
+		n.run(life, func() {
+			n.desk.Expire()
+			usage, closed := n.foyer.Usage(time.Duration(n.Wall().UnixNano()), n.control.(*usher.Machine).SealedBelow())
+			n.apply(cue.Asked{Question: usher.Counted{Usage: usage, Closed: closed}})
+			for target, owner := range n.pools {
+				if !n.room.Dialable(n.Now(), target) || !owner.up {
+					delete(n.pools, target)
+				}
+			}
+		})
+		if n.up && n.life == life {
+			n.sweepSoon(life)
+		}
+	})
+}
+
+func (n *Node) tickSoon(life int) {
+	n.world.after(n.trueWait(n.config.TickEvery()), func() {
+		if !n.up || n.life != life {
+			return
+		}
+		if !n.frozen {
+			n.apply(cue.Ticked{})
+		}
+		n.tickSoon(life)
+	})
+}
+
+// run does something in the process, now or when it wakes.
+func (n *Node) run(life int, do func()) {
+	switch {
+	case !n.up || n.life != life:
+	case n.frozen:
+		if len(n.inbox) < inboxCap {
+			n.inbox = append(n.inbox, do)
+		}
+	default:
+		do()
+	}
+}
+
+func (n *Node) arrive(from string, frame []byte) {
+	life := n.life
+	n.run(life, func() {
+		message, err := script.Decode(frame)
+		if err != nil {
+			n.world.fail("%s cannot read a frame: %v", n.name, err)
+			return
+		}
+		n.world.mark("%s>%s %T %d", from, n.name, message, len(frame))
+		n.apply(cue.Arrived{From: from, Message: message})
+	})
+}
+
+func (n *Node) apply(command cue.Command) {
+	n.stage.Now, n.stage.Wall = n.Now(), time.Duration(n.Wall().UnixNano())
+	command.Apply(n.control, n.stage)
+	for _, effect := range n.stage.Drain() {
+		n.perform(effect)
+	}
+}
+
+func (n *Node) perform(effect any) {
+	life := n.life
+	switch done := effect.(type) {
+	case cue.Send:
+		n.world.send(n, done.To, done.Message)
+	case cue.Datagram:
+		n.world.datagram(n, done.To, done.Message)
+	case cue.Write:
+		n.write(life, done)
+	case cue.Reply:
+		if reply := n.replies[done.Ticket]; reply != nil {
+			delete(n.replies, done.Ticket)
+			reply(done.Answer)
+		}
+	case cue.Publish:
+		n.view = done.View.(*usher.View)
+		n.foyer.Show(n.Now(), n.view)
+	case cue.Note:
+		n.note(done)
+	case cue.Probe:
+		n.world.after(n.world.transit()*2, func() {
+			owner := n.world.addresses[done.Address]
+			n.run(life, func() {
+				n.apply(cue.Asked{Question: usher.Probed{Key: done.Key, Incarnation: done.Incarnation, Answered: owner != nil && owner.up}})
+			})
+		})
+	case cue.Report:
+		report := done.Body.(callboard.Report)
+		if n.Now() > report.Until {
+			return
+		}
+		n.world.after(n.world.transit(), func() { n.world.collect(n, life, report) })
+	}
+}
+
+// write models the disk's time; what is under way at a crash may be torn.
+func (n *Node) write(life int, written cue.Write) {
+	wait := n.slow + time.Duration(n.world.dice.Int64N(int64(n.slow)+1))
+	n.diskAt = max(n.diskAt, n.world.now) + wait
+	n.underway = append(n.underway, written)
+	n.world.at(n.diskAt, func() {
+		if !n.up || n.life != life {
+			return
+		}
+		n.underway = n.underway[1:]
+		var failure error
+		if written.View != nil {
+			failure = n.store.Compact(written.View)
+		} else {
+			failure = n.store.Append([][]byte{written.Record})
+		}
+		n.run(life, func() { n.apply(cue.Synced{Ticket: written.Ticket, Failure: failure}) })
+	})
+}
+
+func (n *Node) note(done cue.Note) {
+	n.world.mark("%s NOTE %s %d %s", n.name, done.Deed, done.Epoch, done.Cause)
+	switch done.Deed {
+	case "tenure-taken":
+		tag, _, _ := strings.Cut(done.Cause, " ")
+		n.world.record.Keeping = append(n.world.record.Keeping, critic.Keeping{Tag: tag, Seat: n.config.Seat, Epoch: done.Epoch, At: n.world.now})
+	case "layout-in-force":
+		n.world.record.Forced = append(n.world.record.Forced, critic.Force{Node: n.machine, Sheet: done.Cause, Version: done.Epoch, At: n.world.now})
+	case "roster-change":
+		tag, _, _ := strings.Cut(done.Cause, " ")
+		n.world.record.Acts = append(n.world.record.Acts, critic.Keeping{Tag: tag, Seat: n.config.Seat, Epoch: done.Epoch, At: n.world.now})
+	}
+}
+
+// ask puts a question to the machine.
+func (n *Node) ask(question any, reply func(answer any)) {
+	n.tickets++
+	ticket := n.tickets
+	n.replies[ticket] = reply
+	n.run(n.life, func() { n.apply(cue.Asked{Ticket: ticket, Question: question}) })
+}
+
+// kill ends the process hard; its disk forgets what was not synced.
+func (n *Node) kill(loseDisk bool) {
+	if !n.up {
+		return
+	}
+	n.closeSpan()
+	n.up = false
+	n.world.mark("kill %s", n.name)
+	for _, written := range n.underway {
+		// What the disk was at is there in part.
+		if written.View == nil && n.store != nil && n.world.dice.IntN(2) == 0 {
+			n.store.AppendUnsynced(written.Record)
+		}
+	}
+	n.underway = nil
+	n.disk.Crash(n.world.dice)
+	if loseDisk {
+		n.disk = NewDisk()
+	}
+	for _, wire := range n.wires {
+		wire.closed = true
+	}
+	n.wires = nil
+	n.world.wiresLost(n)
+}
+
+func (n *Node) freeze() {
+	if n.up && !n.frozen {
+		n.closeSpan()
+		n.frozen = true
+		n.world.mark("freeze %s", n.name)
+	}
+}
+
+func (n *Node) wake() {
+	if !n.up || !n.frozen {
+		return
+	}
+	n.frozen = false
+	n.world.mark("wake %s", n.name)
+	n.openSpan()
+	held := n.inbox
+	n.inbox = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+func (n *Node) openSpan() { n.spanAt, n.spanOn = n.world.now, true }
+
+func (n *Node) closeSpan() {
+	if n.spanOn && n.role == script.RoleUsher {
+		n.world.record.Up = append(n.world.record.Up, critic.Span{Name: n.machine, From: n.spanAt, To: n.world.now})
+	}
+	n.spanOn = false
+}
+
+// backstage is the desk's port in the simulator, for one life of a usher.
+type backstage struct {
+	node *Node
+	life int
+}
+
+func (b *backstage) Now() time.Duration { return b.node.Now() }
+func (b *backstage) Wall() time.Time    { return b.node.Wall() }
+func (b *backstage) Dice() *rand.Rand   { return b.node.world.dice }
+
+func (b *backstage) Tell(tidings any) { b.node.apply(cue.Asked{Question: tidings}) }
+
+// Queue passes an item to its stage a moment later, as the workers would.
+func (b *backstage) Queue(stage foyer.Stage, item any) bool {
+	n := b.node
+	n.world.after(20*time.Microsecond, func() {
+		n.run(b.life, func() {
+			switch stage {
+			case foyer.StageGate:
+				n.desk.Gate(item.(*foyer.Trip))
+			case foyer.StageChoose:
+				n.desk.Choose(item.(*foyer.Trip))
+			case foyer.StageJudge:
+				n.desk.Judge(item.(foyer.Judged))
+			case foyer.StageStart:
+				n.call(b.life, item.(greenroom.Order))
+			}
+		})
+	})
+	return true
+}
+
+func (b *backstage) After(wait time.Duration, then func()) {
+	b.node.world.after(b.node.trueWait(wait), func() { b.node.run(b.life, then) })
+}
+
+// simWire is a traffic wire between two ushers.
+type simWire struct {
+	from, to *Node
+	lifeFrom int
+	lifeTo   int
+	attached bool
+	closed   bool
+	pending  []any
+	heard    func(message any)
+	broke    func(wire foyer.Wire)
+	lastTo   time.Duration
+	lastBack time.Duration
+}
+
+func (b *backstage) Open(home string, heard func(message any), closed func(wire foyer.Wire)) foyer.Wire {
+	n := b.node
+	wire := &simWire{from: n, lifeFrom: b.life, heard: heard, broke: closed}
+	n.wires = append(n.wires, wire)
+	target, found := n.world.byAddress[home]
+	n.world.after(n.world.transit()*2, func() { wire.dialled(target, found) })
+	return wire
+}
+
+func (s *simWire) dialled(target *Node, found bool) {
+	w := s.from.world
+	switch {
+	case s.closed:
+	case !found || !target.up:
+		s.drop()
+	case !w.linked(s.from, target) || !w.linked(target, s.from) || target.frozen:
+		// Nothing answers: the dial times out. A frozen machine's kernel still takes
+		// wires, which the next case covers for short freezes.
+		if target.frozen {
+			s.attach(target)
+			return
+		}
+		w.after(s.from.config.WireDial(), s.drop)
+	default:
+		s.attach(target)
+	}
+}
+
+func (s *simWire) attach(target *Node) {
+	s.to, s.lifeTo, s.attached = target, target.life, true
+	for _, message := range s.pending {
+		s.forward(message)
+	}
+	s.pending = nil
+}
+
+// drop closes the wire and tells the opener.
+func (s *simWire) drop() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.from.run(s.lifeFrom, func() { s.broke(s) })
+}
+
+func (s *simWire) Broken() bool   { return s.closed }
+func (s *simWire) Attached() bool { return s.attached }
+func (s *simWire) Close()         { s.closed = true }
+
+func (s *simWire) Post(message any) error {
+	if s.closed {
+		return notice.Wrap("rehearsal.post", notice.WireLost, nil)
+	}
+	if !s.attached {
+		s.pending = append(s.pending, message)
+		return nil
+	}
+	s.forward(message)
+	return nil
+}
+
+func (s *simWire) forward(message any) {
+	w := s.from.world
+	arrival := max(w.now+w.transit(), s.lastTo)
+	s.lastTo = arrival
+	s.carry(arrival, s.from, s.to, s.lifeTo, func() {
+		s.to.desk.Inbound(reread(message), func(reply any) error {
+			if s.closed {
+				return notice.Wrap("rehearsal.back", notice.WireLost, nil)
+			}
+			back := max(w.now+w.transit(), s.lastBack)
+			s.lastBack = back
+			s.carry(back, s.to, s.from, s.lifeFrom, func() { s.heard(reread(reply)) })
+			return nil
+		})
+	})
+}
+
+// carry delivers along the wire; a cut holds it up, a long one breaks the wire.
+func (s *simWire) carry(arrival time.Duration, from, to *Node, life int, do func()) {
+	w := s.from.world
+	tries := 0
+	var deliver func()
+	deliver = func() {
+		if s.closed || !to.up || to.life != life {
+			return
+		}
+		if !w.linked(from, to) {
+			tries++
+			if tries > 25 {
+				s.drop()
+				return
+			}
+			w.after(200*time.Millisecond, deliver)
+			return
+		}
+		to.run(life, do)
+	}
+	w.at(arrival, deliver)
+}
+
+// reread passes a message through the encoding, as the real wire does.
+func reread(message any) any {
+	frame, err := script.Encode(message)
+	if err != nil {
+		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+	}
+	decoded, err := script.Decode(frame)
+	if err != nil {
+		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+	}
+	return decoded
+}
+
+// wiresLost breaks the traffic wires that led to a node that ended.
+func (w *World) wiresLost(ended *Node) {
+	for _, name := range w.order {
+		node := w.nodes[name]
+		for _, wire := range node.wires {
+			if wire.to == ended && wire.attached && !wire.closed {
+				lost := wire
+				w.after(w.transit(), lost.drop)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/people.go
@@ -0,0 +1,383 @@
+// This file is who is around the mesh: upstreams that announce and run, callers that
+// ask at a rate, operators that put sheets, and the collector of usage reports.
+package rehearsal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"beaconvane/internal/callboard"
+	"beaconvane/internal/claque"
+	"beaconvane/internal/critic"
+	"beaconvane/internal/cue"
+	"beaconvane/internal/foyer"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/repertoire"
+	"beaconvane/internal/script"
+	"beaconvane/internal/understudy"
+)
+
+// Upstream is a simulated one.
+type Upstream struct {
+	world       *World
+	key         string
+	told        greenroom.Announcement
+	homes       []*Node
+	work        time.Duration
+	up          bool
+	life        int
+	running     int
+	most        int
+	slots       int
+	runs        []critic.Ran
+	ended       []func()
+	faults      understudy.Faults
+	outgoing    bool
+	firstUsher  int
+	warmUntil   time.Duration
+	gone        bool
+	serviceSpec repertoire.Service
+}
+
+func (w *World) addUpstream(service repertoire.Service, index, number int) *Upstream {
+	ushers := w.of(script.RoleUsher)
+	key := fmt.Sprintf("%s/%s-%d", service.Name, service.Name, index+1)
+	u := &Upstream{world: w, key: key, work: service.Work, slots: int(service.Slots), firstUsher: number % len(ushers), serviceSpec: service,
+		told: greenroom.Announcement{Service: service.Name, Instance: fmt.Sprintf("%s-%d", service.Name, index+1),
+			Address: fmt.Sprintf("10.3.0.%d:9000", number+1), Slots: service.Slots}}
+	for offset := range 3 {
+		u.homes = append(u.homes, ushers[(number+offset*3)%len(ushers)])
+	}
+	u.told.District = u.homes[0].config.District
+	w.upstreams[key] = u
+	w.upOrder = append(w.upOrder, key)
+	return u
+}
+
+// start brings an upstream up with a new incarnation.
+func (u *Upstream) start(warm time.Duration) {
+	if u.up || u.gone {
+		return
+	}
+	u.up = true
+	u.life++
+	u.running = 0
+	u.told.Incarnation = int64(epoch+u.world.now) + 1
+	u.told.Leaving = false
+	u.warmUntil = u.world.now + warm
+	u.world.addresses[u.told.Address] = u
+	u.world.mark("upstream %s up at %s", u.key, u.told.Address)
+	u.announceSoon(u.life, 0)
+}
+
+// kill ends it hard.
+func (u *Upstream) kill() {
+	if !u.up {
+		return
+	}
+	u.up = false
+	u.world.mark("upstream %s killed", u.key)
+	if u.world.addresses[u.told.Address] == u {
+		delete(u.world.addresses, u.told.Address)
+	}
+	ended := u.ended
+	u.ended = nil
+	for _, end := range ended {
+		end()
+	}
+}
+
+func (u *Upstream) announceSoon(life int, wait time.Duration) {
+	u.world.after(wait, func() {
+		if !u.up || u.life != life {
+			return
+		}
+		u.announce()
+		u.announceSoon(life, time.Second)
+	})
+}
+
+// announce tells the first of its ushers that takes it.
+func (u *Upstream) announce() {
+	told := u.told
+	told.Warming = u.world.now < u.warmUntil
+	if u.serviceSpec.Load {
+		told.Load = float64(u.running) / float64(u.slots)
+	}
+	life := u.life
+	for _, home := range u.homes {
+		if !home.up || home.frozen {
+			continue
+		}
+		chosenHome, homeLife := home, home.life
+		u.world.after(200*time.Microsecond, func() {
+			if u.life != life || !u.up {
+				return
+			}
+			chosenHome.run(homeLife, func() { chosenHome.desk.Announce(told) })
+		})
+		return
+	}
+}
+
+// leave says that it leaves.
+func (u *Upstream) leave() {
+	u.told.Leaving = true
+	u.world.record.Leaving = append(u.world.record.Leaving, critic.Leaving{Service: u.told.Service, Instance: u.told.Instance, At: u.world.now})
+	u.announce()
+}
+
+// signOff is the last word.
+func (u *Upstream) signOff() {
+	told := u.told
+	for _, home := range u.homes {
+		if home.up && !home.frozen {
+			chosenHome, life := home, home.life
+			u.world.after(200*time.Microsecond, func() {
+				chosenHome.run(life, func() { chosenHome.desk.SignOff(told.Service, told.Instance, told.Incarnation) })
+			})
+			return
+		}
+	}
+}
+
+// call is the home's exchange with an upstream, as calling.go does it on sockets.
+func (n *Node) call(life int, order greenroom.Order) {
+	w := n.world
+	target := order.Target
+	target.Pass = ""
+	conclude := func(verdict script.Verdict) {
+		n.run(life, func() { n.desk.Conclude(order, verdict) })
+	}
+	owner, pooled := n.pools[target]
+	if !pooled || !owner.up {
+		delete(n.pools, target)
+		if !n.room.Dialable(n.Now(), target) {
+			conclude(script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)})
+			return
+		}
+		owner = w.addresses[target.Address]
+		if owner == nil || !owner.up {
+			w.after(w.transit(), func() {
+				n.run(life, func() { n.room.Broke(n.Now(), target) })
+				conclude(script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)})
+			})
+			return
+		}
+		n.pools[target] = owner
+	}
+	limit := time.Duration(order.Carry.Remaining)
+	over := false
+	end := func(verdict script.Verdict, broke bool) {
+		if over {
+			return
+		}
+		over = true
+		if broke {
+			n.run(life, func() {
+				delete(n.pools, target)
+				n.room.Broke(n.Now(), target)
+			})
+		}
+		conclude(verdict)
+	}
+	w.after(n.trueWait(limit-limit/20), func() {
+		end(script.Verdict{Kind: script.StartedNoWhole, Code: int64(notice.UnknownTimeout)}, false)
+	})
+	upLife := owner.life
+	w.after(w.transit()/2, func() {
+		lost := func() {
+			w.after(w.transit()/2, func() {
+				end(script.Verdict{Kind: script.StartedNoWhole, Code: int64(notice.UnknownOutcome)}, true)
+			})
+		}
+		if !owner.up || owner.life != upLife {
+			lost()
+			return
+		}
+		owner.run(order, end, lost)
+	})
+}
+
+// run is the work at the upstream.
+func (u *Upstream) run(order greenroom.Order, end func(verdict script.Verdict, broke bool), lost func()) {
+	w := u.world
+	u.running++
+	u.most = max(u.most, u.running)
+	id := ""
+	keySeen := false
+	for _, line := range order.Carry.Headers {
+		if line.Name == understudy.IDHeader {
+			id = line.Value
+		}
+		for _, tenant := range w.options.Deployment.Tenants() {
+			keySeen = keySeen || line.Value == tenant.Key
+		}
+	}
+	index := len(u.runs)
+	u.runs = append(u.runs, critic.Ran{ID: id, Service: u.told.Service, Instance: u.told.Instance, Address: u.told.Address, Path: order.Carry.Path,
+		Tenant: order.Carry.Tenant, Caller: order.Carry.Caller, KeySeen: keySeen, At: w.now})
+	w.mark("%s runs %s", u.key, id)
+	answer := fmt.Sprintf("%s by %s run %d", id, u.told.Instance, index)
+	work := u.work + time.Duration(w.dice.Int64N(int64(u.work)))
+	if w.dice.Float64() < u.faults.Slow {
+		work *= 10
+	}
+	life, over := u.life, false
+	u.ended = append(u.ended, func() {
+		if !over {
+			over = true
+			lost()
+		}
+	})
+	w.after(work, func() {
+		if over || !u.up || u.life != life {
+			return
+		}
+		over = true
+		u.running--
+		roll := w.dice.Float64()
+		switch f := u.faults; {
+		case roll < f.Lose:
+			lost()
+		case roll < f.Lose+f.Garbage+f.Truncate+f.Excess:
+			w.after(w.transit()/2, func() {
+				end(script.Verdict{Kind: script.StartedNoWhole, Code: int64(notice.AnswerMalformed)}, false)
+			})
+		default:
+			u.runs[index].Whole, u.runs[index].Answer = w.now, answer
+			w.after(w.transit()/2, func() {
+				end(script.Verdict{Kind: script.StartedWhole, Status: http.StatusOK, Body: []byte(answer)}, false)
+			})
+		}
+	})
+	if len(u.ended) > 512 {
+		u.ended = u.ended[256:]
+	}
+}
+
+// askSoon is the callers' open loop.
+func (w *World) askSoon(number int, begin time.Duration) {
+	when := begin + time.Duration(float64(number)/w.options.Rate*float64(time.Second))
+	if when > begin+w.options.Load {
+		return
+	}
+	w.at(when, func() {
+		w.askOne(number)
+		w.askSoon(number+1, begin)
+	})
+}
+
+func (w *World) askOne(number int) {
+	d := w.options.Deployment
+	total := 0.0
+	for _, kind := range d.Kinds {
+		total += kind.Weight
+	}
+	roll, chosenKind := w.dice.Float64()*total, d.Kinds[0]
+	for _, kind := range d.Kinds {
+		if roll -= kind.Weight; roll < 0 {
+			chosenKind = kind
+			break
+		}
+	}
+	tenants := d.Tenants()
+	w.askWith(fmt.Sprintf("q%d", number), chosenKind, tenants[w.dice.IntN(len(tenants))])
+}
+
+func (w *World) askWith(id string, kind claque.Kind, tenant claque.Tenant) {
+	ushers := w.of(script.RoleUsher)
+	chosenUsher := ushers[w.dice.IntN(len(ushers))]
+	asked := &critic.Asked{ID: id, Usher: chosenUsher.machine, Route: kind.Route, Service: kind.Service, Tenant: tenant.Name, Key: tenant.Key,
+		Caller: kind.Caller, Once: kind.Once, Intended: w.now, Sent: w.now, Wire: true}
+	w.asked = append(w.asked, asked)
+	if !chosenUsher.up {
+		asked.Done = w.now
+		return
+	}
+	life := chosenUsher.life
+	chosenUsher.run(life, func() {
+		header := http.Header{}
+		header.Set(foyer.KeyHeader, tenant.Key)
+		header.Set(greenroom.CallerHeader, kind.Caller)
+		header.Set(understudy.IDHeader, id)
+		query := &foyer.Query{ID: id + "@" + chosenUsher.machine, Method: kind.Method, RawPath: kind.Path, Header: header, Body: []byte{},
+			Deadline: chosenUsher.Now() + chosenUsher.config.QueryLimit()}
+		sentLife := life
+		going := chosenUsher.desk.Arrive(query, func(final *foyer.Final) {
+			w.after(100*time.Microsecond, func() {
+				if !chosenUsher.up || chosenUsher.life != sentLife {
+					return
+				}
+				asked.Wire, asked.Done, asked.Status, asked.Body = false, w.now, final.Status, string(final.Body)
+				asked.Code, asked.Retry = int(final.Code), final.RetryAfter > 0
+				if final.Code == notice.OK {
+					w.record.Counted[int64((epoch+w.now)/chosenUsher.config.UsageWindow())]++
+				}
+			})
+		})
+		w.after(chosenUsher.trueWait(chosenUsher.config.QueryLimit()), func() {
+			chosenUsher.run(life, func() { chosenUsher.desk.Abandon(going) })
+		})
+	})
+}
+
+// put has an operator put a sheet at a callboard.
+func (w *World) put(version int64, tenants []claque.Tenant, body []byte, settled func(code notice.Code)) {
+	boards := w.alive(script.RoleCallboard)
+	if len(boards) == 0 {
+		return
+	}
+	chosenBoard := boards[w.dice.IntN(len(boards))]
+	w.mark("put %d at %s", version, chosenBoard.name)
+	w.putsOut++
+	chosenBoard.ask(callboard.PutLayout{Sheet: "main", Version: version, Body: body}, func(answer any) {
+		code := answer.(callboard.Answer).Code
+		w.mark("put %d answered %s", version, code)
+		if code == notice.OK {
+			put := critic.Put{Sheet: "main", Version: version, At: w.now, Services: map[string]string{}, Keys: map[string]string{}}
+			for _, kind := range w.options.Deployment.Kinds {
+				put.Services[kind.Route] = kind.Service
+			}
+			for _, tenant := range tenants {
+				put.Keys[tenant.Key] = tenant.Name
+			}
+			w.record.Puts = append(w.record.Puts, put)
+		}
+		if settled != nil {
+			settled(code)
+		}
+	})
+}
+
+// putUntil repeats a put, as an operator would, until it is settled or refused.
+func (w *World) putUntil(version int64, tenants []claque.Tenant, more int) {
+	body := w.options.Deployment.Sheet(tenants, more)
+	settled := false
+	var try func()
+	try = func() {
+		if settled {
+			return
+		}
+		w.put(version, tenants, body, func(code notice.Code) {
+			if code == notice.OK || code == notice.LayoutConflict {
+				settled = true
+			}
+		})
+		w.after(time.Second, try)
+	}
+	try()
+}
+
+// collect takes a usage report; the reporter hears of it unless it died meanwhile.
+func (w *World) collect(from *Node, life int, report callboard.Report) {
+	length := from.config.UsageWindow()
+	w.mark("report %d from %s %v", report.Window, from.machine, len(report.Counts))
+	w.record.Reported = append(w.record.Reported, critic.Reported{Window: report.Window, From: from.machine, Counts: report.Counts, At: w.now,
+		End: time.Duration(report.Window+1)*length - epoch})
+	w.after(w.transit(), func() {
+		from.run(life, func() { from.apply(cue.Asked{Question: callboard.Reported{Window: report.Window}}) })
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/scenario.go
@@ -0,0 +1,615 @@
+// This file has the scenarios as data: a plan is a list of steps, each a fault or an
+// operator's deed at a time. Named scenarios make their plans from the seed; "any"
+// draws steps at random. A failing plan is made smaller by leaving steps out.
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"beaconvane/internal/callboard"
+	"beaconvane/internal/critic"
+	"beaconvane/internal/greenroom"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/repertoire"
+	"beaconvane/internal/script"
+	"beaconvane/internal/understudy"
+)
+
+// Step is one thing done to the world.
+type Step struct {
+	At     time.Duration `json:"at"`
+	Do     string        `json:"do"`
+	Target string        `json:"target"`
+	For    time.Duration `json:"for"`
+}
+
+func (s Step) String() string { return fmt.Sprintf("%s %s %s for %s", s.At, s.Do, s.Target, s.For) }
+
+const loadBegins = 8 * time.Second
+
+// machineNodes lists the processes of a machine, or the one named.
+func (w *World) machineNodes(target string) []*Node {
+	list := []*Node{}
+	for _, name := range w.order {
+		if w.nodes[name].machine == target || name == target {
+			list = append(list, w.nodes[name])
+		}
+	}
+	return list
+}
+
+// holder finds the machine whose process acts for a tag now.
+func (w *World) holder(tag string) string {
+	newest := critic.Keeping{}
+	for _, keeping := range w.record.Keeping {
+		if keeping.Tag == tag && keeping.Epoch >= newest.Epoch {
+			newest = keeping
+		}
+	}
+	return newest.Seat
+}
+
+func (w *World) restart(nodes []*Node, loseDisk bool, down time.Duration) {
+	for _, node := range nodes {
+		node.kill(loseDisk)
+	}
+	w.after(down, func() {
+		for _, node := range nodes {
+			node.boot()
+		}
+	})
+}
+
+func (w *World) cutBetween(left, right []string, both bool, length time.Duration) {
+	set := func(by int) {
+		for _, one := range left {
+			for _, other := range right {
+				w.cut(one, other, by)
+				if both {
+					w.cut(other, one, by)
+				}
+			}
+		}
+	}
+	set(1)
+	w.breakSpans(left, right)
+	w.after(length, func() {
+		set(-1)
+		w.breakSpans(left, right)
+	})
+}
+
+// breakSpans: a node cut off is not held to the bounds for connected ones.
+func (w *World) breakSpans(left, right []string) {
+	small := left
+	if len(right) < len(left) {
+		small = right
+	}
+	for _, machine := range small {
+		for _, node := range w.machineNodes(machine) {
+			cutOff := false
+			for pair, count := range w.cuts {
+				cutOff = cutOff || count > 0 && (strings.HasPrefix(pair, machine+">") || strings.HasSuffix(pair, ">"+machine))
+			}
+			node.closeSpan()
+			if !cutOff && node.up && !node.frozen {
+				node.openSpan()
+			}
+		}
+	}
+}
+
+func (w *World) machines() []string {
+	list := append([]string{}, repertoire.Seats...)
+	for _, node := range w.of(script.RoleUsher) {
+		list = append(list, node.machine)
+	}
+	return list
+}
+
+func without(list []string, dropped string) []string {
+	kept := []string{}
+	for _, item := range list {
+		if item != dropped {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
+// do carries out one step.
+func (w *World) do(step Step) {
+	w.mark("STEP %s", step)
+	nodes := w.machineNodes(step.Target)
+	switch step.Do {
+	case "kill":
+		w.restart(nodes, false, step.For)
+	case "kill-disk":
+		w.restart(nodes, true, step.For)
+	case "kill-holder":
+		if machine := w.holder(step.Target); machine != "" {
+			w.restart(w.machineNodes(machine), false, step.For)
+		}
+	case "freeze-holder":
+		if machine := w.holder(step.Target); machine != "" {
+			w.freeze(w.machineNodes(machine), step.For)
+		}
+	case "freeze":
+		w.freeze(nodes, step.For)
+	case "isolate":
+		w.cutBetween([]string{step.Target}, without(w.machines(), step.Target), true, step.For)
+	case "isolate-out":
+		w.cutBetween([]string{step.Target}, without(w.machines(), step.Target), false, step.For)
+	case "cut-core":
+		w.cutBetween([]string{step.Target}, without(repertoire.Seats, step.Target), true, step.For)
+	case "cut-core-one-way":
+		w.cutBetween([]string{step.Target}, without(repertoire.Seats, step.Target), false, step.For)
+	case "halve":
+		left, right := []string{step.Target}, without(repertoire.Seats, step.Target)
+		for index, node := range w.of(script.RoleUsher) {
+			if index%3 == 0 {
+				left = append(left, node.machine)
+			} else {
+				right = append(right, node.machine)
+			}
+		}
+		w.cutBetween(left, right, true, step.For)
+	case "slow-disk":
+		for _, node := range nodes {
+			slowNode, was := node, node.slow
+			slowNode.slow = was * 10
+			w.after(step.For, func() { slowNode.slow = was })
+		}
+	case "herd":
+		for index, node := range w.of(script.RoleUsher) {
+			if index%2 == 0 {
+				w.restart([]*Node{node}, false, step.For)
+			}
+		}
+	case "kill-core":
+		for _, seat := range repertoire.Seats {
+			w.restart(w.machineNodes(seat), false, step.For)
+		}
+	case "kill-all":
+		for _, machine := range w.machines() {
+			w.restart(w.machineNodes(machine), false, step.For)
+		}
+	case "replace-seat":
+		w.replaceSeat(step.Target, step.For)
+	case "put", "put-huge", "withdraw", "restore-keys", "put-race", "put-bad", "put-and-kill", "put-and-kill-disk":
+		w.operate(step)
+	default:
+		w.doUpstream(step)
+	}
+}
+
+func (w *World) freeze(nodes []*Node, length time.Duration) {
+	for _, node := range nodes {
+		node.freeze()
+		frozenNode, life := node, node.life
+		w.after(length, func() {
+			if frozenNode.life == life {
+				frozenNode.wake()
+			}
+		})
+	}
+}
+
+// replaceSeat puts an empty machine in a seat's place, at a new address.
+func (w *World) replaceSeat(machine string, down time.Duration) {
+	nodes := w.machineNodes(machine)
+	for _, node := range nodes {
+		node.kill(true)
+	}
+	w.after(down, func() {
+		for _, node := range nodes {
+			old := node.config.Address
+			parts := strings.SplitN(old, ":", 2)
+			fresh := parts[0] + "9:" + parts[1]
+			if _, taken := w.byAddress[fresh]; taken {
+				fresh = parts[0] + "8:" + parts[1]
+			}
+			delete(w.byAddress, old)
+			node.config.Address, node.config.Outside = fresh, fresh
+			w.byAddress[fresh] = node
+			node.boot()
+		}
+	})
+}
+
+func (w *World) operate(step Step) {
+	tenants := w.options.Deployment.Tenants()
+	w.versions++
+	version := w.versions
+	switch step.Do {
+	case "put":
+		w.putUntil(version, tenants[:w.tenants], int(version))
+	case "put-huge":
+		w.putUntil(version, tenants[:w.tenants], 5000)
+	case "withdraw":
+		w.tenants = max(1, w.tenants-1)
+		w.putUntil(version, tenants[:w.tenants], 0)
+	case "restore-keys":
+		w.tenants = len(tenants)
+		w.putUntil(version, tenants, 0)
+	case "put-race":
+		won := 0
+		for index := range 2 {
+			body := w.options.Deployment.Sheet(tenants[:w.tenants], 10+index)
+			w.put(version, tenants[:w.tenants], body, func(code notice.Code) {
+				if code == notice.OK {
+					won++
+					if won == 2 {
+						w.fail("both racing puts of %d were acknowledged", version)
+					}
+				}
+			})
+		}
+	case "put-bad":
+		w.versions--
+		w.put(version, nil, []byte(`{"services":["x"],"routes":[{"name":"r","service":"y"}]}`), func(code notice.Code) {
+			if code != notice.LayoutBad && code != notice.LayoutNoHolder && code != notice.LayoutUnsure {
+				w.fail("a bad sheet was answered %s", code)
+			}
+		})
+	case "put-and-kill", "put-and-kill-disk":
+		body := w.options.Deployment.Sheet(tenants[:w.tenants], int(version))
+		lose := step.Do == "put-and-kill-disk"
+		w.put(version, tenants[:w.tenants], body, func(code notice.Code) {
+			if code == notice.OK {
+				if machine := w.holder(playbill.BookTag); machine != "" {
+					w.restart(w.machineNodes(machine), lose, step.For)
+				}
+			}
+		})
+	}
+}
+
+func (w *World) doUpstream(step Step) {
+	u := w.upstreams[step.Target]
+	if u == nil {
+		w.fail("no target for %s", step)
+		return
+	}
+	switch step.Do {
+	case "upstream-kill":
+		u.kill()
+		w.after(step.For, func() { u.start(500 * time.Millisecond) })
+	case "upstream-replace":
+		u.leave()
+		w.after(step.For, func() {
+			u.signOff()
+			u.kill()
+			w.after(500*time.Millisecond, func() { u.start(time.Second) })
+		})
+	case "upstream-leave":
+		u.leave()
+		u.gone = true
+		w.after(step.For, func() {
+			u.signOff()
+			u.kill()
+		})
+	case "upstream-handover":
+		// Ended, and its address handed at once to another service's new instance.
+		u.kill()
+		u.gone = true
+		w.after(step.For, func() { w.handOver(u) })
+	case "upstream-faults":
+		u.faults = understudy.Faults{Lose: 0.1, Garbage: 0.05, Truncate: 0.05, Excess: 0.02, Slow: 0.05}
+		w.after(step.For, func() { u.faults = understudy.Faults{} })
+	}
+}
+
+func (w *World) handOver(old *Upstream) {
+	services := w.options.Deployment.Services
+	for _, service := range services {
+		if service.Name == old.told.Service {
+			continue
+		}
+		key := fmt.Sprintf("%s/%s-heir-%d", service.Name, service.Name, len(w.upOrder))
+		heir := &Upstream{world: w, key: key, work: service.Work, slots: int(service.Slots), serviceSpec: service, homes: old.homes,
+			told: greenroom.Announcement{Service: service.Name, Instance: key[len(service.Name)+1:], Address: old.told.Address, District: old.told.District, Slots: service.Slots}}
+		w.upstreams[key] = heir
+		w.upOrder = append(w.upOrder, key)
+		heir.start(0)
+		return
+	}
+}
+
+// Result is a run's outcome.
+type Result struct {
+	Scenario string
+	Seed     uint64
+	Plan     []Step
+	Review   critic.Review
+	Trace    uint64
+	Steps    int64
+	Good     float64 // share of queries to running ushers that were answered
+	Last     time.Duration
+}
+
+// Play runs a plan on a deployment.
+func Play(options Options) Result {
+	w := NewWorld(options)
+	for _, name := range w.order {
+		node := w.nodes[name]
+		w.at(time.Duration(w.dice.Int64N(int64(300*time.Millisecond))), node.boot)
+	}
+	for _, key := range w.upOrder {
+		u := w.upstreams[key]
+		w.at(time.Duration(w.dice.Int64N(int64(500*time.Millisecond))), func() { u.start(500 * time.Millisecond) })
+	}
+	w.at(time.Second, func() {
+		w.versions++
+		w.putUntil(w.versions, w.options.Deployment.Tenants(), 0)
+	})
+	w.askSoon(0, loadBegins)
+	last := time.Duration(0)
+	for _, step := range options.Plan {
+		planned := step
+		last = max(last, step.At+step.For)
+		w.at(step.At, func() { w.do(planned) })
+	}
+	ends := loadBegins + options.Load
+	w.Run(ends + 6*time.Second)
+	w.closing(last)
+	w.Run(ends + 12*time.Second)
+	result := Result{Seed: options.Seed, Plan: options.Plan, Trace: w.trace, Steps: w.steps, Last: last}
+	result.Review = w.Finish()
+	w.restored(&result)
+	return result
+}
+
+// closing reads the layout back at the end of the day.
+func (w *World) closing(time.Duration) {
+	for _, board := range w.alive(script.RoleCallboard) {
+		board.ask(callboard.GetLayout{Sheet: "main", List: true}, func(answer any) {
+			got := answer.(callboard.Answer)
+			if got.Code == notice.OK {
+				for _, version := range versionsOf(got.Body) {
+					w.record.Final["main"] = max(w.record.Final["main"], version)
+				}
+			}
+		})
+	}
+}
+
+// restored: fifteen seconds after the last fault every query is answered.
+func (w *World) restored(result *Result) {
+	bound := time.Duration(playbill.Default().Bounds.Restore) * time.Millisecond
+	good, count := 0, 0
+	latest := time.Duration(0)
+	for _, asked := range w.record.Asked {
+		answered := asked.Code == 0 && !asked.Wire
+		count++
+		if answered {
+			good++
+		}
+		if !answered && asked.Code != int(notice.QueryKeyUnknown) && asked.Sent > result.Last {
+			latest = max(latest, asked.Sent-result.Last)
+		}
+	}
+	if count > 0 {
+		result.Good = float64(good) / float64(count)
+	}
+	result.Review.Worst["restore-ms"] = float64(latest.Milliseconds())
+	if latest > bound {
+		result.Review.Violations = append(result.Review.Violations, critic.Violation{Rule: "restore", Detail: fmt.Sprintf("a query %s after the last fault was not answered", latest)})
+	}
+	if len(w.record.Puts) > 0 && w.record.Final["main"] == 0 {
+		result.Review.Violations = append(result.Review.Violations, critic.Violation{Rule: "restore", Detail: "no layout could be read back at the end"})
+	}
+	if result.Review.Seen["answered"] == 0 {
+		result.Review.Violations = append(result.Review.Violations, critic.Violation{Rule: "empty", Detail: "no query was answered"})
+	}
+}
+
+func versionsOf(body []byte) []int64 {
+	versions := []int64{}
+	text := string(body)
+	begin := strings.Index(text, `"versions":[`)
+	if begin < 0 {
+		return versions
+	}
+	rest := text[begin+len(`"versions":[`):]
+	for _, part := range strings.Split(rest[:strings.Index(rest, "]")], ",") {
+		var version int64
+		fmt.Sscan(part, &version)
+		versions = append(versions, version)
+	}
+	return versions
+}
+
+// Scenarios make plans from dice for a deployment.
+var Scenarios = map[string]func(d repertoire.Deployment, dice *rand.Rand) []Step{
+	"calm": func(repertoire.Deployment, *rand.Rand) []Step { return nil },
+	"keeper-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		tag := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+		return []Step{
+			{At: span(dice, 10, 12), Do: "kill-holder", Target: tag[dice.IntN(len(tag))], For: span(dice, 1, 6)},
+			{At: span(dice, 14, 18), Do: "kill-holder", Target: tag[dice.IntN(len(tag))], For: span(dice, 1, 4)}}
+	},
+	"edges-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for range 4 {
+			plan = append(plan, Step{At: span(dice, 9, 20), Do: "kill", Target: edge(d, dice), For: span(dice, 0.1, 4)})
+		}
+		return append(plan, Step{At: span(dice, 12, 16), Do: "herd", For: span(dice, 0.2, 3)})
+	},
+	"machines-in-turn": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for index, seat := range repertoire.Seats {
+			plan = append(plan, Step{At: time.Duration(10+index*5) * time.Second, Do: "kill", Target: seat, For: span(dice, 0.3, 2)})
+		}
+		for number := range d.Ushers {
+			plan = append(plan, Step{At: time.Duration(10000+number*1200) * time.Millisecond, Do: "kill", Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.3, 1)})
+		}
+		return plan
+	},
+	"core-cut": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		kinds := []string{"cut-core", "cut-core-one-way", "halve"}
+		return []Step{{At: span(dice, 10, 12), Do: kinds[dice.IntN(3)], Target: seat(dice), For: span(dice, 1, 6)}, {At: span(dice, 13, 15), Do: "put"},
+			{At: span(dice, 18, 20), Do: kinds[dice.IntN(3)], Target: seat(dice), For: span(dice, 1, 5)}}
+	},
+	"isolated": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 10, 12), Do: "isolate", Target: edge(d, dice), For: span(dice, 1, 8)}, {At: span(dice, 10, 14), Do: "isolate", Target: seat(dice), For: span(dice, 1, 6)},
+			{At: span(dice, 12, 14), Do: "withdraw"}, {At: span(dice, 16, 18), Do: "isolate-out", Target: edge(d, dice), For: span(dice, 1, 5)}}
+	},
+	"freeze": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		tags := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+		return []Step{{At: span(dice, 10, 12), Do: "freeze-holder", Target: tags[dice.IntN(len(tags))], For: span(dice, 0.3, 8)},
+			{At: span(dice, 12, 15), Do: "freeze", Target: edge(d, dice), For: span(dice, 0.3, 8)}, {At: span(dice, 13, 14), Do: "withdraw"},
+			{At: span(dice, 18, 20), Do: "freeze", Target: seat(dice), For: span(dice, 0.3, 4)}}
+	},
+	"acked-and-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 9, 10), Do: "put-and-kill", For: span(dice, 0.3, 4)}, {At: span(dice, 16, 18), Do: "put-and-kill-disk", For: span(dice, 0.3, 4)},
+			{At: span(dice, 23, 24), Do: "put"}}
+	},
+	"disks-lost": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 10, 11), Do: "kill-disk", Target: repertoire.Seats[0], For: span(dice, 0.3, 3)}, {At: span(dice, 14, 15), Do: "put"},
+			{At: span(dice, 18, 19), Do: "kill-disk", Target: repertoire.Seats[1], For: span(dice, 0.3, 3)}, {At: span(dice, 22, 23), Do: "put"}}
+	},
+	"seat-replaced": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 10, 12), Do: "replace-seat", Target: seat(dice), For: span(dice, 0.3, 4)}, {At: span(dice, 16, 18), Do: "put"}}
+	},
+	"seeds-swapped": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for index, seat := range repertoire.Seats {
+			plan = append(plan, Step{At: time.Duration(10+index*7) * time.Second, Do: "replace-seat", Target: seat, For: span(dice, 0.3, 1.5)})
+		}
+		return append(plan, Step{At: 29 * time.Second, Do: "put"}, Step{At: 31 * time.Second, Do: "kill", Target: edge(d, dice), For: time.Second})
+	},
+	"slow-disks": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 9, 10), Do: "slow-disk", Target: seat(dice), For: 12 * time.Second}, {At: span(dice, 11, 12), Do: "put"},
+			{At: span(dice, 13, 14), Do: "put-huge"}, {At: span(dice, 15, 16), Do: "kill-holder", Target: playbill.BookTag, For: 2 * time.Second}}
+	},
+	"layouts": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		kinds := []string{"put", "put-race", "put-bad", "put-huge", "withdraw", "restore-keys", "put"}
+		for index := range 10 {
+			plan = append(plan, Step{At: span(dice, 9+float64(index)*1.5, 10.4+float64(index)*1.5), Do: kinds[dice.IntN(len(kinds))]})
+		}
+		return plan
+	},
+	"upstreams": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		kinds := []string{"upstream-kill", "upstream-replace", "upstream-faults", "upstream-handover", "upstream-leave"}
+		for index := range 8 {
+			plan = append(plan, Step{At: span(dice, 9+float64(index)*1.5, 10.5+float64(index)*1.5), Do: kinds[index%len(kinds)], Target: upstreamName(d, dice), For: span(dice, 0.05, 2)})
+		}
+		return plan
+	},
+	"all-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 12, 14), Do: "kill-all", For: span(dice, 0.3, 2)}, {At: span(dice, 22, 23), Do: "kill-core", For: span(dice, 0.3, 2)}}
+	},
+	"any": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for range 4 + dice.IntN(8) {
+			plan = append(plan, anyStep(d, dice))
+		}
+		return plan
+	},
+}
+
+func anyStep(d repertoire.Deployment, dice *rand.Rand) Step {
+	at, length := span(dice, 9, 24), span(dice, 0.1, 5)
+	tags := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+	switch dice.IntN(14) {
+	case 0:
+		return Step{at, "kill", seat(dice), length}
+	case 1:
+		return Step{at, "kill", edge(d, dice), length}
+	case 2:
+		return Step{at, "kill-holder", tags[dice.IntN(len(tags))], length}
+	case 3:
+		return Step{at, "freeze-holder", tags[dice.IntN(len(tags))], length}
+	case 4:
+		return Step{at, "freeze", edge(d, dice), length}
+	case 5:
+		return Step{at, "isolate", edge(d, dice), length}
+	case 6:
+		return Step{at, []string{"cut-core", "cut-core-one-way", "halve", "isolate"}[dice.IntN(4)], seat(dice), length}
+	case 7:
+		return Step{at, "slow-disk", seat(dice), length}
+	case 8:
+		return Step{at, "herd", "", length / 2}
+	case 9:
+		return Step{at, "upstream-kill", upstreamName(d, dice), length}
+	case 10:
+		return Step{at, "upstream-replace", upstreamName(d, dice), length}
+	case 11:
+		return Step{at, "upstream-faults", upstreamName(d, dice), length}
+	case 12:
+		return Step{at, []string{"put-race", "put-bad", "put-and-kill"}[dice.IntN(3)], "", length}
+	}
+	return Step{at, []string{"put", "put", "withdraw", "restore-keys"}[dice.IntN(4)], "", 0}
+}
+
+func span(dice *rand.Rand, least, most float64) time.Duration {
+	return time.Duration((least + dice.Float64()*(most-least)) * float64(time.Second))
+}
+
+func seat(dice *rand.Rand) string { return repertoire.Seats[dice.IntN(len(repertoire.Seats))] }
+
+func edge(d repertoire.Deployment, dice *rand.Rand) string {
+	return fmt.Sprintf("edge-%d", 1+dice.IntN(d.Ushers))
+}
+
+func upstreamName(d repertoire.Deployment, dice *rand.Rand) string {
+	service := d.Services[dice.IntN(len(d.Services))]
+	return fmt.Sprintf("%s/%s-%d", service.Name, service.Name, 1+dice.IntN(service.Count))
+}
+
+// Names lists the scenarios.
+func Names() []string {
+	names := []string{}
+	for name := range Scenarios {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Run plays a named scenario with a seed.
+func Run(d repertoire.Deployment, scenario string, seed uint64, rate float64, log func(line string)) Result {
+	plan := Scenarios[scenario](d, rand.New(rand.NewPCG(seed, 5)))
+	result := Play(options(d, seed, rate, plan, log))
+	result.Scenario = scenario
+	return result
+}
+
+func options(d repertoire.Deployment, seed uint64, rate float64, plan []Step, log func(line string)) Options {
+	last := 12 * time.Second
+	for _, step := range plan {
+		last = max(last, step.At+step.For)
+	}
+	return Options{Deployment: d, Seed: seed, Rate: rate, Load: last - loadBegins + 18*time.Second, Plan: plan, Log: log}
+}
+
+// Shrink leaves out steps while the same rule stays broken.
+func Shrink(d repertoire.Deployment, failed Result, rate float64) Result {
+	rule := failed.Review.Violations[0].Rule
+	smallest := failed
+	for again := true; again; {
+		again = false
+		for index := range smallest.Plan {
+			plan := append(append([]Step{}, smallest.Plan[:index]...), smallest.Plan[index+1:]...)
+			tried := Play(options(d, failed.Seed, rate, plan, nil))
+			for _, violation := range tried.Review.Violations {
+				if violation.Rule == rule && !again {
+					tried.Scenario = failed.Scenario
+					smallest, again = tried, true
+				}
+			}
+			if again {
+				break
+			}
+		}
+	}
+	return smallest
+}
--- /dev/null
+++ b/internal/rehearsal/world.go
@@ -0,0 +1,241 @@
+// This file is the world: true time, the queue of events, the network between nodes
+// with delays, loss, cuts and one-way cuts, and the trace, a hash over every delivery
+// by which two runs of one seed are compared.
+package rehearsal
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"beaconvane/internal/critic"
+	"beaconvane/internal/repertoire"
+	"beaconvane/internal/script"
+)
+
+type event struct {
+	at     time.Duration
+	number int64
+	do     func()
+}
+
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(item any) {
+	*q = append(*q, item.(*event))
+}
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Options shape a run.
+type Options struct {
+	Deployment repertoire.Deployment
+	Seed       uint64
+	Rate       float64
+	Load       time.Duration // how long callers ask, from the eighth second
+	Plan       []Step
+	Log        func(line string)
+}
+
+// World is one run.
+type World struct {
+	options Options
+	dice    *rand.Rand
+	now     time.Duration
+	number  int64
+	events  eventQueue
+	trace   uint64
+	steps   int64
+
+	nodes     map[string]*Node
+	order     []string
+	byAddress map[string]*Node
+	cuts      map[string]int // "from>to" by machine name, counted
+	lastAt    map[string]time.Duration
+	loss      float64
+	delay     time.Duration
+
+	upstreams map[string]*Upstream
+	upOrder   []string
+	addresses map[string]*Upstream // who owns an upstream address now
+
+	record   critic.Record
+	asked    []*critic.Asked
+	versions int64
+	tenants  int // how many tenants the newest sheet has
+	putsOut  int
+	readyAt  map[string]time.Duration
+	broken   []string
+}
+
+// epoch is the time of day at true time 0, for usage windows.
+const epoch = 1_800_000_000 * time.Second
+
+// NewWorld builds a deployment; nothing runs yet.
+func NewWorld(options Options) *World {
+	w := &World{options: options, dice: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
+		cuts: map[string]int{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
+		readyAt: map[string]time.Duration{}, loss: 0.002, delay: 300 * time.Microsecond}
+	w.record.Bounds = critic.BriefBounds(options.Deployment.Withdrawal)
+	w.record.Counted = map[int64]int64{}
+	w.record.Final = map[string]int64{}
+	w.tenants = len(options.Deployment.Tenants())
+	w.build()
+	return w
+}
+
+func (w *World) at(when time.Duration, do func()) {
+	w.number++
+	heap.Push(&w.events, &event{max(when, w.now), w.number, do})
+}
+
+func (w *World) after(wait time.Duration, do func()) { w.at(w.now+wait, do) }
+
+// Run plays until a true time.
+func (w *World) Run(until time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		next := heap.Pop(&w.events).(*event)
+		w.now = next.at
+		w.steps++
+		next.do()
+	}
+	w.now = until
+}
+
+// mark folds a happening into the trace.
+func (w *World) mark(format string, values ...any) {
+	hash := fnv.New64a()
+	fmt.Fprintf(hash, "%d|%d|", w.trace, w.now)
+	fmt.Fprintf(hash, format, values...)
+	w.trace = hash.Sum64()
+	if w.options.Log != nil {
+		w.options.Log(fmt.Sprintf("%12s ", w.now) + fmt.Sprintf(format, values...))
+	}
+}
+
+// Trace is the hash over all that happened.
+func (w *World) Trace() uint64 { return w.trace }
+
+func (w *World) linked(from, to *Node) bool { return w.cuts[from.machine+">"+to.machine] == 0 }
+
+func (w *World) cut(from, to string, by int) { w.cuts[from+">"+to] += by }
+
+func (w *World) transit() time.Duration {
+	wait := w.delay + time.Duration(w.dice.Int64N(int64(w.delay)))
+	if w.dice.IntN(200) == 0 {
+		wait += time.Duration(w.dice.Int64N(int64(20 * time.Millisecond)))
+	}
+	return wait
+}
+
+// send carries a control message: in order on a wire. Over a cut it is kept back and
+// comes late, or is lost with the wire.
+func (w *World) send(from *Node, to string, message any) {
+	frame, err := script.Encode(message)
+	if err != nil {
+		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+	}
+	target, found := w.byAddress[to]
+	if !found {
+		return
+	}
+	lane := from.address() + ">" + to
+	arrival := max(w.now+w.transit(), w.lastAt[lane])
+	life := target.life
+	var deliver func()
+	deliver = func() {
+		if !target.up || target.life != life {
+			return
+		}
+		if !w.linked(from, target) {
+			if w.dice.IntN(3) == 0 {
+				return
+			}
+			w.after(200*time.Millisecond, deliver)
+			return
+		}
+		target.arrive(from.address(), frame)
+	}
+	w.lastAt[lane] = arrival
+	w.at(arrival, deliver)
+}
+
+func (w *World) datagram(from *Node, to string, message any) {
+	frame, err := script.Encode(message)
+	if err != nil {
+		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+	}
+	if len(frame) > 1400 {
+		w.broken = append(w.broken, fmt.Sprintf("datagram of %d bytes: %T", len(frame), message))
+	}
+	target, found := w.byAddress[to]
+	if !found || !w.linked(from, target) || w.dice.Float64() < w.loss {
+		return
+	}
+	w.after(w.transit(), func() {
+		if target.up && w.linked(from, target) {
+			target.arrive(from.address(), frame)
+		}
+	})
+}
+
+// Names of nodes by role.
+func (w *World) of(role string) []*Node {
+	list := []*Node{}
+	for _, name := range w.order {
+		if w.nodes[name].role == role {
+			list = append(list, w.nodes[name])
+		}
+	}
+	return list
+}
+
+func (w *World) alive(role string) []*Node {
+	list := []*Node{}
+	for _, node := range w.of(role) {
+		if node.up && !node.frozen {
+			list = append(list, node)
+		}
+	}
+	return list
+}
+
+// Finish closes the record and gives the critic's review, with the simulator's own
+// findings.
+func (w *World) Finish() critic.Review {
+	for _, name := range w.order {
+		w.nodes[name].closeSpan()
+	}
+	for _, asked := range w.asked {
+		w.record.Asked = append(w.record.Asked, *asked)
+	}
+	for _, key := range w.upOrder {
+		w.record.Ran = append(w.record.Ran, w.upstreams[key].runs...)
+		if over := w.upstreams[key].most; over > w.upstreams[key].slots {
+			w.broken = append(w.broken, fmt.Sprintf("%s ran %d at one time, slots %d", key, over, w.upstreams[key].slots))
+		}
+	}
+	sort.SliceStable(w.record.Keeping, func(i, j int) bool { return w.record.Keeping[i].At < w.record.Keeping[j].At })
+	review := critic.Check(w.record)
+	for _, text := range w.broken {
+		review.Violations = append(review.Violations, critic.Violation{Rule: "simulator", Detail: text})
+	}
+	return review
+}
+
+// Fail adds a finding of the scenario's own.
+func (w *World) fail(format string, values ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, values...))
+}
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -90,11 +90,12 @@
 	beatAt   time.Duration
 	viewAt   time.Duration
 	stopping bool
+	life     int64 // this life's birth, whatever the membership makes of it
 }
 
 // New makes the machine; a usher keeps nothing on disk.
 func New(config playbill.Config, self script.Member) *Machine {
-	m := &Machine{config: config, locals: map[string]*local{}, ends: map[string]signOff{}, layouts: map[string]*blocking.Layout{}, sealed: map[string]int64{}}
+	m := &Machine{config: config, locals: map[string]*local{}, ends: map[string]signOff{}, layouts: map[string]*blocking.Layout{}, sealed: map[string]int64{}, life: self.Birth}
 	m.company = company.New(config, self, nil)
 	m.chorus = chorus.New(config, m.company, m.changed)
 	for _, sheet := range config.Sheets {
@@ -145,7 +146,7 @@
 }
 
 func (m *Machine) beat(s *cue.Stage) {
-	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.company.Self().Birth, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
+	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.life, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
 		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks(), Usage: m.usage, Windows: m.closed}
 	if batch.Usage == nil {
 		batch.Usage = []script.UsageCount{}
@@ -220,7 +221,7 @@
 	switch asked := question.(type) {
 	case Announced:
 		registration := asked.Registration
-		registration.Home, registration.HomeAddress, registration.HomeBirth = m.company.Self().Name, m.company.Self().Address, m.company.Self().Birth
+		registration.Home, registration.HomeAddress, registration.HomeBirth = m.company.Self().Name, m.company.Self().Address, m.life
 		key := registration.Key()
 		held, known := m.locals[key]
 		if !known || held.registration != registration {
--- a/internal/wardrobe/wardrobe.go
+++ b/internal/wardrobe/wardrobe.go
@@ -142,6 +142,11 @@
 	return nil
 }
 
+// AppendUnsynced leaves a record as a crash would find it: written, never synced.
+func (s *Store) AppendUnsynced(record []byte) error {
+	return s.folder.Append(logName, appendRecord(nil, record))
+}
+
 // Compact writes a whole view to the other slot, then empties the log.
 func (s *Store) Compact(view []byte) error {
 	if s.failure != nil {
