A trial before each campaign: seats no longer disturb a living holder

Cause: a seat whose own promise had lapsed (it was frozen, restarted, or had voted for itself in a split start) raised its epoch; its refusals then made the holder drop although two voters stood behind it, and the tag went round and round. Ruled out: message loss (calm has none on TCP), too short a tenure (the same at 3 s). Change: a candidate asks by a trial that writes nothing; a holder that finds a voter bound to another epoch raises its own once a tenure; failed trials are repeated soon.

--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -8,6 +8,11 @@
 // waits a full tenure, since it has forgotten its promise. A tag's starting state in
 // the settings is a preference: that seat asks first, and gets the tag back from a
 // living holder only by the holder's own handing over.
+//
+// Before it raises an epoch a candidate makes a trial, which changes nothing anywhere:
+// a seat that merely missed some renewals finds out that the others still hear the
+// holder, and disturbs nobody. A holder that finds a voter bound to another or higher
+// epoch raises its own, so that all three stand behind it again.
 package casting
 
 import (
@@ -34,7 +39,8 @@
 	acks    map[string]string
 	round   int64
 	askedAt time.Duration
-	rounds  map[int64]time.Duration
+	trial   bool
+	raiseAt time.Duration
 	holding bool
 	spent   int64 // an epoch once lost is never taken again
 	until   time.Duration
@@ -180,9 +186,8 @@
 
 func (t *Tenures) campaign(s *cue.Stage, tag string, state *tagState) {
 	state.epoch = max(state.vote.Epoch, state.seen, state.epoch) + 1
-	state.acks = map[string]string{}
-	state.rounds = map[int64]time.Duration{}
-	state.tryAt = s.Now + t.config.Tenure()/2 + time.Duration(s.Dice.Int64N(int64(t.config.Tenure()/2)))
+	state.trial = true
+	state.tryAt = s.Now + t.config.RenewEvery()/2 + time.Duration(s.Dice.Int64N(int64(t.config.RenewEvery()/2)))
 	t.ask(s, tag, state)
 }
 
@@ -191,7 +196,7 @@
 	state.round, state.askedAt, state.renewAt = t.round, s.Now, s.Now+t.config.RenewEvery()
 	state.acks = map[string]string{}
 	ask := script.TenureAsk{Group: t.seating.Group, Tag: tag, Epoch: state.epoch, Seat: t.seating.Seat,
-		Identity: t.seating.State.Identity, Round: state.round}
+		Identity: t.seating.State.Identity, Round: state.round, Trial: state.trial}
 	for _, peer := range t.host.Peers() {
 		if peer.Seat != t.seating.Seat {
 			s.Send(peer.Address, ask)
@@ -276,7 +281,7 @@
 		return
 	}
 	answer := script.TenureVote{Group: ask.Group, Tag: ask.Tag, Epoch: ask.Epoch, Round: ask.Round,
-		Seat: t.seating.Seat, Identity: t.seating.State.Identity, Seen: max(state.vote.Epoch, state.seen)}
+		Seat: t.seating.Seat, Identity: t.seating.State.Identity, Trial: ask.Trial, Seen: max(state.vote.Epoch, state.seen)}
 	reply := func(s *cue.Stage) {
 		if from == "" {
 			t.hearVote(s, answer)
@@ -292,6 +297,8 @@
 		answer.Reason = "lower epoch"
 	case ask.Epoch == state.vote.Epoch && !same:
 		answer.Reason = "epoch given to another"
+	case ask.Epoch == state.vote.Epoch && ask.Trial:
+		answer.Reason = "epoch in use"
 	case ask.Epoch == state.vote.Epoch:
 		// A renewal counts as synced only once the vote itself is.
 		if !state.synced {
@@ -305,6 +312,8 @@
 		answer.Reason = "handed over to another"
 	case !same && ask.Seat == state.vote.Former && s.Now-state.changedAt < t.config.KeeperRest():
 		answer.Reason = "keeper rest"
+	case ask.Trial:
+		answer.Granted = true
 	default:
 		if !same {
 			state.vote.Former = state.vote.Holder
@@ -339,18 +348,26 @@
 		return
 	}
 	if !vote.Granted {
-		if state.holding && vote.Seen > state.epoch {
-			t.drop(s, vote.Tag, "a higher epoch is out")
+		if state.holding && vote.Seen >= state.epoch && vote.Reason != "another holds it" && s.Now >= state.raiseAt && t.fit(vote.Tag) {
+			state.raiseAt = s.Now + t.config.Tenure()
+			t.drop(s, vote.Tag, "raises its epoch: "+vote.Seat+" is bound to another")
+			t.campaign(s, vote.Tag, state)
 		}
 		return
 	}
-	if vote.Round != state.round {
+	if vote.Round != state.round || vote.Trial != state.trial {
 		return
 	}
 	state.acks[vote.Seat] = vote.Identity
 	if !t.seating.Majority(state.acks) {
 		return
 	}
+	if state.trial {
+		state.trial = false
+		state.tryAt = s.Now + t.config.Tenure()/2 + time.Duration(s.Dice.Int64N(int64(t.config.Tenure()/2)))
+		t.ask(s, vote.Tag, state)
+		return
+	}
 	if state.vote.Epoch > state.epoch {
 		return
 	}
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -126,6 +126,7 @@
 		Seat     string
 		Identity string
 		Round    int64
+		Trial    bool // asks whether it would be granted; nothing is written
 	}
 	TenureVote struct {
 		Group    string
@@ -135,6 +136,7 @@
 		Seat     string
 		Identity string
 		Granted  bool
+		Trial    bool
 		Seen     int64
 		Reason   string
 	}
