A callboard passes a settled sheet on at once, whatever becomes of its promptbook

Cause: a layout acknowledged right before its holder was killed reached the ushers only after the next holder had taken over, past 2 s where the takeover was slow. The callboard that took the put has the bytes and knows them settled; it now serves them itself and hands them to its peers. Settled is final, so this can't go back. Ruled out: a shorter tenure; it would cost needless takeovers on slow disks.

--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -441,6 +441,8 @@
 	switch heard := message.(type) {
 	case script.BeatBatch:
 		m.hearBeats(s, from, heard)
+	case script.SheetSettled:
+		m.chorus.PutSheet(s, heard.Sheet, heard.Version, heard.Body)
 	case script.UsageTold:
 		m.usage.count(heard)
 	case script.RosterChange:
--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -205,6 +205,15 @@
 		s.Reply(waiting.outer, answerJSON(notice.OK, map[string]any{"sheet": told.Sheet, "versions": told.Versions, "sheets": told.Sheets}))
 		return true
 	}
+	if waiting.put != nil && code == notice.OK {
+		// Settled is settled: this seat and its peers pass it on at once, whatever
+		// becomes of the promptbook that settled it.
+		settled := script.SheetSettled{Sheet: told.Sheet, Version: told.Version, Body: waiting.put.Body}
+		o.m.chorus.PutSheet(s, settled.Sheet, settled.Version, settled.Body)
+		for _, peer := range o.m.Peers() {
+			s.Send(peer.Address, settled)
+		}
+	}
 	answer := map[string]any{"code": told.Code, "result": code.String(), "sheet": told.Sheet, "version": told.Version}
 	if told.Detail != "" {
 		answer["detail"] = told.Detail
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -55,6 +55,7 @@
 		{"umuyoboro", "all-killed", 1},     // usage counts died with the whole fleet
 		{"umuyoboro", "core-cut", 9},       // the last resort chose the same stale root again
 		{"umuyoboro", "keeper-killed", 19}, // a split vote made the voters forget who had held the tag
+		{"umuyoboro", "any", 27},           // acknowledged, then the holder died before its push was through
 	} {
 		t.Run(fmt.Sprintf("%s-%s-%d", fixed.deployment, fixed.scenario, fixed.seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -333,6 +333,11 @@
 		Sheets   []string
 		Holder   string
 	}
+	SheetSettled struct {
+		Sheet   string
+		Version int64
+		Body    []byte
+	}
 	BookRead struct {
 		Epoch    int64
 		Seat     string
@@ -513,7 +518,7 @@
 		TenureAsk{}, TenureVote{}, TenureYield{},
 		BeatBatch{}, BeatTold{}, RosterChange{}, RosterCheck{}, RosterDigest{}, RosterPull{}, RosterView{}, ProbeAsk{},
 		UsageRead{}, UsageReadTold{}, UsageSeal{}, UsageSealTold{},
-		BookPut{}, BookGet{}, BookTold{}, BookRead{}, BookReadTold{}, BookPull{}, BookView{}, BookAdopt{}, BookSettle{}, BookSettled{},
+		BookPut{}, BookGet{}, BookTold{}, SheetSettled{}, BookRead{}, BookReadTold{}, BookPull{}, BookView{}, BookAdopt{}, BookSettle{}, BookSettled{},
 		NewsAsk{}, NewsTold{},
 		Carry{}, Verdict{}, VerdictAsk{}, Withdraw{}, Hello{}, RosterSlice{}, Registration{},
 		SeatState{}, Vote{}, CallboardState{}, BookState{}, UsageTold{}, UsageHeld{}, UsageSealed{}, UsageReported{},
