A guard wire to each upstream: an address taken over gets no query of its old owner

Cause: between an upstream's end and the news of it, a dial to its address reached whoever listened there by then. Change: each announcement renews a wire that carries nothing; its end bars dials until a newer beat, and a query's dial is made between two looks at it. Ruled out: a shorter beat bound (the window only shrinks), probing before each dial (the heir would answer the probe). On sockets: a taken-over address gets 0 of 1 queries. Conclusion: what remains is a takeover within the milliseconds between an announcement and its guard's dial, and machines that vanish without closing wires and are replaced at the same address within the beat bound.

--- a/internal/foyer/stages.go
+++ b/internal/foyer/stages.go
@@ -166,6 +166,15 @@
 	})
 }
 
+// Announce takes an announcement and renews the upstream's guard.
+func (t *Stages) Announce(told greenroom.Announcement) bool {
+	if !t.Desk.Announce(told) {
+		return false
+	}
+	t.crew.Go("stage.guard", func(context.Context) { t.caller.Guard(told) })
+	return true
+}
+
 // Traffic takes frames from other ushers.
 func (t *Stages) Traffic(_ string, message any, back func(message any) error) bool {
 	return t.Inbound(message, back)
--- a/internal/greenroom/calling.go
+++ b/internal/greenroom/calling.go
@@ -5,6 +5,11 @@
 // looked at before it is used again, and is closed long before the beat bound. An
 // answer counts only when it is whole: a length or chunks that end, a head that
 // parses, no bytes behind it.
+//
+// Each announcement also renews a guard: a wire to the upstream that carries nothing.
+// While it stands, the process that announced is still the one at that address; when
+// it breaks, nothing is dialled until a newer beat. A query's own dial is made between
+// two looks at the guard, so that it can't reach a process that took the address over.
 package greenroom
 
 import (
@@ -51,11 +56,12 @@
 	crew   *crew.Crew
 	lock   sync.Mutex
 	idle   map[Target][]*heldWire
+	guards map[Target]*heldWire
 }
 
 // NewCaller makes a caller for a greenroom.
 func NewCaller(config playbill.Config, room *Greenroom, members *crew.Crew) *Caller {
-	return &Caller{config: config, room: room, crew: members, idle: map[Target][]*heldWire{}}
+	return &Caller{config: config, room: room, crew: members, idle: map[Target][]*heldWire{}, guards: map[Target]*heldWire{}}
 }
 
 func bare(target Target) Target {
@@ -97,22 +103,64 @@
 		return wire, script.Verdict{}
 	}
 	gone := script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)}
-	if !c.room.Dialable(c.crew.Now(), target) {
+	if !c.room.Dialable(c.crew.Now(), target) || !c.guarded(target) {
 		return nil, gone
 	}
-	dialer := net.Dialer{Deadline: until, Timeout: c.config.WireDial()}
-	conn, err := dialer.DialContext(c.crew.Context, "tcp", target.Address)
+	wire, err := c.dial(target, until)
 	if err != nil {
 		c.room.Broke(c.crew.Now(), target)
 		return nil, gone
 	}
-	if !c.room.Dialable(c.crew.Now(), target) {
+	if !c.room.Dialable(c.crew.Now(), target) || !c.guarded(target) {
 		// Ended or moved while the wire was being made: nothing is sent on it.
-		conn.Close()
+		wire.conn.Close()
 		return nil, gone
 	}
+	return wire, script.Verdict{}
+}
+
+func (c *Caller) dial(target Target, until time.Time) (*heldWire, error) {
+	dialer := net.Dialer{Deadline: until, Timeout: c.config.WireDial()}
+	conn, err := dialer.DialContext(c.crew.Context, "tcp", target.Address)
+	if err != nil {
+		return nil, notice.Wrap("greenroom.dial", notice.BusyUpstreamGone, err)
+	}
 	limit := &io.LimitedReader{R: conn}
-	return &heldWire{conn: conn, limit: limit, reader: bufio.NewReader(limit)}, script.Verdict{}
+	return &heldWire{conn: conn, limit: limit, reader: bufio.NewReader(limit)}, nil
+}
+
+// Guard renews the guard of an upstream that has just announced itself.
+func (c *Caller) Guard(told Announcement) {
+	target := Target{Key: told.key(), Address: told.Address, Incarnation: told.Incarnation}
+	wire, err := c.dial(target, time.Now().Add(c.config.WireDial()))
+	if err != nil {
+		c.room.Broke(c.crew.Now(), target)
+		return
+	}
+	c.lock.Lock()
+	old := c.guards[target]
+	c.guards[target] = wire
+	c.lock.Unlock()
+	if old != nil {
+		old.conn.Close()
+	}
+}
+
+// guarded looks at the guard; a broken one bars dials until a newer beat.
+func (c *Caller) guarded(target Target) bool {
+	key := bare(target)
+	c.lock.Lock()
+	guard := c.guards[key]
+	stands := guard != nil && quiet(guard)
+	if guard != nil && !stands {
+		delete(c.guards, key)
+	}
+	c.lock.Unlock()
+	if guard != nil && !stands {
+		guard.conn.Close()
+		c.room.Broke(c.crew.Now(), target)
+	}
+	return stands
 }
 
 func (c *Caller) takeIdle(target Target) *heldWire {
@@ -161,11 +209,26 @@
 	c.idle[key] = append(c.idle[key], wire)
 }
 
-// Sweep closes wires that idled too long or whose target has ended.
+// Sweep closes wires that idled too long or whose target has ended, and looks at
+// every guard.
 func (c *Caller) Sweep() {
+	now := c.crew.Now()
+	c.lock.Lock()
+	targets := make([]Target, 0, len(c.guards))
+	for target := range c.guards {
+		targets = append(targets, target)
+	}
+	c.lock.Unlock()
+	for _, target := range targets {
+		if c.guarded(target) && !c.room.Here(target) {
+			c.lock.Lock()
+			c.guards[target].conn.Close()
+			delete(c.guards, target)
+			c.lock.Unlock()
+		}
+	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	now := c.crew.Now()
 	for target, list := range c.idle {
 		kept := list[:0]
 		for _, wire := range list {
--- /dev/null
+++ b/internal/greenroom/calling_test.go
@@ -0,0 +1,204 @@
+// Real sockets: what an upstream may do to its home, and what must not come of it.
+package greenroom
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/atomic"
+
+	"beaconvane/internal/crew"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+// scripted is an upstream that reads one request a wire and answers as told.
+type scripted struct {
+	listener net.Listener
+	reads    atomic.Int64
+	seen     chan *http.Request
+}
+
+func newScripted(c *qt.C, members *crew.Crew, address string, answer func(number int64) string) *scripted {
+	listener, err := net.Listen("tcp", address)
+	c.Assert(err, qt.IsNil)
+	s := &scripted{listener: listener, seen: make(chan *http.Request, 100)}
+	c.Cleanup(func() { listener.Close() })
+	members.Go("scripted", func(ctx context.Context) {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			members.Go("scripted.wire", func(context.Context) {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					number := s.reads.Inc()
+					s.seen <- request
+					text := answer(number)
+					fmt.Fprint(conn, text)
+					if !strings.HasPrefix(text, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") || len(text) > 40 {
+						return
+					}
+				}
+			})
+		}
+	})
+	return s
+}
+
+type bench struct {
+	room    *Greenroom
+	caller  *Caller
+	members *crew.Crew
+	address string
+}
+
+func newBench(c *qt.C, members *crew.Crew, address string) *bench {
+	room := New(playbill.Default(), func(script.Carry) notice.Code { return notice.OK })
+	b := &bench{room: room, caller: NewCaller(playbill.Default(), room, members), members: members, address: address}
+	b.announce(c, "pay", "one", 1)
+	return b
+}
+
+func (b *bench) announce(c *qt.C, service, instance string, incarnation int64) {
+	told := Announcement{Service: service, Instance: instance, Incarnation: incarnation, Address: b.address, District: "d", Slots: 4}
+	accepted, _, _ := b.room.Announce(b.members.Now(), told)
+	c.Assert(accepted, qt.IsTrue)
+	b.caller.Guard(told)
+}
+
+// ask carries one query and gives its verdict, with the greenroom told of the end.
+func (b *bench) ask(c *qt.C, id, method string, headers ...script.HeaderLine) script.Verdict {
+	carry := script.Carry{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Method: method, Path: "/pay", Headers: headers, Body: []byte{},
+		Remaining: int64(2 * time.Second), AnswerCap: 1000, Tenant: "t", Caller: "shop"}
+	if method == http.MethodPost {
+		carry.Body = []byte("body")
+	}
+	orders := b.room.Carried(b.members.Now(), carry)
+	c.Assert(orders, qt.HasLen, 1)
+	verdict := script.Verdict{Kind: script.NotStarted, Code: int64(orders[0].Code)}
+	if orders[0].Start {
+		verdict = b.caller.Call(orders[0])
+	}
+	verdict, _ = b.room.Finish(b.members.Now(), orders[0], verdict)
+	return verdict
+}
+
+const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A request that was read is never sent a second time, reused wire or not, whatever
+// its method or headers.
+func TestNothingIsSentTwice(t *testing.T) {
+	c := qt.New(t)
+	members := crew.New()
+	defer members.Stop(0)
+	upstream := newScripted(c, members, "127.0.0.1:0", func(number int64) string {
+		if number == 1 {
+			return good
+		}
+		return ""
+	})
+	b := newBench(c, members, upstream.listener.Addr().String())
+	c.Assert(b.ask(c, "a", http.MethodGet).Kind, qt.Equals, script.StartedWhole)
+	verdict := b.ask(c, "b", http.MethodGet, script.HeaderLine{Name: "Idempotency-Key", Value: "x"})
+	c.Assert(verdict.Kind, qt.Equals, script.StartedNoWhole)
+	c.Assert(notice.Code(verdict.Code), qt.Equals, notice.UnknownOutcome)
+	c.Assert(upstream.reads.Load(), qt.Equals, int64(2))
+	// The wire broke: no dial until a newer beat.
+	c.Assert(notice.Code(b.ask(c, "c", http.MethodPost).Code), qt.Equals, notice.BusyUpstreamGone)
+	c.Assert(upstream.reads.Load(), qt.Equals, int64(2))
+	b.announce(c, "pay", "one", 1)
+	c.Assert(b.ask(c, "d", http.MethodPost).Kind, qt.Equals, script.StartedNoWhole)
+	c.Assert(upstream.reads.Load(), qt.Equals, int64(3))
+}
+
+// Only whole answers count.
+func TestAnswersMustBeWhole(t *testing.T) {
+	for name, wanted := range map[string]struct {
+		answer string
+		code   notice.Code
+	}{
+		"garbage":        {"\x00\x01\x02 nothing\r\n\r\n", notice.AnswerMalformed},
+		"truncated":      {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort", notice.AnswerMalformed},
+		"chunks cut off": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", notice.AnswerMalformed},
+		"no framing":     {"HTTP/1.1 200 OK\r\n\r\nhello", notice.AnswerMalformed},
+		"excess":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more", notice.AnswerMalformed},
+		"too large":      {"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), notice.AnswerTooLarge},
+		"two lengths":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", notice.AnswerMalformed},
+		"switching":      {"HTTP/1.1 101 Switching Protocols\r\n\r\n", notice.AnswerMalformed},
+		"nothing":        {"", notice.UnknownOutcome},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			members := crew.New()
+			defer members.Stop(0)
+			upstream := newScripted(c, members, "127.0.0.1:0", func(int64) string { return wanted.answer })
+			b := newBench(c, members, upstream.listener.Addr().String())
+			verdict := b.ask(c, "q", http.MethodPost)
+			c.Assert(verdict.Kind, qt.Equals, script.StartedNoWhole)
+			c.Assert(notice.Code(verdict.Code), qt.Equals, wanted.code)
+		})
+	}
+}
+
+// Interim answers are passed over; the head is the mesh's own.
+func TestHeadTowardsUpstream(t *testing.T) {
+	c := qt.New(t)
+	members := crew.New()
+	defer members.Stop(0)
+	upstream := newScripted(c, members, "127.0.0.1:0", func(int64) string { return "HTTP/1.1 103 Early Hints\r\n\r\n" + good })
+	b := newBench(c, members, upstream.listener.Addr().String())
+	verdict := b.ask(c, "q", http.MethodPost, script.HeaderLine{Name: "X-Color", Value: "red"})
+	c.Assert(verdict.Kind, qt.Equals, script.StartedWhole)
+	c.Assert(string(verdict.Body), qt.Equals, "ok")
+	request := <-upstream.seen
+	c.Assert(request.Header.Get(TenantHeader), qt.Equals, "t")
+	c.Assert(request.Header.Get(CallerHeader), qt.Equals, "shop")
+	c.Assert(request.Header.Get("X-Color"), qt.Equals, "red")
+	c.Assert(request.Header.Get(PassHeader), qt.Not(qt.Equals), "")
+	c.Assert(request.Header.Get("User-Agent"), qt.Equals, "")
+	// The pass ends with the query.
+	_, known := b.room.PassOf(request.Header.Get(PassHeader))
+	c.Assert(known, qt.IsFalse)
+}
+
+// An address taken over by a process that has not announced itself gets nothing.
+func TestTakenOverAddressGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	members, elders := crew.New(), crew.New()
+	defer members.Stop(0)
+	old := newScripted(c, elders, "127.0.0.1:0", func(int64) string { return good })
+	address := old.listener.Addr().String()
+	b := newBench(c, members, address)
+	c.Assert(b.ask(c, "a", http.MethodPost).Kind, qt.Equals, script.StartedWhole)
+	// The old process ends: its listener and every wire of it close.
+	old.listener.Close()
+	b.caller.lock.Lock()
+	for _, list := range b.caller.idle {
+		for _, wire := range list {
+			wire.conn.Close()
+		}
+	}
+	for _, guard := range b.caller.guards {
+		guard.conn.(*net.TCPConn).CloseRead()
+	}
+	b.caller.lock.Unlock()
+	heir := newScripted(c, members, address, func(int64) string { return good })
+	verdict := b.ask(c, "b", http.MethodPost)
+	c.Assert(verdict.Kind, qt.Equals, script.NotStarted)
+	c.Assert(heir.reads.Load(), qt.Equals, int64(0))
+}
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -319,6 +319,14 @@
 		!held.broken && now-held.announcedAt <= g.config.BeatBound()
 }
 
+// Here says that the target is still registered as it was.
+func (g *Greenroom) Here(target Target) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	held, known := g.upstreams[target.Key]
+	return known && held.announcement.Incarnation == target.Incarnation && held.announcement.Address == target.Address
+}
+
 // Broke notes a refused, reset or closed wire: no dial until a newer beat.
 func (g *Greenroom) Broke(now time.Duration, target Target) {
 	g.lock.Lock()
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -56,6 +56,7 @@
 	view    *usher.View
 	wires   []*simWire
 	pools   map[greenroom.Target]*Upstream
+	guards  map[greenroom.Target]guardWire
 	replies map[int64]func(answer any)
 	tickets int64
 	born    time.Duration
@@ -156,7 +157,7 @@
 }
 
 func (n *Node) bootUsher(self script.Member) {
-	n.pools, n.wires, n.view = map[greenroom.Target]*Upstream{}, nil, nil
+	n.pools, n.guards, n.wires, n.view = map[greenroom.Target]*Upstream{}, map[greenroom.Target]guardWire{}, nil, nil
 	n.room = greenroom.New(n.config, func(carry script.Carry) notice.Code { return n.foyer.Allowed(carry) })
 	n.room.UsePasses(func() string { return strconv.FormatUint(n.world.dice.Uint64(), 36) })
 	n.foyer = foyer.New(n.config, n.room.PassOf)
@@ -176,6 +177,12 @@
 					delete(n.pools, target)
 				}
 			}
+			for target, guard := range n.guards {
+				if !guard.alive() {
+					n.room.Broke(n.Now(), target)
+					delete(n.guards, target)
+				}
+			}
 		})
 		if n.up && n.life == life {
 			n.sweepSoon(life)
@@ -535,7 +542,16 @@
 		for _, wire := range node.wires {
 			if wire.to == ended && wire.attached && !wire.closed {
 				lost := wire
-				w.after(w.transit(), lost.drop)
+				var tell func()
+				tell = func() {
+					// The end of a wire can't be heard through a cut.
+					if !w.linked(ended, lost.from) {
+						w.after(200*time.Millisecond, tell)
+						return
+					}
+					lost.drop()
+				}
+				w.after(w.transit(), tell)
 			}
 		}
 	}
--- a/internal/rehearsal/people.go
+++ b/internal/rehearsal/people.go
@@ -37,6 +37,7 @@
 	outgoing    bool
 	firstUsher  int
 	warmUntil   time.Duration
+	quiet       time.Duration // announces nothing before this time
 	gone        bool
 	serviceSpec repertoire.Service
 }
@@ -94,7 +95,9 @@
 		if !u.up || u.life != life {
 			return
 		}
-		u.announce()
+		if w := u.world; w.now >= u.quiet {
+			u.announce()
+		}
 		u.announceSoon(life, time.Second)
 	})
 }
@@ -116,12 +119,39 @@
 			if u.life != life || !u.up {
 				return
 			}
-			chosenHome.run(homeLife, func() { chosenHome.desk.Announce(told) })
+			chosenHome.run(homeLife, func() {
+				if chosenHome.desk.Announce(told) {
+					chosenHome.guard(told)
+				}
+			})
 		})
 		return
 	}
 }
 
+// guardWire is a wire held open to an upstream: it ends when that process ends.
+type guardWire struct {
+	owner *Upstream
+	life  int
+}
+
+func (g guardWire) alive() bool { return g.owner.up && g.owner.life == g.life }
+
+// guard opens the guard wire of an announced upstream, as calling.go does.
+func (n *Node) guard(told greenroom.Announcement) {
+	target := greenroom.Target{Key: told.Service + "/" + told.Instance, Address: told.Address, Incarnation: told.Incarnation}
+	life := n.life
+	n.world.after(n.world.transit(), func() {
+		n.run(life, func() {
+			if owner := n.world.addresses[target.Address]; owner != nil && owner.up {
+				n.guards[target] = guardWire{owner, owner.life}
+			} else {
+				n.room.Broke(n.Now(), target)
+			}
+		})
+	})
+}
+
 // leave says that it leaves.
 func (u *Upstream) leave() {
 	u.told.Leaving = true
@@ -154,6 +184,11 @@
 	owner, pooled := n.pools[target]
 	if !pooled || !owner.up {
 		delete(n.pools, target)
+		if guard, guarded := n.guards[target]; !guarded || !guard.alive() {
+			n.run(life, func() { n.room.Broke(n.Now(), target) })
+			conclude(script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)})
+			return
+		}
 		if !n.room.Dialable(n.Now(), target) {
 			conclude(script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)})
 			return
