--- a/cmd/promptbook/main.go
+++ b/cmd/promptbook/main.go
@@ -4,5 +4,5 @@
 import "beaconvane/internal/marquee"
 
 func main() {
-	marquee.Main(marquee.Program{Role: "promptbook", Short: "the layout store on each core seat", Module: marquee.PromptbookModule})
+	marquee.Main(marquee.Program{Role: "promptbook", Short: "the layout store on each core seat", Module: marquee.PromptbookModule, More: marquee.Seat("promptbook")})
 }
--- a/cmd/stagehand/main.go
+++ b/cmd/stagehand/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	name, bin, folder, scenario := "", "", "", ""
-	rate, length, keep := 0.0, 10*time.Second, false
+	rate, length, keep, slack := 0.0, 10*time.Second, false, 1.0
 	seed := uint64(1)
 	root := &cobra.Command{Use: "stagehand", Short: "run a fleet on this machine, with faults, and check it", SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
@@ -37,7 +37,7 @@
 					defer os.RemoveAll(made)
 				}
 			}
-			outcome, err := stagehand.Play(deployment, bin, folder, scenario, length, seed)
+			outcome, err := stagehand.Play(deployment, bin, folder, scenario, length, seed, slack)
 			if err != nil {
 				return err
 			}
@@ -56,6 +56,7 @@
 	root.Flags().Float64Var(&rate, "rate", 0, "queries a second (default: the deployment's)")
 	root.Flags().DurationVar(&length, "length", length, "length of the load")
 	root.Flags().Uint64Var(&seed, "seed", seed, "seed of the load")
+	root.Flags().Float64Var(&slack, "slack", 1, "stretch the bounds in time, for busy machines")
 	root.Flags().BoolVar(&keep, "keep", false, "keep the folder")
 	if root.Execute() != nil {
 		os.Exit(1)
--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -70,7 +70,7 @@
 	if len(services) == 0 {
 		check.add("services", "want at least one name")
 	}
-	entries := len(services) + len(root.Get("tenants").Array()) + len(root.Get("routes").Array())
+	entries := len(root.Get("services").Array()) + len(root.Get("tenants").Array()) + len(root.Get("tenants.#.keys|@flatten").Array()) + len(root.Get("routes").Array())
 	if int64(entries) > limits.Entries {
 		return []string{fmt.Sprintf("$: %d entries, the limit is %d", entries, limits.Entries)}, true
 	}
--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -560,3 +560,10 @@
 func (m *Machine) Synced(s *cue.Stage, ticket int64, failure error) {
 	m.ledger.Synced(s, ticket, failure)
 }
+
+// Forsake gives the other seats up and returns the view to be written: an operator's
+// deed on the stopped survivor of two lost disks.
+func (m *Machine) Forsake() []byte {
+	m.seating.State = casting.Forsake(m.seating.State)
+	return m.view()
+}
--- a/internal/critic/critic.go
+++ b/internal/critic/critic.go
@@ -143,6 +143,16 @@
 // edge is how far from a window's end an answer may count on either side.
 const edge = 80 * time.Millisecond
 
+// Stretch loosens the bounds in time, for a smoke on a machine of unknown speed; what
+// must never happen at all stays as it is.
+func (b Bounds) Stretch(by float64) Bounds {
+	for _, bound := range []*time.Duration{&b.LayoutInForce, &b.SlipBack, &b.KeyWithdrawal, &b.Drain, &b.AnswerHold, &b.UsageLate} {
+		*bound = time.Duration(float64(*bound) * by)
+	}
+	b.UsageOff *= by
+	return b
+}
+
 // Violation is a broken promise.
 type Violation struct {
 	Rule   string
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -88,13 +88,13 @@
 }
 
 // OpenDisk reads the data folder of a program.
-func (h *House) OpenDisk() (view []byte, records [][]byte, err error) {
+func (h *House) OpenDisk() (store *wardrobe.Store, view []byte, records [][]byte, err error) {
 	folder, err := wardrobe.NewDirFolder(h.Config.Data)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	h.store, view, records, err = wardrobe.Open(folder)
-	return view, records, err
+	return h.store, view, records, err
 }
 
 // OnPublish and OnTraffic join the traffic side of a usher.
--- a/internal/marquee/core.go
+++ b/internal/marquee/core.go
@@ -36,7 +36,7 @@
 	c.route(face.Router)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			view, records, err := tower.OpenDisk()
+			_, view, records, err := tower.OpenDisk()
 			if err != nil {
 				return err
 			}
@@ -56,7 +56,7 @@
 func startPromptbook(life fx.Lifecycle, config playbill.Config, members *crew.Crew, tower *house.House) {
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			view, records, err := tower.OpenDisk()
+			_, view, records, err := tower.OpenDisk()
 			if err != nil {
 				return err
 			}
--- a/internal/marquee/operator.go
+++ b/internal/marquee/operator.go
@@ -6,17 +6,74 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"beaconvane/internal/callboard"
+	"beaconvane/internal/crew"
+	"beaconvane/internal/house"
 	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/promptbook"
+	"beaconvane/internal/script"
 )
 
+// Seat adds what an operator does to a stopped core program's disk.
+func Seat(role string) func(root *cobra.Command) {
+	return func(root *cobra.Command) {
+		configPath := ""
+		seat := &cobra.Command{Use: "seat", Short: "the seat this disk holds"}
+		forsake := &cobra.Command{Use: "forsake", Args: cobra.NoArgs, Short: "on the stopped survivor of two lost disks: give the other two seats up",
+			RunE: func(*cobra.Command, []string) error { return forsakeSeats(role, configPath) }}
+		forsake.Flags().StringVar(&configPath, "config", "", "settings file of the stopped program")
+		forsake.MarkFlagRequired("config")
+		seat.AddCommand(forsake)
+		root.AddCommand(seat)
+	}
+}
+
+func forsakeSeats(role, configPath string) error {
+	config, err := playbill.Load(role, configPath, nil)
+	if err != nil {
+		return err
+	}
+	// The running program holds its address; an offline change must not race it.
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return notice.Wrap("operator.forsake", notice.Internal, fmt.Errorf("stop the program first: %w", err))
+	}
+	defer listener.Close()
+	tower := house.New(config, role, crew.New())
+	store, view, records, err := tower.OpenDisk()
+	if err != nil {
+		return err
+	}
+	if view == nil {
+		return notice.Wrap("operator.forsake", notice.SeatRecovering, fmt.Errorf("this disk is empty: run it on the survivor"))
+	}
+	var machine interface{ Forsake() []byte }
+	if role == script.RoleCallboard {
+		machine, err = callboard.New(config, house.Self(config, role), view, records)
+	} else {
+		machine, err = promptbook.New(config, house.Self(config, role), view, records)
+	}
+	if err != nil {
+		return err
+	}
+	if err := store.Compact(machine.Forsake()); err != nil {
+		return err
+	}
+	fmt.Println("the other seats are given up; start this program, then the empty ones")
+	return nil
+}
+
 // Operator adds the operators' commands to callboard.
 func Operator(root *cobra.Command) {
+	Seat(script.RoleCallboard)(root)
 	at := ""
 	call := func(method, path string, body []byte) error {
 		request, err := http.NewRequest(method, "http://"+at+path, bytes.NewReader(body))
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -265,8 +265,9 @@
 	if c.Limits.Frame > 0 && (c.Limits.Frame < c.Limits.Body+65536 || c.Limits.Frame < c.Limits.Answer+65536 || c.Limits.Frame < c.Limits.Layout+65536) {
 		add(notice.ConfigBoundsClash, "limits.frame_bytes", "must hold a body, an answer or a layout and 64 KiB more")
 	}
+	sound := len(faults) == 0 // ratios of broken bounds would only confuse
 	clash := func(wrong bool, path, text string) {
-		if wrong && len(faults) == 0 {
+		if wrong && sound {
 			add(notice.ConfigBoundsClash, path, text)
 		}
 	}
--- /dev/null
+++ b/internal/playbill/playbill_test.go
@@ -0,0 +1,54 @@
+// Settings: every fault at once, bounds that clash, samples that hold.
+package playbill
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestSamplesAreGood(t *testing.T) {
+	c := qt.New(t)
+	paths, err := filepath.Glob("../../docs/settings/*.json")
+	c.Assert(err, qt.IsNil)
+	c.Assert(paths, qt.HasLen, 6)
+	for _, path := range paths {
+		role := strings.TrimSuffix(path[strings.LastIndex(path, "-")+1:], ".json")
+		_, err := Load(role, path, nil)
+		c.Check(err, qt.IsNil, qt.Commentf(path))
+	}
+}
+
+func TestFaultsComeAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	_, faults := Read("usher", []byte(`{"node":"a","node":"b","colour":1,"bounds":{"beat":3},"address":"host:1","seeds":["1.1.1.1:1"],"districts":["x"],"district":"y"}`), nil)
+	text := strings.Join(faults, "\n")
+	for _, wanted := range []string{"node: key stands twice (1002)", "colour: unknown key (1001)", "bounds.beat: unknown key (1001)", "address: want an IP number and a port, have host:1 (1002)",
+		"outside: missing (1003)", "seeds: want three addresses (1002)", "district: not among districts (1002)"} {
+		c.Check(text, qt.Contains, wanted)
+	}
+	_, faults = Read("usher", []byte(`{`), nil)
+	c.Assert(faults, qt.DeepEquals, []string{"$: not JSON (1005)"})
+}
+
+func TestClashingBoundsAndFlags(t *testing.T) {
+	c := qt.New(t)
+	body, err := os.ReadFile("../../docs/settings/jendela-callboard.json")
+	c.Assert(err, qt.IsNil)
+	for change, wanted := range map[string]string{
+		`"keeper_rest_ms": 4600`: "bounds.key_withdrawal_ms: a takeover would outlast it",
+		`"usage_late_ms": 4000`:  "bounds.usage_late_ms: a takeover after the seal does not fit in it",
+		`"sync_ms": 900`:         "bounds.sync_ms",
+	} {
+		changed := strings.Replace(string(body), `"sync_ms": 100`, change, 1)
+		_, faults := Read("callboard", []byte(changed), nil)
+		c.Check(strings.Join(faults, "\n"), qt.Contains, wanted)
+	}
+	config, faults := Read("callboard", body, map[string]string{"node": "other", "seeds": "1.1.1.1:1,1.1.1.2:1,1.1.1.3:1"})
+	c.Assert(faults, qt.HasLen, 0)
+	c.Assert(config.Node, qt.Equals, "other")
+	c.Assert(config.Seeds[2], qt.Equals, "1.1.1.3:1")
+}
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -694,3 +694,10 @@
 
 // Serving is for tests and status.
 func (m *Machine) Serving() bool { return m.mode == serving }
+
+// Forsake gives the other seats up and returns the view to be written: an operator's
+// deed on the stopped survivor of two lost disks.
+func (m *Machine) Forsake() []byte {
+	m.seating.State = casting.Forsake(m.seating.State)
+	return m.view()
+}
--- /dev/null
+++ b/internal/wardrobe/wardrobe_test.go
@@ -0,0 +1,147 @@
+// What a crash and a bad disk may do to a store.
+package wardrobe
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/notice"
+)
+
+type memory struct {
+	files map[string][]byte
+	fail  bool
+}
+
+func (m *memory) Read(name string) ([]byte, error) {
+	body, found := m.files[name]
+	if !found {
+		return nil, os.ErrNotExist
+	}
+	return append([]byte{}, body...), nil
+}
+
+func (m *memory) Write(name string, body []byte) error {
+	m.files[name] = append([]byte{}, body...)
+	return nil
+}
+
+func (m *memory) Append(name string, body []byte) error {
+	m.files[name] = append(m.files[name], body...)
+	return nil
+}
+
+func (m *memory) Sync(string) error {
+	if m.fail {
+		return errors.New("no")
+	}
+	return nil
+}
+
+func (m *memory) SyncFolder() error { return nil }
+
+func (m *memory) copy() *memory {
+	copied := &memory{files: map[string][]byte{}}
+	for name, body := range m.files {
+		copied.files[name] = append([]byte{}, body...)
+	}
+	return copied
+}
+
+func written(c *qt.C) *memory {
+	disk := &memory{files: map[string][]byte{}}
+	store, view, _, err := Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(view, qt.IsNil)
+	c.Assert(store.Compact([]byte("one")), qt.IsNil)
+	c.Assert(store.Append([][]byte{[]byte("a")}), qt.IsNil)
+	c.Assert(store.Compact([]byte("two")), qt.IsNil)
+	c.Assert(store.Append([][]byte{[]byte("first record"), []byte("second record")}), qt.IsNil)
+	return disk
+}
+
+func TestReopen(t *testing.T) {
+	c := qt.New(t)
+	_, view, records, err := Open(written(c))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(view), qt.Equals, "two")
+	c.Assert(records, qt.DeepEquals, [][]byte{[]byte("first record"), []byte("second record")})
+}
+
+// A log cut at any byte opens with a prefix of its records, and takes more.
+func TestTornTailIsCut(t *testing.T) {
+	c := qt.New(t)
+	disk := written(c)
+	whole := disk.files[logName]
+	for size := range len(whole) {
+		torn := disk.copy()
+		torn.files[logName] = append([]byte{}, whole[:size]...)
+		store, view, records, err := Open(torn)
+		c.Assert(err, qt.IsNil, qt.Commentf("cut at %d", size))
+		c.Assert(string(view), qt.Equals, "two")
+		c.Assert(len(records) < 2, qt.IsTrue)
+		c.Assert(store.Append([][]byte{[]byte("later")}), qt.IsNil)
+		_, _, again, err := Open(torn)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(again[len(again)-1]), qt.Equals, "later")
+		c.Assert(again, qt.HasLen, len(records)+1)
+	}
+}
+
+// A flipped bit anywhere in settled data never passes for something else: either the
+// store refuses, or all that was settled is there.
+func TestFlippedBitIsRefused(t *testing.T) {
+	c := qt.New(t)
+	disk := written(c)
+	refused := 0
+	for _, name := range []string{logName, slotNames[0]} {
+		for index := range disk.files[name] {
+			flipped := disk.copy()
+			flipped.files[name][index] ^= 0x10
+			_, view, records, err := Open(flipped)
+			if err != nil {
+				c.Assert(notice.CodeOf(err), qt.Equals, notice.DiskCorrupt)
+				refused++
+				continue
+			}
+			c.Assert(fmt.Sprintf("%s %s", view, records), qt.Equals, "two [first record second record]", qt.Commentf("%s byte %d", name, index))
+		}
+	}
+	c.Assert(refused > 50, qt.IsTrue)
+}
+
+// A slot torn while it is written leaves the older slot and its log.
+func TestTornSlot(t *testing.T) {
+	c := qt.New(t)
+	disk := written(c)
+	before := disk.copy()
+	store, _, _, err := Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.Compact([]byte("three")), qt.IsNil)
+	next := slotNames[store.generation%2]
+	for size := range len(disk.files[next]) {
+		torn := before.copy()
+		torn.files[next] = append([]byte{}, disk.files[next][:size]...)
+		_, view, records, err := Open(torn)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(view), qt.Equals, "two")
+		c.Assert(records, qt.HasLen, 2)
+	}
+}
+
+// One failed sync stops the store for good.
+func TestFailedSyncStays(t *testing.T) {
+	c := qt.New(t)
+	disk := written(c)
+	store, _, _, err := Open(disk)
+	c.Assert(err, qt.IsNil)
+	disk.fail = true
+	c.Assert(notice.CodeOf(store.Append([][]byte{[]byte("x")})), qt.Equals, notice.DiskFault)
+	disk.fail = false
+	c.Assert(notice.CodeOf(store.Append([][]byte{[]byte("y")})), qt.Equals, notice.DiskFault)
+	c.Assert(notice.CodeOf(store.Compact([]byte("z"))), qt.Equals, notice.DiskFault)
+}
