A restarted usher took an older sheet from a cut-off relay

Cause: a usher keeps nothing over a restart; its first parent may be a callboard that is cut off from the book, and any sheet with any age was put in force. A life now begins only with a sheet known current within the re-parent limit; until then the usher is not ready and serves nothing. It leaves a stale first parent after two asks. Ruled out: keeping the last version on the edge's disk; most edges have none.

--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -90,7 +90,7 @@
 // New makes the machine; changed is called when a topic's content moved on.
 func New(config playbill.Config, members *company.Company, changed func(s *cue.Stage, topic string)) *Chorus {
 	return &Chorus{config: config, company: members, shelves: map[string]*shelf{}, own: map[string]bool{}, children: map[string]*child{},
-		asks: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, dwell: config.Reparent(), collects: map[string]*collecting{},
+		asks: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, dwell: config.NewsEvery() * 2, collects: map[string]*collecting{},
 		partBytes: int(config.Limits.Frame / 64), changed: changed}
 }
 
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -62,6 +62,7 @@
 		{"jendela", "usurped", 6},                // the shut-out machine was still taken for the holder
 		{"umuyoboro", "restarted-behind-cut", 1}, // stands for its scenario
 		{"jendela", "any", 2},                    // the same
+		{"umuyoboro", "stale-root", 1},           // a restarted usher took an older sheet from a cut-off relay
 	} {
 		t.Run(fmt.Sprintf("%s-%s-%d", fixed.deployment, fixed.scenario, fixed.seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -541,6 +541,14 @@
 		}
 		return plan
 	},
+	"stale-root": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		chosen := dice.IntN(3)
+		plan := []Step{{At: 10 * time.Second, Do: "cut-core", Target: repertoire.Seats[chosen], For: span(dice, 7, 9)}, {At: span(dice, 11, 12), Do: "withdraw"}}
+		for number := chosen; number < d.Ushers; number += 3 {
+			plan = append(plan, Step{At: span(dice, 14.5, 16), Do: "kill", Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.2, 0.6)})
+		}
+		return plan
+	},
 	"acked-and-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		return []Step{{At: span(dice, 9, 10), Do: "put-and-kill", For: span(dice, 0.3, 4)}, {At: span(dice, 16, 18), Do: "put-and-kill-disk", For: span(dice, 0.3, 4)},
 			{At: span(dice, 23, 24), Do: "put"}}
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -85,6 +85,8 @@
 	locals   map[string]*local
 	ends     map[string]signOff
 	layouts  map[string]*blocking.Layout
+	begun    map[string]bool  // sheets that were known current in this life
+	forced   map[string]int64 // versions handed to the traffic side
 	told     script.UsageTold // the usage last sent, and when to repeat it
 	toldAt   time.Duration
 	sealed   map[string]int64
@@ -96,7 +98,7 @@
 
 // New makes the machine; a usher keeps nothing on disk.
 func New(config playbill.Config, self script.Member) *Machine {
-	m := &Machine{config: config, locals: map[string]*local{}, ends: map[string]signOff{}, layouts: map[string]*blocking.Layout{}, sealed: map[string]int64{}, life: self.Birth}
+	m := &Machine{config: config, locals: map[string]*local{}, ends: map[string]signOff{}, layouts: map[string]*blocking.Layout{}, begun: map[string]bool{}, forced: map[string]int64{}, sealed: map[string]int64{}, life: self.Birth}
 	m.company = company.New(config, self, nil)
 	m.chorus = chorus.New(config, m.company, m.changed)
 	for _, sheet := range config.Sheets {
@@ -120,7 +122,6 @@
 		}
 		if version, body, known := m.chorus.Sheet(sheet); known {
 			m.layouts[sheet] = blocking.Parse(sheet, version, body, Limits(m.config))
-			s.Note("layout-in-force", 0, version, sheet)
 			m.beatAt = s.Now
 		}
 	}
@@ -176,10 +177,19 @@
 	for _, sheet := range m.config.Sheets {
 		layout, held := m.layouts[sheet]
 		freshAt, fresh := m.chorus.FreshAt(chorus.SheetTopic(sheet))
-		if !held || !fresh {
+		// A life begins only with a sheet known current: an old one from a cut-off
+		// relay may be behind what the life before had in force.
+		if held && fresh && s.Now-freshAt <= m.config.Reparent() {
+			m.begun[sheet] = true
+		}
+		if !held || !m.begun[sheet] {
 			view.Known = false
 			continue
 		}
+		if m.forced[sheet] != layout.Version {
+			m.forced[sheet] = layout.Version
+			s.Note("layout-in-force", 0, layout.Version, sheet)
+		}
 		view.Layouts = append(view.Layouts, layout)
 		view.FreshAt = min(view.FreshAt, freshAt)
 	}
