Sheets over 1 MiB never reached the store; frames now bear a checksum

Cause: the Avro library refuses byte strings over 1 MiB by default, so a large sheet broke the wire each time and the put ended in 'unknown' (4006). The limit is lifted; the frame cap bounds what is read. The test for it showed that the library takes a cut-off record for one with empty fields; a checksum on each frame now tells. Ruled out: the check's time (0.18 s for 19000 routes), the frame cap (16 MiB). Real runs now hold ushers to the layout bound too.

--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -262,6 +262,9 @@
 			add(notice.ConfigBadValue, "limits."+path, "want more than 0")
 		}
 	}
+	if c.Limits.Frame > 256<<20 {
+		add(notice.ConfigBadValue, "limits.frame_bytes", "want at most 268435456")
+	}
 	if c.Limits.Frame > 0 && (c.Limits.Frame < c.Limits.Body+65536 || c.Limits.Frame < c.Limits.Answer+65536 || c.Limits.Frame < c.Limits.Layout+65536) {
 		add(notice.ConfigBoundsClash, "limits.frame_bytes", "must hold a body, an answer or a layout and 64 KiB more")
 	}
--- a/internal/script/schema.go
+++ b/internal/script/schema.go
@@ -1,11 +1,13 @@
 // This file gives Go message types their Avro form: a schema is derived from the
-// struct by reflection once, at start, and frames are a kind byte followed by the
-// Avro record. Messages hold only strings, bytes, bools, int64, float64, slices,
+// struct by reflection once, at start, and frames are a kind byte, the Avro record and
+// a checksum: the library takes a record that ends early for one with empty fields. Messages hold only strings, bytes, bools, int64, float64, slices,
 // string maps and structs, which is all that the processes say to each other.
 package script
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"reflect"
 	"strings"
 
@@ -20,6 +22,17 @@
 	goType reflect.Type
 }
 
+const sumBytes = 4
+
+var sumTable = crc32.MakeTable(crc32.Castagnoli)
+
+// maxBytes is above any frame cap that the settings allow.
+const maxBytes = 256 << 20
+
+// codec lifts the library's limit of 1 MiB on a byte string: the frame cap of the
+// settings bounds what is read before it comes here.
+var codec = avro.Config{MaxByteSliceSize: maxBytes}.Freeze()
+
 var (
 	byKind = map[byte]kindEntry{}
 	byType = map[reflect.Type]kindEntry{}
@@ -79,42 +92,31 @@
 	if !found {
 		return nil, notice.Wrap("script.encode", notice.FrameBad, fmt.Errorf("unknown type %T", message))
 	}
-	body, err := avro.Marshal(entry.schema, message)
+	body, err := codec.Marshal(entry.schema, message)
 	if err != nil {
 		return nil, notice.Wrap("script.encode", notice.FrameBad, err)
 	}
-	return append([]byte{entry.kind}, body...), nil
+	frame := make([]byte, 0, len(body)+1+sumBytes)
+	frame = append(append(frame, entry.kind), body...)
+	return binary.BigEndian.AppendUint32(frame, crc32.Checksum(frame, sumTable)), nil
 }
 
 // Decode reads a frame body back into its message (by value).
 func Decode(frame []byte) (any, error) {
-	if len(frame) == 0 {
-		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("empty frame"))
+	if len(frame) < 1+sumBytes {
+		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("short frame"))
+	}
+	frame, sum := frame[:len(frame)-sumBytes], binary.BigEndian.Uint32(frame[len(frame)-sumBytes:])
+	if sum != crc32.Checksum(frame, sumTable) {
+		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("checksum"))
 	}
 	entry, found := byKind[frame[0]]
 	if !found {
 		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("unknown kind %d", frame[0]))
 	}
 	target := reflect.New(entry.goType)
-	if err := avro.Unmarshal(entry.schema, frame[1:], target.Interface()); err != nil {
+	if err := codec.Unmarshal(entry.schema, frame[1:], target.Interface()); err != nil {
 		return nil, notice.Wrap("script.decode", notice.FrameBad, err)
 	}
 	return target.Elem().Interface(), nil
 }
-
-// Pack and Unpack serve records on disk, which bear no kind byte.
-func Pack(schema avro.Schema, record any) []byte {
-	body, err := avro.Marshal(schema, record)
-	if err != nil {
-		panic("script: pack: " + err.Error())
-	}
-	return body
-}
-
-// Unpack reads a record packed by Pack.
-func Unpack(schema avro.Schema, body []byte, target any) error {
-	if err := avro.Unmarshal(schema, body, target); err != nil {
-		return notice.Wrap("script.unpack", notice.DiskCorrupt, err)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/script/script_test.go
@@ -0,0 +1,33 @@
+// Every message survives the wire, the largest included.
+package script
+
+import (
+	"bytes"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLargestBodySurvives(t *testing.T) {
+	c := qt.New(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 8<<16)
+	frame, err := Encode(BookPut{Ticket: 1, Sheet: "main", Version: 2, Body: body})
+	c.Assert(err, qt.IsNil)
+	decoded, err := Decode(frame)
+	c.Assert(err, qt.IsNil)
+	c.Assert(bytes.Equal(decoded.(BookPut).Body, body), qt.IsTrue)
+}
+
+func TestBadFramesAreRefused(t *testing.T) {
+	c := qt.New(t)
+	frame, err := Encode(Carry{ID: "x", Headers: []HeaderLine{{"A", "b"}}, Body: []byte("body")})
+	c.Assert(err, qt.IsNil)
+	for size := range len(frame) {
+		_, err := Decode(frame[:size])
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%d bytes", size))
+	}
+	_, err = Decode([]byte{255, 1, 2})
+	c.Assert(err, qt.IsNotNil)
+	_, err = Encode(struct{ X int64 }{1})
+	c.Assert(err, qt.IsNotNil)
+}
--- a/internal/stagehand/fleet.go
+++ b/internal/stagehand/fleet.go
@@ -57,6 +57,9 @@
 	leaving   []critic.Leaving
 	collector net.Listener
 	seeds     []string
+	watched   map[string]time.Duration
+	spans     []critic.Span
+	answers   map[string]int
 }
 
 // freePorts finds ports for a loopback address by binding and letting go.
@@ -71,7 +74,7 @@
 
 // New lays a fleet out: folders, settings, addresses.
 func New(deployment repertoire.Deployment, bin, folder string) (*Fleet, error) {
-	f := &Fleet{Deployment: deployment, Bin: bin, Folder: folder, Base: time.Now(), Crew: crew.New()}
+	f := &Fleet{Deployment: deployment, Bin: bin, Folder: folder, Base: time.Now(), Crew: crew.New(), watched: map[string]time.Duration{}, answers: map[string]int{}}
 	type place struct{ role, node, seat, district, host string }
 	places := []place{}
 	for index, seat := range repertoire.Seats {
@@ -165,8 +168,26 @@
 	return nil
 }
 
+// Watch begins to hold the ushers that run to the bounds for connected nodes.
+func (f *Fleet) Watch() {
+	for _, process := range f.Of(script.RoleUsher) {
+		f.watched[process.Node] = f.since()
+	}
+}
+
+// unwatch ends that for a process that is about to be disturbed; it is not resumed.
+func (f *Fleet) unwatch(process *Process) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if from, watched := f.watched[process.Node]; watched && process.Role == script.RoleUsher {
+		delete(f.watched, process.Node)
+		f.spans = append(f.spans, critic.Span{Name: process.Node, From: from, To: f.since()})
+	}
+}
+
 // Signal sends a signal to a process this fleet started.
 func (f *Fleet) Signal(process *Process, signal syscall.Signal) {
+	f.unwatch(process)
 	select {
 	case <-process.ended:
 	default:
@@ -279,10 +300,13 @@
 		if err != nil {
 			continue
 		}
-		io.Copy(io.Discard, response.Body)
+		answer, _ := io.ReadAll(io.LimitReader(response.Body, 300))
 		response.Body.Close()
+		f.lock.Lock()
+		f.answers[fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("X-Beacon-Code"))]++
+		f.lock.Unlock()
 		if response.StatusCode != http.StatusOK {
-			return response.StatusCode, nil
+			return response.StatusCode, notice.Wrap("stagehand.put", notice.LayoutBad, fmt.Errorf("%s", answer))
 		}
 		put := critic.Put{Sheet: "main", Version: version, At: f.since(), Services: map[string]string{}, Keys: map[string]string{}}
 		for _, kind := range f.Deployment.Kinds {
@@ -338,7 +362,11 @@
 	for _, stand := range f.Understudys {
 		record.Ran = append(record.Ran, stand.Runs()...)
 	}
+	for _, process := range f.Processes {
+		f.unwatch(process)
+	}
 	f.lock.Lock()
+	record.Up = f.spans
 	record.Puts, record.Reported, record.Leaving = f.puts, f.reported, f.leaving
 	f.lock.Unlock()
 	for _, process := range f.Processes {
--- a/internal/stagehand/play.go
+++ b/internal/stagehand/play.go
@@ -28,6 +28,7 @@
 	Summary   claque.Summary `json:"summary"`
 	Review    critic.Review  `json:"review"`
 	Uses      []Use          `json:"uses"`
+	Puts      map[string]int `json:"puts"` // how operators' puts were answered
 }
 
 // Scenarios do something to a fleet under load; at is the load's length.
@@ -85,6 +86,22 @@
 			f.Put(version, f.Deployment.Tenants(), int(version)*100)
 		}
 	},
+	"withdraw": func(f *Fleet, length time.Duration, _ *Outcome) {
+		// A key is withdrawn while one usher is frozen; it wakes into a changed world.
+		ushers := f.Of(script.RoleUsher)
+		f.after(length / 4)
+		f.Signal(ushers[0], syscall.SIGSTOP)
+		f.after(length / 16)
+		f.Put(2, f.Deployment.Tenants()[1:], 0)
+		f.after(length / 3)
+		f.Signal(ushers[0], syscall.SIGCONT)
+	},
+	"huge": func(f *Fleet, length time.Duration, _ *Outcome) {
+		f.after(length / 4)
+		f.Put(2, f.Deployment.Tenants(), 19000)
+		f.after(length / 4)
+		f.Put(3, f.Deployment.Tenants(), 18000)
+	},
 	"drain": func(f *Fleet, length time.Duration, _ *Outcome) {
 		f.after(length / 4)
 		f.Leave(f.Understudys[0])
@@ -152,6 +169,7 @@
 		return outcome, notice.Wrap("stagehand.play", notice.BusyNotReady, fmt.Errorf("the fleet did not become ready (layout put: %t); logs in %s", placed, folder))
 	}
 	outcome.ReadyMS = time.Since(begin).Milliseconds()
+	fleet.Watch()
 	acted := make(chan struct{})
 	fleet.Crew.Go("stagehand.act", func(context.Context) {
 		defer close(acted)
@@ -172,6 +190,7 @@
 		}
 		return false
 	})
+	outcome.Puts = fleet.answers
 	outcome.Summary = claque.Summarise(asked)
 	record := fleet.Record(asked)
 	record.Bounds = record.Bounds.Stretch(slack)
