Puts and reads are checked for one order; the cost of the two-usher path is measured

Cause: nothing held the operators' whole view of the book against a model, and the price of the path was unknown. The fleet runner compares straight calls with calls through two ushers in pairs.

--- a/internal/rehearsal/people.go
+++ b/internal/rehearsal/people.go
@@ -364,9 +364,13 @@
 	}
 	chosenBoard := boards[w.dice.IntN(len(boards))]
 	w.mark("put %d at %s", version, chosenBoard.name)
-	w.putsOut++
+	operation := &bookOperation{ask: bookAsk{put: true, version: version, entry: fmt.Sprintf("%d:%s", version, digestOf(body))}, from: w.now}
+	if tenants != nil {
+		w.operations = append(w.operations, operation)
+	}
 	chosenBoard.ask(callboard.PutLayout{Sheet: "main", Version: version, Body: body}, func(answer any) {
 		code := answer.(callboard.Answer).Code
+		operation.answer, operation.to, operation.answered = bookAnswer{code: code}, w.now, true
 		w.mark("put %d answered %s", version, code)
 		if code == notice.OK {
 			put := critic.Put{Sheet: "main", Version: version, At: w.now, Services: map[string]string{}, Keys: map[string]string{}}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -406,6 +406,7 @@
 		w.at(step.At, func() { w.do(planned) })
 	}
 	ends := loadBegins + options.Load
+	w.at(2*time.Second, func() { w.readBook(700*time.Millisecond, ends) })
 	w.Run(ends + 6*time.Second)
 	w.closing(last)
 	w.Run(ends + 12*time.Second)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -74,13 +74,13 @@
 	upOrder   []string
 	addresses map[string]*Upstream // who owns an upstream address now
 
-	record   critic.Record
-	asked    []*critic.Asked
-	versions int64
-	tenants  int // how many tenants the newest sheet has
-	putsOut  int
-	readyAt  map[string]time.Duration
-	broken   []string
+	record     critic.Record
+	asked      []*critic.Asked
+	versions   int64
+	tenants    int // how many tenants the newest sheet has
+	operations []*bookOperation
+	readyAt    map[string]time.Duration
+	broken     []string
 }
 
 // epoch is the time of day at true time 0, for usage windows.
@@ -257,6 +257,11 @@
 	}
 	sort.SliceStable(w.record.Keeping, func(i, j int) bool { return w.record.Keeping[i].At < w.record.Keeping[j].At })
 	review := critic.Check(w.record)
+	sound, count := w.linear()
+	review.Seen["book operations"] = count
+	if !sound {
+		review.Violations = append(review.Violations, critic.Violation{Rule: "book-order", Detail: fmt.Sprintf("%d puts and reads fit no order", count)})
+	}
 	for _, text := range w.broken {
 		review.Violations = append(review.Violations, critic.Violation{Rule: "simulator", Detail: text})
 	}
--- a/internal/stagehand/play.go
+++ b/internal/stagehand/play.go
@@ -29,11 +29,46 @@
 	Review    critic.Review  `json:"review"`
 	Uses      []Use          `json:"uses"`
 	Puts      map[string]int `json:"puts"` // how operators' puts were answered
+	Pairs     []Pair         `json:"pairs,omitempty"`
+}
+
+// Pair is one stretch of the same queries straight to the upstreams and one through
+// two ushers, right after each other.
+type Pair struct {
+	StraightP50 float64 `json:"straight_p50_ms"`
+	MeshP50     float64 `json:"mesh_p50_ms"`
+	StraightP99 float64 `json:"straight_p99_ms"`
+	MeshP99     float64 `json:"mesh_p99_ms"`
+	ExtraP50    float64 `json:"extra_p50_ms"`
+	ExtraP99    float64 `json:"extra_p99_ms"`
+}
+
+// overhead compares in pairs at the deployment's full rate, on one kind of query.
+func overhead(f *Fleet, _ time.Duration, outcome *Outcome) {
+	chosenKind := f.Deployment.Kinds[1]
+	addresses, ushers := []string{}, []string{}
+	for _, stand := range f.Understudys {
+		if stand.Told.Service == chosenKind.Service {
+			addresses = append(addresses, stand.Told.Address)
+		}
+	}
+	for _, process := range f.Of(script.RoleUsher) {
+		ushers = append(ushers, process.Outside)
+	}
+	run := func(targets []string, seed uint64) claque.Summary {
+		return claque.Summarise(claque.Run(f.Crew.Context, f.Crew, claque.Plan{Ushers: targets, Kinds: []claque.Kind{chosenKind}, Tenants: f.Deployment.Tenants(),
+			Rate: 500, Length: 3 * time.Second, Limit: 8 * time.Second, Seed: seed, Base: f.Base}))
+	}
+	for number := range uint64(5) {
+		straight, mesh := run(addresses, 1000+number), run(ushers, 2000+number)
+		outcome.Pairs = append(outcome.Pairs, Pair{straight.P50, mesh.P50, straight.P99, mesh.P99, mesh.P50 - straight.P50, mesh.P99 - straight.P99})
+	}
 }
 
 // Scenarios do something to a fleet under load; at is the load's length.
 var scenarios = map[string]func(f *Fleet, length time.Duration, outcome *Outcome){
-	"calm": func(*Fleet, time.Duration, *Outcome) {},
+	"overhead": overhead,
+	"calm":     func(*Fleet, time.Duration, *Outcome) {},
 	"keeper": func(f *Fleet, length time.Duration, _ *Outcome) {
 		f.after(length / 4)
 		if keeper := f.Keeper(f.Deployment.Districts[0]); keeper != nil {
@@ -192,6 +227,10 @@
 	})
 	outcome.Puts = fleet.answers
 	outcome.Summary = claque.Summarise(asked)
+	if len(outcome.Pairs) > 0 {
+		// Half of these queries went past the mesh on purpose: nothing to hold it to.
+		return outcome, nil
+	}
 	record := fleet.Record(asked)
 	record.Bounds = record.Bounds.Stretch(slack)
 	outcome.Review = critic.Check(record)
