Ended wires tell the relays at once; core programs share one part and their addresses

Cause: a child noticed a killed parent only by its silence, half a second and more; its control wire ends at once, and now says so. Addresses of other nodes were written only when a slot was, so a core seat could come back with none after the seeds were swapped; they are now synced on change. callboard and promptbook had the same shell twice; it is one type now, and sorted keys come from the standard library. Ruled out: shorter silences (they would move children off slow parents).

--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -118,7 +119,7 @@
 			check.add(path+".methods", "want at least one method")
 		}
 		for method := range methods {
-			if !among(methodList, method) {
+			if !slices.Contains(methodList, method) {
 				check.add(path+".methods", "unknown method "+method)
 			}
 			claim := match.String() + " " + method + " " + wantedPath
@@ -168,7 +169,7 @@
 		switch {
 		case seen[key.String()]:
 			c.add(prefix+key.String(), "key stands twice")
-		case !among(known, key.String()):
+		case !slices.Contains(known, key.String()):
 			c.add(prefix+key.String(), "unknown field")
 		}
 		seen[key.String()] = true
@@ -220,15 +221,6 @@
 	}
 }
 
-func among(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Parse reads a sheet that Check has passed.
 func Parse(sheet string, version int64, body []byte, limits Limits) *Layout {
 	layout := &Layout{Sheet: sheet, Version: version, keys: map[[sha256.Size]byte]string{}}
--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -8,7 +8,8 @@
 package callboard
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"beaconvane/internal/casting"
@@ -17,7 +18,6 @@
 	"beaconvane/internal/cue"
 	"beaconvane/internal/playbill"
 	"beaconvane/internal/script"
-	"beaconvane/internal/wardrobe"
 )
 
 // Group is the name of the callboards' three seats as a group.
@@ -41,12 +41,12 @@
 
 // Machine is the callboard's control state.
 type Machine struct {
+	*casting.Core
 	config  playbill.Config
 	company *company.Company
 	seating *casting.Seating
 	tenures *casting.Tenures
 	chorus  *chorus.Chorus
-	ledger  *wardrobe.Ledger
 	usage   *usage
 	outside *outside
 
@@ -100,7 +100,7 @@
 	for _, district := range config.Districts {
 		m.chorus.ShareSlice(m.slices[district])
 	}
-	m.ledger = wardrobe.NewLedger(1<<20, m.view)
+	m.Core = casting.NewCore(config, script.RoleCallboard, m.company, m.view)
 	m.usage = newUsage(m, kept.Sealed, kept.Reported)
 	m.usage.regain(kept.Usage)
 	m.outside = newOutside(m)
@@ -119,6 +119,8 @@
 			if slice, known := m.slices[tagOf(held.Mark.Topic)]; known {
 				slice.Change(held.Mark.Epoch, held.Registration, held.Gone, held.Cause)
 			}
+		case script.SeenState:
+			m.company.Remember(held.Addresses)
 		case script.UsageSealed:
 			m.usage.restore(held)
 		case script.UsageHeld:
@@ -168,16 +170,7 @@
 	}
 }
 
-// Persist, CompactNow, Peers, StateForGrant and AbsorbGrants make it a casting.Host.
-func (m *Machine) Persist(s *cue.Stage, record any, then wardrobe.Then) {
-	m.ledger.Persist(s, record, then)
-}
-
-func (m *Machine) CompactNow(s *cue.Stage, then wardrobe.Then) { m.ledger.Compact(s, then) }
-
-// Peers are the other callboards, dead ones aside.
-func (m *Machine) Peers() []script.Member { return m.company.Alive(script.RoleCallboard) }
-
+// StateForGrant and AbsorbGrants, with the core's methods, make it a casting.Host.
 func (m *Machine) StateForGrant() []byte { return m.view() }
 
 func (m *Machine) AbsorbGrants(s *cue.Stage, states [][]byte) {
@@ -201,7 +194,7 @@
 }
 
 func (m *Machine) fit(tag string) bool {
-	if m.ledger.Failure() != nil || m.stopping || m.company.Superseded() {
+	if m.Failure() != nil || m.stopping || m.company.Superseded() {
 		return false
 	}
 	return tag == playbill.UsageTag || m.whole[tag]
@@ -236,10 +229,7 @@
 	}
 	m.company.Tick(s)
 	m.seating.Tick(s)
-	if m.seating.ShutOut && !m.company.HasLeft() {
-		// Nobody should look here for the seat any more.
-		m.company.Leave(s)
-	}
+	m.Keep(s, m.seating.ShutOut)
 	m.tenures.Tick(s)
 	m.chorus.Tick(s)
 	m.outside.tick(s)
@@ -257,7 +247,7 @@
 	if m.dirty && s.Now >= m.seenAt {
 		// Backups fold what they pulled into a slot, at a gentle pace.
 		m.dirty, m.seenAt = false, s.Now+m.config.KeeperRest()
-		m.ledger.Compact(s, func(*cue.Stage, error) {})
+		m.CompactNow(s, func(*cue.Stage, error) {})
 	}
 }
 
@@ -286,7 +276,7 @@
 
 // sweep is what a keeper does in a steady rhythm.
 func (m *Machine) sweep(s *cue.Stage) {
-	for _, key := range sortedKeys(m.seen) {
+	for _, key := range slices.Sorted(maps.Keys(m.seen)) {
 		seen := m.seen[key]
 		if s.Now-seen.at > m.config.BeatBound()*4 {
 			delete(m.seen, key)
@@ -294,12 +284,12 @@
 		}
 		m.consider(s, key)
 	}
-	for _, key := range sortedKeys(m.ended) {
+	for _, key := range slices.Sorted(maps.Keys(m.ended)) {
 		if s.Now-m.ended[key].at > m.config.BeatBound()*10 {
 			delete(m.ended, key)
 		}
 	}
-	for _, name := range sortedKeys(m.ushers) {
+	for _, name := range slices.Sorted(maps.Keys(m.ushers)) {
 		if s.Now-m.ushers[name].at > m.config.ForgetAfter() {
 			delete(m.ushers, name)
 		}
@@ -329,15 +319,6 @@
 	}
 }
 
-func sortedKeys[V any](set map[string]V) []string {
-	keys := make([]string, 0, len(set))
-	for key := range set {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func (m *Machine) askProbe(s *cue.Stage, tag string, registration script.Registration) {
 	if at, asked := m.probedAt[registration.Key()]; asked && s.Now-at < m.config.BeatEvery()*2 {
 		return
@@ -416,7 +397,7 @@
 // change syncs first, then takes effect, then is broadcast.
 func (m *Machine) change(s *cue.Stage, tag string, registration script.Registration, gone bool, cause string) {
 	key := registration.Key()
-	if m.writing[key] || m.ledger.Failure() != nil {
+	if m.writing[key] || m.Failure() != nil {
 		return
 	}
 	epoch := m.tenures.Epoch(tag)
@@ -560,11 +541,6 @@
 	m.whole[view.Tag] = true
 }
 
-// Synced answers a write.
-func (m *Machine) Synced(s *cue.Stage, ticket int64, failure error) {
-	m.ledger.Synced(s, ticket, failure)
-}
-
 // Forsake gives the other seats up and returns the view to be written: an operator's
 // deed on the stopped survivor of two lost disks.
 func (m *Machine) Forsake() []byte {
--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -8,7 +8,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"beaconvane/internal/chorus"
@@ -106,6 +107,8 @@
 		s.Reply(ticket, m.ready(s))
 	case Reported:
 		m.usage.done(s, asked.Window)
+	case cue.WireBroke:
+		m.chorus.WireBroke(s, asked.Address)
 	case Stop:
 		m.stopping = true
 		m.tenures.Yield(s)
@@ -133,12 +136,7 @@
 }
 
 func (o *outside) tick(s *cue.Stage) {
-	tickets := make([]int64, 0, len(o.waiting))
-	for ticket := range o.waiting {
-		tickets = append(tickets, ticket)
-	}
-	sort.Slice(tickets, func(i, j int) bool { return tickets[i] < tickets[j] })
-	for _, ticket := range tickets {
+	for _, ticket := range slices.Sorted(maps.Keys(o.waiting)) {
 		waiting := o.waiting[ticket]
 		if s.Now >= waiting.until {
 			delete(o.waiting, ticket)
@@ -250,7 +248,7 @@
 
 func (m *Machine) ready(s *cue.Stage) Answer {
 	switch {
-	case m.ledger.Failure() != nil:
+	case m.Failure() != nil:
 		return answerCode(notice.DiskFault, "")
 	case m.seating.ShutOut || m.company.Superseded():
 		return answerCode(notice.SeatShutOut, "")
--- a/internal/callboard/usage.go
+++ b/internal/callboard/usage.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -227,7 +228,7 @@
 // One that is cut off or frozen is waited for, since its counts may still come; one
 // that said goodbye is not.
 func (u *usage) allClosed(window int64) bool {
-	for _, name := range sortedKeys(u.m.ushers) {
+	for _, name := range slices.Sorted(maps.Keys(u.m.ushers)) {
 		if member, known := u.m.company.Find(name); known && member.State == script.Left {
 			continue
 		}
--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -12,6 +12,8 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -202,14 +204,7 @@
 // Parent tells the status page where the news comes from.
 func (c *Chorus) Parent() (string, []string, int64) { return c.parent, c.path, c.moves }
 
-func (c *Chorus) topics() []string {
-	topics := make([]string, 0, len(c.shelves))
-	for topic := range c.shelves {
-		topics = append(topics, topic)
-	}
-	sort.Strings(topics)
-	return topics
-}
+func (c *Chorus) topics() []string { return slices.Sorted(maps.Keys(c.shelves)) }
 
 // wanted: own topics and those of living children, less what this node is a source of.
 func (c *Chorus) wanted() []string {
@@ -460,14 +455,7 @@
 	s.Send(from, told)
 }
 
-func (c *Chorus) childNames() []string {
-	names := []string{}
-	for name := range c.children {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func (c *Chorus) childNames() []string { return slices.Sorted(maps.Keys(c.children)) }
 
 // itemFor: what a child at a position needs to be where this node is.
 func (c *Chorus) itemFor(s *cue.Stage, mark script.Mark) script.NewsItem {
@@ -591,6 +579,14 @@
 	}
 }
 
+// WireBroke leaves a parent whose process has ended, without waiting for its silence.
+func (c *Chorus) WireBroke(s *cue.Stage, address string) {
+	if c.parent != "" && c.parentAt == address {
+		c.leaveParent(s, "wire broke", c.config.NewsEvery()*3)
+		c.askAt = s.Now
+	}
+}
+
 // behind: the parent lacks a sheet that is known here, or has an older one.
 func (c *Chorus) behind(items []script.NewsItem) bool {
 	for _, item := range items {
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -9,7 +9,9 @@
 package company
 
 import (
+	"maps"
 	"math/bits"
+	"slices"
 	"sort"
 	"time"
 
@@ -114,12 +116,18 @@
 	return known.member, true
 }
 
+// Remember adds addresses known from an earlier life.
+func (c *Company) Remember(addresses []string) { c.seen = append(c.seen, addresses...) }
+
 // Seen lists addresses worth remembering for the next life.
 func (c *Company) Seen() []string {
 	list := []string{}
 	for _, member := range c.Alive("") {
 		list = append(list, member.Address)
 	}
+	if len(list) == 0 {
+		return c.seen
+	}
 	return list
 }
 
@@ -203,14 +211,7 @@
 	}
 }
 
-func (c *Company) names() []string {
-	names := make([]string, 0, len(c.members))
-	for name := range c.members {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func (c *Company) names() []string { return slices.Sorted(maps.Keys(c.members)) }
 
 func (c *Company) join(s *cue.Stage) {
 	wait := c.config.JoinEvery()
--- a/internal/cue/cue.go
+++ b/internal/cue/cue.go
@@ -53,6 +53,10 @@
 
 func (c Asked) Apply(m Machine, s *Stage) { m.Asked(s, c.Ticket, c.Question) }
 
+// WireBroke is a question without an answer: the control wire that this process had
+// opened to an address has ended, as it does at once when the process there ends.
+type WireBroke struct{ Address string }
+
 // Effects, in the order in which they are to be carried out.
 type (
 	// Send goes by wire to another process; it may be lost.
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -13,7 +13,8 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,14 +201,7 @@
 	return Order{Carry: carry, Code: code}
 }
 
-func (g *Greenroom) keys() []string {
-	keys := make([]string, 0, len(g.upstreams))
-	for key := range g.upstreams {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
+func (g *Greenroom) keys() []string { return slices.Sorted(maps.Keys(g.upstreams)) }
 
 // Leave refuses all that has not started, from now on.
 func (g *Greenroom) Leave() []Order {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -112,6 +112,7 @@
 		return err
 	}
 	h.Wings = transport
+	transport.OnBroke(func(address string) { h.Tell(cue.WireBroke{Address: address}) })
 	if begin != nil {
 		begin(transport)
 	}
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -215,7 +216,7 @@
 	if len(c.Districts) == 0 {
 		add(notice.ConfigMissing, "districts", "missing: the names of all districts")
 	}
-	if c.District != "" && len(c.Districts) > 0 && !contains(c.Districts, c.District) {
+	if c.District != "" && len(c.Districts) > 0 && !slices.Contains(c.Districts, c.District) {
 		add(notice.ConfigBadValue, "district", "not among districts")
 	}
 	if len(c.Sheets) == 0 {
@@ -225,7 +226,7 @@
 		if len(c.Seats) != 3 {
 			add(notice.ConfigBadValue, "seats", "want the names of the three seats")
 		}
-		if c.Seat == "" || !contains(c.Seats, c.Seat) {
+		if c.Seat == "" || !slices.Contains(c.Seats, c.Seat) {
 			add(notice.ConfigMissing, "seat", "want one of seats")
 		}
 		if c.Data == "" {
@@ -233,10 +234,10 @@
 		}
 	}
 	for tag, seat := range c.Active {
-		if tag != UsageTag && tag != BookTag && !contains(c.Districts, tag) {
+		if tag != UsageTag && tag != BookTag && !slices.Contains(c.Districts, tag) {
 			add(notice.ConfigBadValue, "active."+tag, "no such tag")
 		}
-		if role != script.RoleUsher && !contains(c.Seats, seat) {
+		if role != script.RoleUsher && !slices.Contains(c.Seats, seat) {
 			add(notice.ConfigBadValue, "active."+tag, "no such seat: "+seat)
 		}
 	}
@@ -282,15 +283,6 @@
 	return faults
 }
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 func ms(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
 
 // The ratios. Each timer of the system is one of these.
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -11,7 +11,8 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"beaconvane/internal/blocking"
@@ -22,7 +23,6 @@
 	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
 	"beaconvane/internal/script"
-	"beaconvane/internal/wardrobe"
 )
 
 // Group is the name of the promptbooks' three seats as a group.
@@ -57,12 +57,12 @@
 
 // Machine is the promptbook's control state.
 type Machine struct {
+	*casting.Core
 	config  playbill.Config
 	company *company.Company
 	seating *casting.Seating
 	tenures *casting.Tenures
 	chorus  *chorus.Chorus
-	ledger  *wardrobe.Ledger
 
 	epoch   int64
 	seq     int64
@@ -112,6 +112,8 @@
 			kept.Seat = held
 		case script.Vote:
 			votes = append(votes, held)
+		case script.SeenState:
+			kept.Seen = append(kept.Seen, held.Addresses...)
 		case script.BookAdopt:
 			m.epoch, m.seq = held.Epoch, 0
 		case script.BookSettle:
@@ -122,7 +124,7 @@
 	m.synced = m.position()
 	m.company = company.New(config, self, kept.Seen)
 	m.chorus = chorus.New(config, m.company, func(*cue.Stage, string) {})
-	m.ledger = wardrobe.NewLedger(1<<20, m.view)
+	m.Core = casting.NewCore(config, script.RolePromptbook, m.company, m.view)
 	m.seating = casting.NewSeating(Group, config, m, kept.Seat, func(s *cue.Stage, fresh bool) { m.tenures.StandUp(s, fresh) })
 	m.tenures = casting.NewTenures(config, m, m.seating, []string{playbill.BookTag}, votes, m.fit, m.took, m.lost)
 	m.chorus.ServeWhen(func(string) bool { return m.mode == serving && m.tenures.Holding(playbill.BookTag, m.now) }, func() []string { return []string{m.holderName()} })
@@ -152,12 +154,7 @@
 }
 
 func (m *Machine) sheets() []string {
-	names := make([]string, 0, len(m.layouts))
-	for name := range m.layouts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(m.layouts))
 }
 
 func (m *Machine) all() []script.KeptLayout {
@@ -191,15 +188,7 @@
 	return body
 }
 
-// Persist, CompactNow, Peers, StateForGrant and AbsorbGrants make it a casting.Host.
-func (m *Machine) Persist(s *cue.Stage, record any, then wardrobe.Then) {
-	m.ledger.Persist(s, record, then)
-}
-
-func (m *Machine) CompactNow(s *cue.Stage, then wardrobe.Then) { m.ledger.Compact(s, then) }
-
-func (m *Machine) Peers() []script.Member { return m.company.Alive(script.RolePromptbook) }
-
+// StateForGrant and AbsorbGrants, with the core's methods, make it a casting.Host.
 func (m *Machine) StateForGrant() []byte { return m.view() }
 
 // AbsorbGrants takes the highest position that the two others hold.
@@ -219,7 +208,7 @@
 }
 
 func (m *Machine) fit(string) bool {
-	return m.ledger.Failure() == nil && !m.stopping && !m.company.Superseded()
+	return m.Failure() == nil && !m.stopping && !m.company.Superseded()
 }
 
 func (m *Machine) holderName() string {
@@ -277,10 +266,7 @@
 	m.now = s.Now
 	m.company.Tick(s)
 	m.seating.Tick(s)
-	if m.seating.ShutOut && !m.company.HasLeft() {
-		// Nobody should look here for the seat any more.
-		m.company.Leave(s)
-	}
+	m.Keep(s, m.seating.ShutOut)
 	m.tenures.Tick(s)
 	m.chorus.Tick(s)
 	m.step(s)
@@ -344,7 +330,7 @@
 	}
 	promised := m.tenures.Epoch(playbill.BookTag)
 	valid := func(seat, identity string, epoch int64) bool {
-		return m.seating.Standing() && m.seating.Holds(seat, identity) && epoch == promised && m.ledger.Failure() == nil
+		return m.seating.Standing() && m.seating.Holds(seat, identity) && epoch == promised && m.Failure() == nil
 	}
 	switch heard := message.(type) {
 	case script.BookRead:
@@ -425,7 +411,7 @@
 	m.mode, m.acks, m.sentAt = adopting, map[string]string{}, 0
 	m.epoch, m.seq = m.term, 0
 	term, reached := m.term, m.position()
-	m.ledger.Compact(s, func(s *cue.Stage, failure error) {
+	m.CompactNow(s, func(s *cue.Stage, failure error) {
 		if failure != nil {
 			return
 		}
@@ -483,7 +469,7 @@
 	m.absorb(script.BookState{Epoch: view.AtEpoch, Seq: view.AtSeq, Layouts: view.Layouts})
 	reached := m.position()
 	asHolder, term := m.mode == pulling, m.term
-	m.ledger.Compact(s, func(s *cue.Stage, failure error) {
+	m.CompactNow(s, func(s *cue.Stage, failure error) {
 		if failure != nil {
 			return
 		}
@@ -602,7 +588,7 @@
 		refuse(notice.LayoutConflict, fmt.Sprintf("the current version is %d", current.Version), nil)
 		return
 	}
-	if put.Version <= 0 || !contains(m.config.Sheets, put.Sheet) {
+	if put.Version <= 0 || !slices.Contains(m.config.Sheets, put.Sheet) {
 		refuse(notice.LayoutBad, "", []string{"$: want a version above 0 and one of the sheets of the settings"})
 		return
 	}
@@ -633,15 +619,6 @@
 	m.sendInFlight(s)
 }
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // answerGets answers reads behind which a renewal has been confirmed.
 func (m *Machine) answerGets(s *cue.Stage) {
 	if m.mode != serving {
@@ -677,12 +654,6 @@
 	return told
 }
 
-// Synced answers a write.
-func (m *Machine) Synced(s *cue.Stage, ticket int64, failure error) {
-	m.now = s.Now
-	m.ledger.Synced(s, ticket, failure)
-}
-
 // Stop is the polite end.
 type Stop struct{}
 
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -539,10 +539,16 @@
 	return decoded
 }
 
-// wiresLost breaks the traffic wires that led to a node that ended.
+// wiresLost breaks the wires that led to a node that ended.
 func (w *World) wiresLost(ended *Node) {
 	for _, name := range w.order {
 		node := w.nodes[name]
+		if _, spoke := w.lastAt[node.address()+">"+ended.address()]; spoke && node != ended && w.linked(ended, node) {
+			life := node.life
+			w.after(w.transit(), func() {
+				node.run(life, func() { node.apply(cue.Asked{Question: cue.WireBroke{Address: ended.address()}}) })
+			})
+		}
 		for _, wire := range node.wires {
 			if wire.to == ended && wire.attached && !wire.closed {
 				lost := wire
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -550,6 +550,9 @@
 		}
 		return plan
 	},
+	"acked-and-back": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 9, 10), Do: "put-and-kill", For: span(dice, 0.25, 0.4)}, {At: span(dice, 15, 16), Do: "put-and-kill", For: span(dice, 0.25, 0.4)}}
+	},
 	"acked-and-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		return []Step{{At: span(dice, 9, 10), Do: "put-and-kill", For: span(dice, 0.3, 4)}, {At: span(dice, 16, 18), Do: "put-and-kill-disk", For: span(dice, 0.3, 4)},
 			{At: span(dice, 23, 24), Do: "put"}}
@@ -568,6 +571,13 @@
 		}
 		return append(plan, Step{At: 29 * time.Second, Do: "put"}, Step{At: 31 * time.Second, Do: "kill", Target: edge(d, dice), For: time.Second})
 	},
+	"seeds-swapped-all-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for index, seat := range repertoire.Seats {
+			plan = append(plan, Step{At: time.Duration(10+index*7) * time.Second, Do: "replace-seat", Target: seat, For: span(dice, 0.3, 1.5)})
+		}
+		return append(plan, Step{At: span(dice, 31, 32), Do: "kill-all", For: span(dice, 0.3, 2)})
+	},
 	"slow-disks": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		return []Step{{At: span(dice, 9, 10), Do: "slow-disk", Target: seat(dice), For: 12 * time.Second}, {At: span(dice, 11, 12), Do: "put"},
 			{At: span(dice, 13, 14), Do: "put-huge"}, {At: span(dice, 15, 16), Do: "kill-holder", Target: playbill.BookTag, For: 2 * time.Second}}
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -437,6 +437,9 @@
 		Layouts []KeptLayout
 		Seen    []string
 	}
+	SeenState struct {
+		Addresses []string
+	}
 	UsageHeld struct {
 		Lives []UsageLife
 	}
@@ -521,7 +524,7 @@
 		BookPut{}, BookGet{}, BookTold{}, SheetSettled{}, BookRead{}, BookReadTold{}, BookPull{}, BookView{}, BookAdopt{}, BookSettle{}, BookSettled{},
 		NewsAsk{}, NewsTold{},
 		Carry{}, Verdict{}, VerdictAsk{}, Withdraw{}, Hello{}, RosterSlice{}, Registration{},
-		SeatState{}, Vote{}, CallboardState{}, BookState{}, UsageTold{}, UsageHeld{}, UsageSealed{}, UsageReported{},
+		SeatState{}, Vote{}, CallboardState{}, BookState{}, UsageTold{}, UsageHeld{}, SeenState{}, UsageSealed{}, UsageReported{},
 	} {
 		enrol(byte(index+1), sample)
 	}
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -5,8 +5,9 @@
 package usher
 
 import (
+	"maps"
 	"reflect"
-	"sort"
+	"slices"
 	"time"
 
 	"beaconvane/internal/blocking"
@@ -150,7 +151,7 @@
 func (m *Machine) beat(s *cue.Stage) {
 	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.life, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
 		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks()}
-	for _, key := range sortedKeys(m.locals) {
+	for _, key := range slices.Sorted(maps.Keys(m.locals)) {
 		held := m.locals[key]
 		age := s.Now - held.announcedAt
 		if age > m.config.BeatBound()*2 {
@@ -159,7 +160,7 @@
 		}
 		batch.Beats = append(batch.Beats, script.Beat{Registration: held.registration, Age: int64(age), Probed: held.probed})
 	}
-	for _, key := range sortedKeys(m.ends) {
+	for _, key := range slices.Sorted(maps.Keys(m.ends)) {
 		if s.Now-m.ends[key].at > m.config.BeatBound()*2 {
 			delete(m.ends, key)
 			continue
@@ -271,6 +272,8 @@
 				s.Send(callboard.Address, told)
 			}
 		}
+	case cue.WireBroke:
+		m.chorus.WireBroke(s, asked.Address)
 	case ReadSealed:
 		s.Reply(ticket, m.SealedBelow())
 	case ReadStatus:
@@ -310,12 +313,3 @@
 
 // Synced never comes: nothing is written.
 func (m *Machine) Synced(*cue.Stage, int64, error) {}
-
-func sortedKeys[V any](set map[string]V) []string {
-	keys := make([]string, 0, len(set))
-	for key := range set {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -36,8 +36,12 @@
 	lock      sync.Mutex
 	wires     map[string]*Wire
 	inWires   map[net.Conn]bool
+	broke     func(address string)
 }
 
+// OnBroke is told of control wires that ended.
+func (w *Wings) OnBroke(broke func(address string)) { w.broke = broke }
+
 // New binds the address on TCP and UDP.
 func New(members *crew.Crew, address string, frameCap int64, pending int, dialLimit time.Duration, inbound Inbound) (*Wings, error) {
 	listener, err := net.Listen("tcp", address)
@@ -135,7 +139,7 @@
 	w.lock.Lock()
 	wire := w.wires[to]
 	if wire == nil || wire.Broken() {
-		wire = w.open(to, func(any) {})
+		wire = w.open(to, func(any) {}, w.broke)
 		w.wires[to] = wire
 	}
 	w.lock.Unlock()
@@ -143,14 +147,19 @@
 }
 
 // Open makes a wire of its own for traffic; heard gets what comes back.
-func (w *Wings) Open(to string, heard func(message any)) *Wire { return w.open(to, heard) }
+func (w *Wings) Open(to string, heard func(message any)) *Wire { return w.open(to, heard, nil) }
 
-func (w *Wings) open(to string, heard func(message any)) *Wire {
+func (w *Wings) open(to string, heard func(message any), broke func(address string)) *Wire {
 	wire := newWire(w, nil, to)
 	_ = wire.Post(script.Hello{Address: w.address})
 	w.crew.Go("wings.dial", func(ctx context.Context) {
 		dialer := net.Dialer{Timeout: w.dialLimit}
 		conn, err := dialer.DialContext(ctx, "tcp", to)
+		defer func() {
+			if broke != nil && ctx.Err() == nil {
+				broke(to)
+			}
+		}()
 		if err != nil {
 			wire.Close()
 			return
