A seat whose disk failed stops voting; relays in the status; a tour tried by hand

Cause: a failed sync barred new promises and candidacy, but the seat went on renewing old ones, against the rule that it stops voting and says so. Ruled out: restarting by itself on a failed disk; what is on it is unknown.

--- a/cmd/stagehand/main.go
+++ b/cmd/stagehand/main.go
@@ -58,7 +58,39 @@
 	root.Flags().Uint64Var(&seed, "seed", seed, "seed of the load")
 	root.Flags().Float64Var(&slack, "slack", 1, "stretch the bounds in time, for busy machines")
 	root.Flags().BoolVar(&keep, "keep", false, "keep the folder")
+	root.AddCommand(lay())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
 }
+
+// lay writes the settings of a fleet and says how to start it by hand.
+func lay() *cobra.Command {
+	name, folder := "small", "run"
+	command := &cobra.Command{Use: "lay", Short: "write the settings and a sheet of a fleet, to be started by hand", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			deployment, known := repertoire.Named(name)
+			if !known {
+				return fmt.Errorf("no deployment %q", name)
+			}
+			if err := os.MkdirAll(folder, 0o700); err != nil {
+				return err
+			}
+			fleet, err := stagehand.New(deployment, "bin", folder)
+			if err != nil {
+				return err
+			}
+			defer fleet.StopAll()
+			if err := os.WriteFile(folder+"/sheet.json", deployment.Sheet(deployment.Tenants(), 0), 0o600); err != nil {
+				return err
+			}
+			for _, process := range fleet.Processes {
+				fmt.Printf("./bin/%s --config %s 2>> %s/%s-%s.log &\n", process.Role, process.Config(), folder, process.Role, process.Node)
+			}
+			fmt.Printf("CALLBOARD=%s USHER=%s OTHER=%s\n", fleet.Of("callboard")[0].Outside, fleet.Of("usher")[0].Outside, fleet.Of("usher")[1].Outside)
+			return nil
+		}}
+	command.Flags().StringVar(&name, "deployment", name, "small, umuyoboro or jendela")
+	command.Flags().StringVar(&folder, "folder", folder, "where to write")
+	return command
+}
--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -289,9 +289,13 @@
 		age, _ := m.chorus.Age(chorus.SheetTopic(sheet), s.Now)
 		sheets[sheet] = map[string]any{"version": version, "bytes": len(body), "known": known, "age_ms": age.Milliseconds()}
 	}
+	relays := map[string]any{}
+	for name, seen := range m.ushers {
+		relays[name] = map[string]any{"path": seen.batch.Path, "ready": seen.batch.Ready, "heard_ms": (s.Now - seen.at).Milliseconds()}
+	}
 	parent, path, moves := m.chorus.Parent()
 	return answerJSON(notice.OK, map[string]any{"node": m.config.Node, "seat": m.config.Seat, "standing": m.seating.Standing(), "shut_out": m.seating.ShutOut,
-		"members": members, "tenures": tenures, "slices": slices, "sheets": sheets,
+		"members": members, "relays": relays, "tenures": tenures, "slices": slices, "sheets": sheets,
 		"news": map[string]any{"from": parent, "path": path, "moves": moves}, "usage": map[string]any{"reported": m.usage.reported}})
 }
 
--- a/internal/casting/seating.go
+++ b/internal/casting/seating.go
@@ -25,6 +25,7 @@
 type Host interface {
 	Persist(s *cue.Stage, record any, then wardrobe.Then)
 	CompactNow(s *cue.Stage, then wardrobe.Then)
+	Failure() error
 	Peers() []script.Member
 	StateForGrant() []byte
 	AbsorbGrants(s *cue.Stage, states [][]byte)
@@ -61,8 +62,10 @@
 		pledged: len(state.Pledge) > 0}
 }
 
-// Standing says that this seat may vote.
-func (g *Seating) Standing() bool { return g.State.Standing && !g.ShutOut && !g.writing }
+// Standing says that this seat may vote; one whose disk has failed may not.
+func (g *Seating) Standing() bool {
+	return g.State.Standing && !g.ShutOut && !g.writing && g.host.Failure() == nil
+}
 
 // Holds checks an identity against the roll, now.
 func (g *Seating) Holds(seat, identity string) bool {
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -167,6 +167,17 @@
 			slowNode.slow = was * 10
 			w.after(step.For, func() { slowNode.slow = was })
 		}
+	case "disk-fails":
+		// Every sync fails until the machine is restarted with a disk that works.
+		for _, node := range nodes {
+			node.disk.fail = true
+		}
+		w.after(step.For, func() {
+			for _, node := range nodes {
+				node.disk.fail = false
+			}
+			w.restart(nodes, false, 500*time.Millisecond)
+		})
 	case "herd":
 		for index, node := range w.of(script.RoleUsher) {
 			if index%2 == 0 {
@@ -578,6 +589,10 @@
 		}
 		return append(plan, Step{At: span(dice, 31, 32), Do: "kill-all", For: span(dice, 0.3, 2)})
 	},
+	"disk-fails": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 9, 10), Do: "disk-fails", Target: seat(dice), For: span(dice, 4, 9)}, {At: span(dice, 11, 12), Do: "put"},
+			{At: span(dice, 13, 14), Do: "withdraw"}, {At: span(dice, 21, 22), Do: "put"}}
+	},
 	"slow-disks": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		return []Step{{At: span(dice, 9, 10), Do: "slow-disk", Target: seat(dice), For: 12 * time.Second}, {At: span(dice, 11, 12), Do: "put"},
 			{At: span(dice, 13, 14), Do: "put-huge"}, {At: span(dice, 15, 16), Do: "kill-holder", Target: playbill.BookTag, For: 2 * time.Second}}
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -217,6 +217,7 @@
 		Beats []Beat
 		Ends  []SignOff
 		Marks []Mark
+		Path  []string // the way the news takes to this usher
 	}
 	UsageTold struct {
 		Usher  string
--- a/internal/stagehand/fleet.go
+++ b/internal/stagehand/fleet.go
@@ -40,6 +40,9 @@
 	ended   chan struct{}
 }
 
+// Config is the path of its settings.
+func (p *Process) Config() string { return p.config }
+
 // Fleet is a running deployment.
 type Fleet struct {
 	Deployment repertoire.Deployment
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -150,7 +150,10 @@
 
 func (m *Machine) beat(s *cue.Stage) {
 	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.life, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
-		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks()}
+		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks(), Path: []string{}}
+	if _, path, _ := m.chorus.Parent(); path != nil {
+		batch.Path = path
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.locals)) {
 		held := m.locals[key]
 		age := s.Now - held.announcedAt
