--- a/internal/critic/critic.go
+++ b/internal/critic/critic.go
@@ -105,6 +105,7 @@
 	Forced   []Force
 	Up       []Span // nodes alive and connected to the core, by name
 	Held     []Span // machines frozen or cut off, by name
+	Stopped  []Span // polite stops of ushers, from the signal to the exit
 	Untold   []Span // stretches whose counts died with an usher that was cut off
 	Leaving  []Leaving
 	Reported []Reported
@@ -196,6 +197,7 @@
 	review.retries(record, runs)
 	review.usage(record)
 	review.keepers(record)
+	review.stops(record)
 	review.acts(record)
 	return review
 }
@@ -485,6 +487,18 @@
 	}
 }
 
+// stops: a polite stop drops no query that was sent before the signal.
+func (r *Review) stops(record Record) {
+	for _, stop := range record.Stopped {
+		r.Seen["polite stops"]++
+		for _, query := range record.Asked {
+			if query.Usher == stop.Name && query.Wire && query.Sent < stop.From && stop.From-query.Sent < 10*time.Second && query.Done == 0 {
+				r.add("dropped", "%s, sent %s before %s was stopped, was never answered", query.ID, stop.From-query.Sent, stop.Name)
+			}
+		}
+	}
+}
+
 // acts: once a keeper of a higher epoch has acted, no lower one does.
 func (r *Review) acts(record Record) {
 	highest := map[string]int64{}
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -63,6 +63,8 @@
 	spanAt  time.Duration
 
 	frozenAt time.Duration
+	inside   int  // callers' queries not answered yet
+	deaf     bool // takes no new queries: its listener is closed
 	spanOn   bool
 }
 
@@ -127,6 +129,7 @@
 	}
 	n.life++
 	n.up, n.frozen, n.bootAt, n.inbox, n.diskAt, n.underway = true, false, n.world.now, nil, 0, nil
+	n.inside, n.deaf = 0, false
 	n.stage = cue.NewStage(n.world.dice.Uint64())
 	n.replies = map[int64]func(any){}
 	self := script.Member{Name: n.name, Role: n.role, Seat: n.config.Seat, District: n.config.District, Address: n.config.Address,
@@ -313,6 +316,50 @@
 	n.run(n.life, func() { n.apply(cue.Asked{Ticket: ticket, Question: question}) })
 }
 
+// stop ends the process politely, as marquee does on a signal: the others are told,
+// what has not started is refused, the rest is finished, then it ends.
+func (n *Node) stop(down time.Duration) {
+	if !n.up || n.frozen {
+		return
+	}
+	life, began := n.life, n.world.now
+	n.world.mark("stop %s", n.name)
+	n.closeSpan()
+	restart := func() {
+		if n.up && n.life == life {
+			if n.role == script.RoleUsher {
+				n.world.record.Stopped = append(n.world.record.Stopped, critic.Span{Name: n.machine, From: began, To: n.world.now})
+			}
+			n.kill(false)
+			n.world.after(down, n.boot)
+		}
+	}
+	switch n.role {
+	case script.RoleUsher:
+		n.apply(cue.Asked{Question: usher.Stop{}})
+		n.desk.Leave()
+		var wait func()
+		wait = func() {
+			running, pending := n.room.Running()
+			if n.up && n.life == life && (n.inside > 0 || running+pending > 0) && n.world.now-began < n.config.Grace() {
+				n.world.after(n.config.TickEvery(), wait)
+				return
+			}
+			n.world.after(n.config.TickEvery(), restart)
+		}
+		n.world.after(n.config.NewsEvery(), func() {
+			n.deaf = true
+			wait()
+		})
+	case script.RoleCallboard:
+		n.ask(callboard.Stop{}, func(any) {})
+		n.world.after(n.config.NewsEvery(), restart)
+	default:
+		n.ask(promptbook.Stop{}, func(any) {})
+		n.world.after(n.config.NewsEvery(), restart)
+	}
+}
+
 // kill ends the process hard; its disk forgets what was not synced.
 func (n *Node) kill(loseDisk bool) {
 	if !n.up {
--- a/internal/rehearsal/people.go
+++ b/internal/rehearsal/people.go
@@ -328,7 +328,7 @@
 	asked := &critic.Asked{ID: id, Usher: chosenUsher.machine, Route: kind.Route, Service: kind.Service, Tenant: tenant.Name, Key: tenant.Key,
 		Caller: kind.Caller, Once: kind.Once, Intended: w.now, Sent: w.now, Wire: true}
 	w.asked = append(w.asked, asked)
-	if !chosenUsher.up {
+	if !chosenUsher.up || chosenUsher.deaf {
 		asked.Done = w.now
 		return
 	}
@@ -341,11 +341,13 @@
 		query := &foyer.Query{ID: id + "@" + chosenUsher.machine, Method: kind.Method, RawPath: kind.Path, Header: header, Body: []byte{},
 			Deadline: chosenUsher.Now() + chosenUsher.config.QueryLimit()}
 		sentLife := life
+		chosenUsher.inside++
 		going := chosenUsher.desk.Arrive(query, func(final *foyer.Final) {
 			w.after(100*time.Microsecond, func() {
 				if !chosenUsher.up || chosenUsher.life != sentLife {
 					return
 				}
+				chosenUsher.inside--
 				asked.Wire, asked.Done, asked.Status, asked.Body = false, w.now, final.Status, string(final.Body)
 				asked.Code, asked.Retry = int(final.Code), final.RetryAfter > 0
 			})
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -131,6 +131,10 @@
 	switch step.Do {
 	case "kill":
 		w.restart(nodes, false, step.For)
+	case "stop":
+		for _, node := range nodes {
+			node.stop(step.For)
+		}
 	case "kill-disk":
 		w.restart(nodes, true, step.For)
 	case "kill-holder":
@@ -513,6 +517,16 @@
 		}
 		return plan
 	},
+	"stopped-in-turn": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		plan := []Step{}
+		for index, seat := range repertoire.Seats {
+			plan = append(plan, Step{At: time.Duration(10+index*5) * time.Second, Do: "stop", Target: seat, For: span(dice, 0.3, 2)})
+		}
+		for number := range d.Ushers {
+			plan = append(plan, Step{At: time.Duration(10000+number*1200) * time.Millisecond, Do: "stop", Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.3, 1)})
+		}
+		return append(plan, Step{At: span(dice, 12, 20), Do: "put"})
+	},
 	"core-cut": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		kinds := []string{"cut-core", "cut-core-one-way", "halve"}
 		return []Step{{At: span(dice, 10, 12), Do: kinds[dice.IntN(3)], Target: seat(dice), For: span(dice, 1, 6)}, {At: span(dice, 13, 15), Do: "put"},
