The home's decisions and the window that remains are tested; fewer slices on request

It is now caused: a process that vanished with its wires open, the heir listening, one query reaches it; with the guard's end none does. The setting slices limits a usher's subscriptions. Ruled out: closing the window by probing (the heir answers probes as well).

--- /dev/null
+++ b/internal/greenroom/greenroom_test.go
@@ -0,0 +1,141 @@
+// Decisions of the home: slots, drains, ends, verdicts kept and barred.
+package greenroom
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/crew"
+	"beaconvane/internal/notice"
+	"beaconvane/internal/playbill"
+	"beaconvane/internal/script"
+)
+
+func told(instance, address string, incarnation int64) Announcement {
+	return Announcement{Service: "pay", Instance: instance, Incarnation: incarnation, Address: address, District: "d", Slots: 2}
+}
+
+func carryOf(id, instance string, incarnation int64) script.Carry {
+	return script.Carry{ID: id, Service: "pay", Instance: instance, Incarnation: incarnation, Remaining: int64(4 * time.Second)}
+}
+
+func home(c *qt.C) *Greenroom {
+	room := New(playbill.Default(), func(script.Carry) notice.Code { return notice.OK })
+	accepted, _, _ := room.Announce(0, told("one", "a:1", 5))
+	c.Assert(accepted, qt.IsTrue)
+	return room
+}
+
+func codes(orders []Order) []notice.Code {
+	list := []notice.Code{}
+	for _, order := range orders {
+		if order.Start {
+			list = append(list, notice.OK)
+		} else {
+			list = append(list, order.Code)
+		}
+	}
+	return list
+}
+
+// Two slots, two waiting, the fifth refused; a slot that is freed starts the next; an
+// answer that was lost keeps its slot for a query's time.
+func TestSlots(t *testing.T) {
+	c := qt.New(t)
+	room := home(c)
+	started := []Order{}
+	for _, id := range []string{"a", "b"} {
+		orders := room.Carried(time.Second, carryOf(id, "one", 5))
+		c.Assert(codes(orders), qt.DeepEquals, []notice.Code{notice.OK})
+		started = append(started, orders...)
+	}
+	c.Assert(room.Carried(time.Second, carryOf("c", "one", 5)), qt.HasLen, 0)
+	c.Assert(room.Carried(time.Second, carryOf("d", "one", 5)), qt.HasLen, 0)
+	c.Assert(codes(room.Carried(time.Second, carryOf("e", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusySlotsFull})
+	_, next := room.Finish(time.Second, started[0], script.Verdict{Kind: script.StartedWhole})
+	c.Assert(codes(next), qt.DeepEquals, []notice.Code{notice.OK})
+	_, next = room.Finish(time.Second, started[1], script.Verdict{Kind: script.StartedNoWhole})
+	c.Assert(next, qt.HasLen, 0)
+	c.Assert(codes(room.Expire(4*time.Second)), qt.HasLen, 0)
+	c.Assert(codes(room.Expire(5*time.Second)), qt.DeepEquals, []notice.Code{notice.BusyDeadline})
+}
+
+// Leaving is at once and final for the incarnation; what waited was not started.
+func TestLeaving(t *testing.T) {
+	c := qt.New(t)
+	room := home(c)
+	for _, id := range []string{"a", "b", "c"} {
+		room.Carried(time.Second, carryOf(id, "one", 5))
+	}
+	gone := told("one", "a:1", 5)
+	gone.Leaving = true
+	_, _, orders := room.Announce(2*time.Second, gone)
+	c.Assert(codes(orders), qt.DeepEquals, []notice.Code{notice.BusyLeaving})
+	room.Announce(3*time.Second, told("one", "a:1", 5))
+	c.Assert(codes(room.Carried(3*time.Second, carryOf("d", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyLeaving})
+	room.Announce(4*time.Second, told("one", "a:1", 6))
+	c.Assert(codes(room.Carried(4*time.Second, carryOf("e", "one", 6))), qt.DeepEquals, []notice.Code{notice.OK})
+}
+
+// Another announcement from the address ends the old one; a break bars dials until a
+// newer beat; without a beat in its bound nothing is started.
+func TestBindings(t *testing.T) {
+	c := qt.New(t)
+	room := home(c)
+	target := Target{Key: "pay/one", Address: "a:1", Incarnation: 5}
+	c.Assert(room.Dialable(time.Second, target), qt.IsTrue)
+	c.Assert(room.Dialable(playbill.Default().BeatBound()+1, target), qt.IsFalse)
+	room.Broke(2*time.Second, target)
+	c.Assert(codes(room.Carried(2*time.Second, carryOf("a", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyUpstreamGone})
+	room.Announce(2*time.Second+1, told("one", "a:1", 5))
+	c.Assert(room.Dialable(2*time.Second+1, target), qt.IsTrue)
+	_, endings, _ := room.Announce(3*time.Second, told("two", "a:1", 1))
+	c.Assert(endings, qt.HasLen, 1)
+	c.Assert(room.Dialable(3*time.Second, target), qt.IsFalse)
+	c.Assert(codes(room.Carried(3*time.Second, carryOf("b", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyUpstreamGone})
+	accepted, _, _ := room.Announce(4*time.Second, told("two", "a:1", 0))
+	c.Assert(accepted, qt.IsFalse)
+}
+
+// A verdict is kept for the asker; an id never seen is barred from starting later.
+func TestVerdictsAreKept(t *testing.T) {
+	c := qt.New(t)
+	room := home(c)
+	orders := room.Carried(time.Second, carryOf("a", "one", 5))
+	c.Assert(room.Verdict(time.Second, "a").Kind, qt.Equals, script.StillRunning)
+	room.Finish(time.Second, orders[0], script.Verdict{Kind: script.StartedWhole, Status: 200, Body: []byte("x")})
+	c.Assert(string(room.Verdict(2*time.Second, "a").Body), qt.Equals, "x")
+	c.Assert(room.Verdict(2*time.Second, "b").Kind, qt.Equals, script.NotStarted)
+	c.Assert(codes(room.Carried(2*time.Second, carryOf("b", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyHomeLost})
+}
+
+// The window that remains, caused: a process that vanished without closing its wires,
+// and another one at its address before the beat bound is over, gets the query.
+func TestRemainingWindow(t *testing.T) {
+	c := qt.New(t)
+	members := crew.New()
+	defer members.Stop(0)
+	old := newScripted(c, members, "127.0.0.1:0", func(int64) string { return good })
+	b := newBench(c, members, old.listener.Addr().String())
+	old.listener.Close()
+	heir := newScripted(c, members, b.address, func(int64) string { return good })
+	c.Assert(b.ask(c, "a", http.MethodPost).Kind, qt.Equals, script.StartedWhole)
+	c.Assert(heir.reads.Load(), qt.Equals, int64(1))
+	// The guard's end closes the window.
+	b.caller.lock.Lock()
+	for _, guard := range b.caller.guards {
+		guard.conn.(*net.TCPConn).CloseRead()
+	}
+	for _, list := range b.caller.idle {
+		for _, wire := range list {
+			wire.conn.Close()
+		}
+	}
+	b.caller.lock.Unlock()
+	c.Assert(b.ask(c, "b", http.MethodPost).Kind, qt.Equals, script.NotStarted)
+	c.Assert(heir.reads.Load(), qt.Equals, int64(1))
+}
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -66,6 +66,7 @@
 	Seeds     []string          `json:"seeds"`
 	Data      string            `json:"data"`
 	Sheets    []string          `json:"sheets"`
+	Slices    []string          `json:"slices"` // a usher's: districts it takes upstreams from; default all
 	Collector string            `json:"collector"`
 	Active    map[string]string `json:"active"`
 	LogLevel  int64             `json:"log_level"`
@@ -219,6 +220,11 @@
 	if c.District != "" && len(c.Districts) > 0 && !slices.Contains(c.Districts, c.District) {
 		add(notice.ConfigBadValue, "district", "not among districts")
 	}
+	for _, slice := range c.Slices {
+		if !slices.Contains(c.Districts, slice) {
+			add(notice.ConfigBadValue, "slices", "not among districts: "+slice)
+		}
+	}
 	if len(c.Sheets) == 0 {
 		add(notice.ConfigMissing, "sheets", "want at least one")
 	}
@@ -283,6 +289,14 @@
 	return faults
 }
 
+// Subscribed lists the districts whose slices a usher follows.
+func (c Config) Subscribed() []string {
+	if len(c.Slices) == 0 {
+		return c.Districts
+	}
+	return c.Slices
+}
+
 func ms(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
 
 // The ratios. Each timer of the system is one of these.
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -105,7 +105,7 @@
 	for _, sheet := range config.Sheets {
 		m.chorus.Want(chorus.SheetTopic(sheet))
 	}
-	for _, district := range config.Districts {
+	for _, district := range config.Subscribed() {
 		m.chorus.Want(chorus.SliceTopic(district))
 	}
 	return m
@@ -197,7 +197,7 @@
 		view.Layouts = append(view.Layouts, layout)
 		view.FreshAt = min(view.FreshAt, freshAt)
 	}
-	for _, district := range m.config.Districts {
+	for _, district := range m.config.Subscribed() {
 		registrations, known := m.chorus.Slice(district)
 		freshAt, fresh := m.chorus.FreshAt(chorus.SliceTopic(district))
 		if !known || !fresh {
