--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -79,7 +79,8 @@
 	versions   int64
 	tenants    int // how many tenants the newest sheet has
 	operations []*bookOperation
-	readyAt    map[string]time.Duration
+	sent       map[int64]int // control messages by second
+	frameMax   int
 	broken     []string
 }
 
@@ -90,7 +91,7 @@
 func NewWorld(options Options) *World {
 	w := &World{options: options, dice: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
 		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
-		readyAt: map[string]time.Duration{}, loss: 0.002, delay: 300 * time.Microsecond}
+		sent: map[int64]int{}, loss: 0.002, delay: 300 * time.Microsecond}
 	w.record.Bounds = critic.BriefBounds(options.Deployment.Withdrawal)
 	w.record.Window, w.record.Epoch = time.Duration(playbill.Default().Bounds.UsageWindow)*time.Millisecond, epoch
 	w.record.Final = map[string]int64{}
@@ -175,6 +176,8 @@
 	if err != nil {
 		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
 	}
+	w.sent[int64(w.now/time.Second)]++
+	w.frameMax = max(w.frameMax, len(frame))
 	target, found := w.byAddress[to]
 	if !found {
 		return
@@ -257,6 +260,12 @@
 	review := critic.Check(w.record)
 	sound, count := w.linear()
 	review.Seen["book operations"] = count
+	for second, messages := range w.sent {
+		if second > 3 {
+			review.Worst["control-messages-a-second"] = max(review.Worst["control-messages-a-second"], float64(messages))
+		}
+	}
+	review.Worst["largest-frame-bytes"] = float64(w.frameMax)
 	if !sound {
 		review.Violations = append(review.Violations, critic.Violation{Rule: "book-order", Detail: fmt.Sprintf("%d puts and reads fit no order", count)})
 	}
