Usage counts are synced twice as often on slow disks

Cause: between two writes of counts a callboard waited four times the last write, so a kill of everything lost a quarter second of counts at Jendela's disks. It waits twice now. Ruled out: a shorter floor on fast disks; ten syncs a second are enough there.

--- a/internal/callboard/usage.go
+++ b/internal/callboard/usage.go
@@ -129,7 +129,7 @@
 	began := s.Now
 	u.m.Persist(s, record, func(s *cue.Stage, _ error) {
 		u.saving = false
-		u.saveAt = s.Now + max(u.m.config.NewsEvery()/2, (s.Now-began)*4)
+		u.saveAt = s.Now + max(u.m.config.NewsEvery()/2, (s.Now-began)*2)
 	})
 }
 
