--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -62,10 +62,11 @@
 	born    time.Duration
 	spanAt  time.Duration
 
-	frozenAt time.Duration
-	inside   int  // callers' queries not answered yet
-	deaf     bool // takes no new queries: its listener is closed
-	spanOn   bool
+	frozenAt  time.Duration
+	slowUntil time.Duration
+	inside    int  // callers' queries not answered yet
+	deaf      bool // takes no new queries: its listener is closed
+	spanOn    bool
 }
 
 func (w *World) build() {
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -167,9 +167,14 @@
 		w.cutBetween(left, right, true, step.For)
 	case "slow-disk":
 		for _, node := range nodes {
-			slowNode, was := node, node.slow
-			slowNode.slow = was * 10
-			w.after(step.For, func() { slowNode.slow = was })
+			slowNode, usual := node, w.options.Deployment.DiskDelay
+			slowNode.slow = usual * 10
+			slowNode.slowUntil = max(slowNode.slowUntil, w.now+step.For)
+			w.after(step.For, func() {
+				if w.now >= slowNode.slowUntil {
+					slowNode.slow = usual
+				}
+			})
 		}
 	case "disk-fails":
 		// Every sync fails until the machine is restarted with a disk that works.
