The book always fits a frame: with large versions a replaced seat could not read it

Cause: up to four times the sheet limit was kept of each sheet, while a seat is told the whole book in one frame; past that no grant and no view could be sent, and a seat that lost its disk would never have stood again. What is kept of all sheets together now fits half a frame, and settings whose current sheets could not fit are refused. Ruled out: views in parts between promptbooks; the cap costs only old versions.

--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -275,6 +275,9 @@
 	if c.Limits.Frame > 0 && (c.Limits.Frame < c.Limits.Body+65536 || c.Limits.Frame < c.Limits.Answer+65536 || c.Limits.Frame < c.Limits.Layout+65536) {
 		add(notice.ConfigBoundsClash, "limits.frame_bytes", "must hold a body, an answer or a layout and 64 KiB more")
 	}
+	if c.Limits.Frame < int64(len(c.Sheets)+1)*(c.Limits.Layout+65536) {
+		add(notice.ConfigBoundsClash, "limits.frame_bytes", "must hold the largest layout of every sheet and one more")
+	}
 	sound := len(faults) == 0 // ratios of broken bounds would only confuse
 	clash := func(wrong bool, path, text string) {
 		if wrong && sound {
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -139,14 +139,16 @@
 	}
 }
 
-// keep adds a version and drops the oldest over the limits, alike on every seat.
+// keep adds a version and drops the sheet's oldest over the limits, alike on every
+// seat. The whole book must fit a frame, since a seat is told it in one.
 func (m *Machine) keep(layout script.KeptLayout) {
-	list := append(m.layouts[layout.Sheet], layout)
+	m.layouts[layout.Sheet] = append(m.layouts[layout.Sheet], layout)
 	total := int64(0)
-	for _, held := range list {
+	for _, held := range m.all() {
 		total += int64(len(held.Body))
 	}
-	for int64(len(list)) > m.config.Limits.KeptLayouts || total > m.config.Limits.Layout*4 && len(list) > 1 {
+	list := m.layouts[layout.Sheet]
+	for int64(len(list)) > m.config.Limits.KeptLayouts || total > m.config.Limits.Frame/2 && len(list) > 1 {
 		total -= int64(len(list[0].Body))
 		list = list[1:]
 	}
