A dial that failed spoke for queries sent on an earlier wire: one ran twice

Cause: when a wire to a home broke and a new one to it could not be made, the end of the second was sometimes told of first; it settled all queries out to that home as not started, those sent on the first wire included, and a retry ran one a second time. Each attempt now remembers its wire, and a wire's end settles only what went out on it. Ruled out: the caller's HTTP library (its body can't be rewound, the id came once), the home's kept verdicts (its process was gone). Beside it: the fleet runner excuses answers over machines that it froze itself.

--- a/internal/foyer/desk.go
+++ b/internal/foyer/desk.go
@@ -54,8 +54,8 @@
 	Query   *Query
 	lock    sync.Mutex
 	carried string // id of the attempt that is out
-	home    string
-	judging bool // a verdict is in; the answer or the next attempt is on its way
+	wire    Wire   // the one that the attempt went out on
+	judging bool   // a verdict is in; the answer or the next attempt is on its way
 	over    bool
 	done    func(final *Final)
 }
@@ -71,6 +71,13 @@
 	return true
 }
 
+// on says that the attempt which is out went on a certain wire.
+func (t *Trip) on(wire Wire) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.wire == wire
+}
+
 // Judged is a verdict on its way to the judge stage.
 type Judged struct {
 	Trip    *Trip
@@ -137,44 +144,53 @@
 func (d *Desk) carry(going *Trip) {
 	query := going.Query
 	frame := d.foyer.Carry(d.back.Now(), query, d.node, strconv.Itoa(query.Attempts))
+	wire := d.wireTo(query.Target.HomeAddress)
 	going.lock.Lock()
 	if going.over {
 		going.lock.Unlock()
 		d.foyer.Release(query)
 		return
 	}
-	going.carried, going.home, going.judging = frame.ID, query.Target.HomeAddress, false
+	going.carried, going.wire, going.judging = frame.ID, wire, false
 	going.lock.Unlock()
 	d.lock.Lock()
 	d.waiting[frame.ID] = going
 	d.lock.Unlock()
-	if err := d.post(query.Target.HomeAddress, frame); err != nil {
+	if wire == nil {
+		d.local(frame)
+	} else if err := wire.Post(frame); err != nil {
 		d.verdict(script.Verdict{ID: frame.ID, Kind: script.NotStarted, Code: int64(notice.BusyHomeLost)})
 	}
 }
 
-func (d *Desk) post(home string, message any) error {
+// local passes a frame to this usher's own greenroom.
+func (d *Desk) local(message any) {
+	d.Inbound(message, func(reply any) error { d.heard(reply); return nil })
+}
+
+// wireTo gives the wire to a home, opened anew where it broke; nil for this usher.
+func (d *Desk) wireTo(home string) Wire {
 	if home == d.address {
-		d.Inbound(message, func(reply any) error { d.heard(reply); return nil })
 		return nil
 	}
 	d.lock.Lock()
+	defer d.lock.Unlock()
 	wire := d.wires[home]
 	if wire == nil || wire.Broken() {
 		wire = d.back.Open(home, d.heard, func(broken Wire) { d.lost(home, broken) })
 		d.wires[home] = wire
 	}
-	d.lock.Unlock()
-	return wire.Post(message)
+	return wire
 }
 
-// lost settles what was out on a wire that broke.
+// lost settles what was out on a wire that broke: on that one alone, since another
+// wire to the same home says nothing of what this one carried.
 func (d *Desk) lost(home string, wire Wire) {
 	d.lock.Lock()
 	out := map[string]*Trip{}
 	ids := []string{}
 	for id, going := range d.waiting {
-		if going.home == home {
+		if going.on(wire) {
 			out[id] = going
 			ids = append(ids, id)
 		}
@@ -256,14 +272,18 @@
 		return false
 	}
 	going.over = true
-	carried, home := going.carried, going.home
+	carried, wire := going.carried, going.wire
 	going.lock.Unlock()
 	if carried != "" {
 		d.lock.Lock()
 		delete(d.waiting, carried)
 		d.lock.Unlock()
 		d.foyer.Release(going.Query)
-		d.post(home, script.Withdraw{ID: carried})
+		if withdraw := (script.Withdraw{ID: carried}); wire != nil {
+			wire.Post(withdraw)
+		} else {
+			d.local(withdraw)
+		}
 	}
 	final := d.foyer.Abandon(going.Query, carried != "", notice.BusyDeadline)
 	d.foyer.Count(time.Duration(d.back.Wall().UnixNano()), going.Query, final)
--- a/internal/stagehand/fleet.go
+++ b/internal/stagehand/fleet.go
@@ -38,6 +38,8 @@
 	log     string
 	command *exec.Cmd
 	ended   chan struct{}
+
+	frozenAt time.Duration
 }
 
 // Config is the path of its settings.
@@ -63,6 +65,7 @@
 	watched   map[string]time.Duration
 	spans     []critic.Span
 	answers   map[string]int
+	held      []critic.Span
 }
 
 // freePorts finds ports for a loopback address by binding and letting go.
@@ -191,6 +194,17 @@
 // Signal sends a signal to a process this fleet started.
 func (f *Fleet) Signal(process *Process, signal syscall.Signal) {
 	f.unwatch(process)
+	f.lock.Lock()
+	switch signal {
+	case syscall.SIGSTOP:
+		process.frozenAt = f.since()
+	case syscall.SIGCONT:
+		if process.frozenAt > 0 {
+			f.held = append(f.held, critic.Span{Name: process.Outside, From: process.frozenAt, To: f.since()})
+		}
+		process.frozenAt = 0
+	}
+	f.lock.Unlock()
 	select {
 	case <-process.ended:
 	default:
@@ -370,7 +384,7 @@
 		f.unwatch(process)
 	}
 	f.lock.Lock()
-	record.Up = f.spans
+	record.Up, record.Held = f.spans, f.held
 	record.Puts, record.Reported, record.Leaving = f.puts, f.reported, f.leaving
 	f.lock.Unlock()
 	for _, process := range f.Processes {
--- a/internal/understudy/understudy.go
+++ b/internal/understudy/understudy.go
@@ -52,6 +52,7 @@
 	listener net.Listener
 	client   *http.Client
 	cancel   context.CancelFunc
+	home     string // the usher that took the last announcement
 }
 
 // Start listens (Told.Address may have port 0) and begins to announce.
@@ -145,6 +146,9 @@
 		io.Copy(io.Discard, response.Body)
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNotFound {
+			u.lock.Lock()
+			u.home = usher
+			u.lock.Unlock()
 			return
 		}
 	}
@@ -172,7 +176,7 @@
 	u.lock.Lock()
 	faults, work := u.faults, u.Work
 	ran := critic.Ran{ID: in.Header.Get(IDHeader), Service: u.Told.Service, Instance: u.Told.Instance, Address: u.Told.Address, Path: in.URL.Path,
-		Tenant: in.Header.Get(greenroom.TenantHeader), Caller: in.Header.Get(greenroom.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since(), Life: u.Told.Incarnation}
+		Tenant: in.Header.Get(greenroom.TenantHeader), Caller: in.Header.Get(greenroom.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since(), Life: u.Told.Incarnation, Home: u.home}
 	index := len(u.runs)
 	u.runs = append(u.runs, ran)
 	u.running++
