A home that stood still gives no slots before it hears a beat again

Cause: while a usher was frozen its upstream announced itself to another; on waking, the old home started what had waited with it, and both together passed the announced slots. Ruled out: ghosts of timed-out queries (counted, and within the slots).

--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -99,6 +99,7 @@
 	order     []string
 	passes    map[string]Pass
 	leaving   bool
+	sweptAt   time.Duration
 }
 
 // New makes a greenroom.
@@ -247,6 +248,8 @@
 	switch {
 	case g.leaving:
 		return notice.BusyLeaving
+	case g.heldUp(now):
+		return notice.BusyUpstreamGone
 	case !known || held.announcement.Incarnation != carry.Incarnation:
 		return notice.BusyUpstreamGone
 	case now-held.announcedAt > g.config.BeatBound():
@@ -263,6 +266,12 @@
 	return g.allows(carry)
 }
 
+// heldUp: this process stood still, so its upstreams may have found another home
+// meanwhile, and their slots are no longer this one's to give.
+func (g *Greenroom) heldUp(now time.Duration) bool {
+	return g.sweptAt > 0 && now-g.sweptAt > g.config.BeatBound()/6
+}
+
 // fill starts pending queries while slots are free.
 func (g *Greenroom) fill(now time.Duration, held *upstream) []Order {
 	orders := []Order{}
@@ -415,8 +424,13 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	orders := []Order{}
+	stood := g.heldUp(now)
+	g.sweptAt = now
 	for _, key := range g.keys() {
 		held := g.upstreams[key]
+		if stood {
+			held.broken, held.brokenAt = true, now
+		}
 		rest := []waiting{}
 		for _, item := range held.pending {
 			if now >= item.until {
--- a/internal/greenroom/greenroom_test.go
+++ b/internal/greenroom/greenroom_test.go
@@ -101,6 +101,19 @@
 	c.Assert(accepted, qt.IsFalse)
 }
 
+// A home that stood still gives no slot before it has heard a beat again.
+func TestHeldUpHomeWaitsForABeat(t *testing.T) {
+	c := qt.New(t)
+	room := home(c)
+	room.Expire(time.Second)
+	c.Assert(codes(room.Carried(time.Second, carryOf("a", "one", 5))), qt.DeepEquals, []notice.Code{notice.OK})
+	c.Assert(codes(room.Carried(2*time.Second, carryOf("b", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyUpstreamGone})
+	room.Expire(2 * time.Second)
+	c.Assert(codes(room.Carried(2*time.Second, carryOf("c", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyUpstreamGone})
+	room.Announce(2*time.Second+1, told("one", "a:1", 5))
+	c.Assert(codes(room.Carried(2*time.Second+1, carryOf("d", "one", 5))), qt.DeepEquals, []notice.Code{notice.OK})
+}
+
 // A verdict is kept for the asker; an id never seen is barred from starting later.
 func TestVerdictsAreKept(t *testing.T) {
 	c := qt.New(t)
