--- a/internal/greenroom/calling.go
+++ b/internal/greenroom/calling.go
@@ -148,19 +148,17 @@
 
 // guarded looks at the guard; a broken one bars dials until a newer beat.
 func (c *Caller) guarded(target Target) bool {
-	key := bare(target)
 	c.lock.Lock()
-	guard := c.guards[key]
-	stands := guard != nil && quiet(guard)
-	if guard != nil && !stands {
-		delete(c.guards, key)
-	}
-	c.lock.Unlock()
-	if guard != nil && !stands {
-		guard.conn.Close()
-		c.room.Broke(c.crew.Now(), target)
-	}
-	return stands
+	defer c.lock.Unlock()
+	key := bare(target)
+	guard, known := c.guards[key]
+	if !known || quiet(guard) {
+		return known
+	}
+	guard.conn.Close()
+	delete(c.guards, key)
+	c.room.Broke(c.crew.Now(), target)
+	return false
 }
 
 func (c *Caller) takeIdle(target Target) *heldWire {
@@ -212,23 +210,18 @@
 // Sweep closes wires that idled too long or whose target has ended, and looks at
 // every guard.
 func (c *Caller) Sweep() {
-	now := c.crew.Now()
 	c.lock.Lock()
-	targets := make([]Target, 0, len(c.guards))
-	for target := range c.guards {
-		targets = append(targets, target)
-	}
-	c.lock.Unlock()
-	for _, target := range targets {
-		if c.guarded(target) && !c.room.Here(target) {
-			c.lock.Lock()
-			c.guards[target].conn.Close()
+	defer c.lock.Unlock()
+	now := c.crew.Now()
+	for target, guard := range c.guards {
+		if stands := quiet(guard); !stands || !c.room.Here(target) {
+			guard.conn.Close()
 			delete(c.guards, target)
-			c.lock.Unlock()
+			if !stands {
+				c.room.Broke(now, target)
+			}
 		}
 	}
-	c.lock.Lock()
-	defer c.lock.Unlock()
 	for target, list := range c.idle {
 		kept := list[:0]
 		for _, wire := range list {
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -312,21 +312,26 @@
 	g.verdicts[id] = verdict
 }
 
+// bound gives the upstream that a target still names, as it was.
+func (g *Greenroom) bound(target Target) (*upstream, bool) {
+	held, known := g.upstreams[target.Key]
+	return held, known && held.announcement.Incarnation == target.Incarnation && held.announcement.Address == target.Address
+}
+
 // Dialable says, right before a dial, whether the target is still what it was.
 func (g *Greenroom) Dialable(now time.Duration, target Target) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	held, known := g.upstreams[target.Key]
-	return known && held.announcement.Incarnation == target.Incarnation && held.announcement.Address == target.Address &&
-		!held.broken && now-held.announcedAt <= g.config.BeatBound()
+	held, same := g.bound(target)
+	return same && !held.broken && now-held.announcedAt <= g.config.BeatBound()
 }
 
 // Here says that the target is still registered as it was.
 func (g *Greenroom) Here(target Target) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	held, known := g.upstreams[target.Key]
-	return known && held.announcement.Incarnation == target.Incarnation && held.announcement.Address == target.Address
+	_, same := g.bound(target)
+	return same
 }
 
 // Broke notes a refused, reset or closed wire: no dial until a newer beat.
