A second reading: state kept twice and checks written twice are one piece each

Cause: read as a reviewer would. The promptbook kept a copy of its clock for the relays, which went stale after a write; the relays now pass the time they have. The seat's maps are made in one place, a grant's votes (always empty, they ride in its state) are gone, an usher's beat no longer builds a whole view for one bit, the question whether a window still needs counts is asked in one place, remembered addresses are taken in one way. Ruled out: any change of behaviour.

--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -8,6 +8,7 @@
 package callboard
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 	"beaconvane/internal/chorus"
 	"beaconvane/internal/company"
 	"beaconvane/internal/cue"
+	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
 	"beaconvane/internal/script"
 )
@@ -136,7 +138,7 @@
 }
 
 func corrupt(err error) error {
-	return wrapCorrupt(err)
+	return notice.Wrap("callboard.restore", notice.DiskCorrupt, fmt.Errorf("unreadable record: %v", err))
 }
 
 func tagOf(topic string) string {
@@ -153,7 +155,6 @@
 		slice := m.slices[district]
 		state.Slices = append(state.Slices, script.RosterView{Tag: district, Mark: slice.Mark, Registrations: slice.List()})
 	}
-	fillSeat(&state.Seat)
 	body, err := script.Encode(state)
 	if err != nil {
 		panic("callboard: view: " + err.Error())
@@ -161,15 +162,6 @@
 	return body
 }
 
-func fillSeat(state *script.SeatState) {
-	if state.Roll == nil {
-		state.Roll = map[string]string{}
-	}
-	if state.Pledge == nil {
-		state.Pledge = map[string]string{}
-	}
-}
-
 // StateForGrant and AbsorbGrants, with the core's methods, make it a casting.Host.
 func (m *Machine) StateForGrant() []byte { return m.view() }
 
--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -7,7 +7,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -58,10 +57,6 @@
 	return answerJSON(code, map[string]any{"code": int(code), "result": code.String(), "detail": detail})
 }
 
-func wrapCorrupt(err error) error {
-	return notice.Wrap("callboard.restore", notice.DiskCorrupt, fmt.Errorf("unreadable record: %v", err))
-}
-
 type waitingAsk struct {
 	outer  int64
 	put    *script.BookPut
--- a/internal/callboard/usage.go
+++ b/internal/callboard/usage.go
@@ -92,12 +92,18 @@
 	return window
 }
 
+// settled: a window whose value is known here needs no counts any more.
+func (u *usage) settled(window int64) bool {
+	_, sealed := u.sealed[window]
+	return sealed || window <= u.reported
+}
+
 // count takes the cumulative counts of a usher; the newest per life of a usher holds.
 func (u *usage) count(told script.UsageTold) {
 	life := told.Usher + "/" + strconv.FormatInt(told.Birth, 36)
 	u.closed[told.Usher] = told.Closed
 	for _, window := range told.Counts {
-		if _, sealed := u.sealed[window.Window]; sealed || window.Window <= u.reported {
+		if u.settled(window.Window) {
 			continue
 		}
 		if !maps.Equal(u.counts[window.Window][life], window.Counts) {
@@ -145,7 +151,7 @@
 func (u *usage) held() script.UsageHeld {
 	held := script.UsageHeld{Lives: []script.UsageLife{}}
 	for window, lives := range u.counts {
-		if _, sealed := u.sealed[window]; sealed || window <= u.reported {
+		if u.settled(window) {
 			continue
 		}
 		for life, counts := range lives {
@@ -175,7 +181,7 @@
 
 func (u *usage) tick(s *cue.Stage) {
 	for window := range u.counts {
-		if _, sealed := u.sealed[window]; sealed || window <= u.reported {
+		if u.settled(window) {
 			delete(u.counts, window)
 			delete(u.changed, window)
 		}
--- a/internal/casting/seating.go
+++ b/internal/casting/seating.go
@@ -57,6 +57,12 @@
 // NewSeating restores a seating; an empty state gets an identity from the dice on
 // the first tick.
 func NewSeating(group string, config playbill.Config, host Host, state script.SeatState, standUp func(s *cue.Stage, fresh bool)) *Seating {
+	if state.Roll == nil {
+		state.Roll = map[string]string{}
+	}
+	if state.Pledge == nil {
+		state.Pledge = map[string]string{}
+	}
 	return &Seating{Group: group, Seat: config.Seat, State: state, config: config, host: host,
 		heard: map[string]heardSeat{}, grants: map[string]script.SeatGrant{}, standUp: standUp,
 		pledged: len(state.Pledge) > 0}
@@ -92,7 +98,7 @@
 	if g.pledged {
 		told.Pledge = maps.Clone(g.State.Pledge)
 	}
-	if !g.writing && g.State.Roll != nil {
+	if !g.writing {
 		told.Roll = maps.Clone(g.State.Roll)
 	}
 	told.Formed = told.Formed && !g.writing
@@ -103,7 +109,8 @@
 func (g *Seating) Tick(s *cue.Stage) {
 	if g.State.Identity == "" {
 		g.State.Identity = strconv.FormatUint(s.Dice.Uint64(), 36) + strconv.FormatUint(s.Dice.Uint64(), 36)
-		g.State.Roll, g.State.Pledge = map[string]string{}, map[string]string{}
+		clear(g.State.Roll)
+		clear(g.State.Pledge)
 		g.writing = true
 		g.host.CompactNow(s, func(s *cue.Stage, failure error) { g.writing = failure != nil })
 		s.Note("seat-identity-made", 0, 0, g.Seat)
@@ -286,7 +293,7 @@
 		return
 	}
 	s.Send(to, script.SeatGrant{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity, To: claim.Identity,
-		Roll: maps.Clone(g.State.Roll), Votes: []script.Vote{}, State: g.host.StateForGrant()})
+		Roll: maps.Clone(g.State.Roll), State: g.host.StateForGrant()})
 }
 
 func (g *Seating) hearGrant(s *cue.Stage, grant script.SeatGrant) {
--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -85,7 +85,7 @@
 	collects  map[string]*collecting
 	partBytes int
 	changed   func(s *cue.Stage, topic string)
-	source    func(topic string) bool // promptbook: may it serve this topic now
+	source    func(now time.Duration) bool // promptbook: may it serve now
 	hint      func() []string
 }
 
@@ -105,7 +105,7 @@
 }
 
 // ServeWhen limits serving to moments when a check holds, with a hint where to go.
-func (c *Chorus) ServeWhen(source func(topic string) bool, hint func() []string) {
+func (c *Chorus) ServeWhen(source func(now time.Duration) bool, hint func() []string) {
 	c.source, c.hint = source, hint
 }
 
@@ -347,12 +347,7 @@
 	case len(candidates) > 0:
 		c.parent, c.parentAt = candidates[0].member.Name, candidates[0].member.Address
 	case len(roots) > 0:
-		others := []script.Member{}
-		for _, root := range roots {
-			if root.Name != c.lastRoot {
-				others = append(others, root)
-			}
-		}
+		others := slices.DeleteFunc(slices.Clone(roots), func(root script.Member) bool { return root.Name == c.lastRoot })
 		if len(others) > 0 {
 			roots = others
 		}
@@ -421,7 +416,7 @@
 		}
 		path = append(append([]string{}, c.path...), self.Name)
 	}
-	if c.source != nil && !c.source("") {
+	if c.source != nil && !c.source(s.Now) {
 		refuse("no tenure", c.hint())
 		return
 	}
@@ -502,7 +497,7 @@
 	for _, name := range names {
 		known := c.children[name]
 		mark, asked := known.marks[topic]
-		if !asked || c.source != nil && !c.source(topic) {
+		if !asked || c.source != nil && !c.source(s.Now) {
 			continue
 		}
 		item := c.itemFor(s, mark)
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -82,7 +82,6 @@
 	pullAt   time.Duration
 	stopping bool
 	adoption script.BookAdopt
-	now      time.Duration
 }
 
 // New restores a machine from what its disk held.
@@ -100,6 +99,7 @@
 		}
 		kept = state
 	}
+	m.company = company.New(config, self, kept.Seen)
 	m.absorb(kept)
 	votes := kept.Votes
 	for _, record := range records {
@@ -113,7 +113,7 @@
 		case script.Vote:
 			votes = append(votes, held)
 		case script.SeenState:
-			kept.Seen = append(kept.Seen, held.Addresses...)
+			m.company.Remember(held.Addresses)
 		case script.BookAdopt:
 			m.epoch, m.seq = held.Epoch, 0
 		case script.BookSettle:
@@ -122,12 +122,11 @@
 		}
 	}
 	m.synced = m.position()
-	m.company = company.New(config, self, kept.Seen)
 	m.chorus = chorus.New(config, m.company, func(*cue.Stage, string) {})
 	m.Core = casting.NewCore(config, script.RolePromptbook, m.company, m.view)
 	m.seating = casting.NewSeating(Group, config, m, kept.Seat, func(s *cue.Stage, fresh bool) { m.tenures.StandUp(s, fresh) })
 	m.tenures = casting.NewTenures(config, m, m.seating, []string{playbill.BookTag}, votes, m.fit, m.took, m.lost)
-	m.chorus.ServeWhen(func(string) bool { return m.mode == serving && m.tenures.Holding(playbill.BookTag, m.now) }, func() []string { return []string{m.holderName()} })
+	m.chorus.ServeWhen(func(now time.Duration) bool { return m.mode == serving && m.tenures.Holding(playbill.BookTag, now) }, func() []string { return []string{m.holderName()} })
 	return m, nil
 }
 
@@ -177,12 +176,6 @@
 
 func (m *Machine) view() []byte {
 	state := script.BookState{Seat: m.seating.State, Votes: m.tenures.Votes(), Epoch: m.epoch, Seq: m.seq, Layouts: m.all(), Seen: m.company.Seen()}
-	if state.Seat.Roll == nil {
-		state.Seat.Roll = map[string]string{}
-	}
-	if state.Seat.Pledge == nil {
-		state.Seat.Pledge = map[string]string{}
-	}
 	body, err := script.Encode(state)
 	if err != nil {
 		panic("promptbook: view: " + err.Error())
@@ -265,7 +258,6 @@
 
 // Tick is one step of the clock.
 func (m *Machine) Tick(s *cue.Stage) {
-	m.now = s.Now
 	m.company.Tick(s)
 	m.seating.Tick(s)
 	m.Keep(s, m.seating.ShutOut)
@@ -322,7 +314,6 @@
 
 // Hear takes a message from another process.
 func (m *Machine) Hear(s *cue.Stage, from string, message any) {
-	m.now = s.Now
 	if m.company.Hear(s, from, message) || m.seating.Hear(s, from, message) || m.chorus.Hear(s, from, message) {
 		return
 	}
--- a/internal/promptbook/promptbook_test.go
+++ b/internal/promptbook/promptbook_test.go
@@ -21,7 +21,7 @@
 		for _, sheet := range config.Sheets {
 			m.keep(script.KeptLayout{Sheet: sheet, Version: version, Body: body})
 		}
-		frame, err := script.Encode(script.SeatGrant{Roll: map[string]string{}, Votes: []script.Vote{}, State: m.view()})
+		frame, err := script.Encode(script.SeatGrant{Roll: map[string]string{}, State: m.view()})
 		c.Assert(err, qt.IsNil)
 		c.Assert(int64(len(frame)) <= config.Limits.Frame, qt.IsTrue, qt.Commentf("%d bytes after version %d", len(frame), version))
 		for _, sheet := range config.Sheets {
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -93,7 +93,6 @@
 		To       string
 		Refused  bool
 		Roll     map[string]string
-		Votes    []Vote
 		State    []byte
 	}
 )
--- a/internal/script/schema.go
+++ b/internal/script/schema.go
@@ -1,6 +1,7 @@
 // This file gives Go message types their Avro form: a schema is derived from the
 // struct by reflection once, at start, and frames are a kind byte, the Avro record and
-// a checksum: the library takes a record that ends early for one with empty fields. Messages hold only strings, bytes, bools, int64, float64, slices,
+// a checksum: the library takes a record that ends early for one with empty fields.
+// Messages hold only strings, bytes, bools, int64, float64, slices,
 // string maps and structs, which is all that the processes say to each other.
 package script
 
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -94,6 +94,7 @@
 	beatAt   time.Duration
 	viewAt   time.Duration
 	stopping bool
+	shown    *View
 	life     int64 // this life's birth, whatever the membership makes of it
 }
 
@@ -144,12 +145,12 @@
 	}
 	if s.Now >= m.viewAt {
 		m.viewAt = s.Now + m.config.NewsEvery()
-		s.Publish(m.view(s))
+		m.show(s)
 	}
 }
 
 func (m *Machine) beat(s *cue.Stage) {
-	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.life, Ready: m.view(s).Ready(s.Now, m.config.StaleReady()),
+	batch := script.BeatBatch{Usher: m.company.Self().Name, Birth: m.life, Ready: m.shown.Ready(s.Now, m.config.StaleReady()),
 		Beats: []script.Beat{}, Ends: []script.SignOff{}, Marks: m.chorus.Marks(), Path: []string{}}
 	if _, path, _ := m.chorus.Parent(); path != nil {
 		batch.Path = path
@@ -175,6 +176,12 @@
 	}
 }
 
+// show hands the traffic side a view; beats tell the readiness of the last one shown.
+func (m *Machine) show(s *cue.Stage) {
+	m.shown = m.view(s)
+	s.Publish(m.shown)
+}
+
 func (m *Machine) view(s *cue.Stage) *View {
 	view := &View{Upstreams: map[string][]script.Registration{}, Known: true, RosterHere: true, Joined: m.company.Joined(), Stopping: m.stopping,
 		Ushers: len(m.company.Alive(script.RoleUsher)) + 1, FreshAt: s.Now, RosterAt: s.Now}
@@ -284,7 +291,7 @@
 	case Stop:
 		m.stopping = true
 		m.company.Leave(s)
-		s.Publish(m.view(s))
+		m.show(s)
 	}
 	m.settle(s)
 }
