Two scenarios that go from machine to machine share their plan

Cause: machines-in-turn and stopped-in-turn wrote the same plan twice, and the list of all tags stood three times. Ruled out: a change of plans; the dice are drawn in the same order.

--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -502,7 +502,7 @@
 var Scenarios = map[string]func(d repertoire.Deployment, dice *rand.Rand) []Step{
 	"calm": func(repertoire.Deployment, *rand.Rand) []Step { return nil },
 	"keeper-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
-		tag := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+		tag := allTags(d)
 		return []Step{
 			{At: span(dice, 10, 12), Do: "kill-holder", Target: tag[dice.IntN(len(tag))], For: span(dice, 1, 6)},
 			{At: span(dice, 14, 18), Do: "kill-holder", Target: tag[dice.IntN(len(tag))], For: span(dice, 1, 4)}}
@@ -514,25 +514,9 @@
 		}
 		return append(plan, Step{At: span(dice, 12, 16), Do: "herd", For: span(dice, 0.2, 3)})
 	},
-	"machines-in-turn": func(d repertoire.Deployment, dice *rand.Rand) []Step {
-		plan := []Step{}
-		for index, seat := range repertoire.Seats {
-			plan = append(plan, Step{At: time.Duration(10+index*5) * time.Second, Do: "kill", Target: seat, For: span(dice, 0.3, 2)})
-		}
-		for number := range d.Ushers {
-			plan = append(plan, Step{At: time.Duration(10000+number*1200) * time.Millisecond, Do: "kill", Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.3, 1)})
-		}
-		return plan
-	},
+	"machines-in-turn": func(d repertoire.Deployment, dice *rand.Rand) []Step { return inTurn(d, dice, "kill") },
 	"stopped-in-turn": func(d repertoire.Deployment, dice *rand.Rand) []Step {
-		plan := []Step{}
-		for index, seat := range repertoire.Seats {
-			plan = append(plan, Step{At: time.Duration(10+index*5) * time.Second, Do: "stop", Target: seat, For: span(dice, 0.3, 2)})
-		}
-		for number := range d.Ushers {
-			plan = append(plan, Step{At: time.Duration(10000+number*1200) * time.Millisecond, Do: "stop", Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.3, 1)})
-		}
-		return append(plan, Step{At: span(dice, 12, 20), Do: "put"})
+		return append(inTurn(d, dice, "stop"), Step{At: span(dice, 12, 20), Do: "put"})
 	},
 	"core-cut": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		kinds := []string{"cut-core", "cut-core-one-way", "halve"}
@@ -544,7 +528,7 @@
 			{At: span(dice, 12, 14), Do: "withdraw"}, {At: span(dice, 16, 18), Do: "isolate-out", Target: edge(d, dice), For: span(dice, 1, 5)}}
 	},
 	"freeze": func(d repertoire.Deployment, dice *rand.Rand) []Step {
-		tags := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+		tags := allTags(d)
 		return []Step{{At: span(dice, 10, 12), Do: "freeze-holder", Target: tags[dice.IntN(len(tags))], For: span(dice, 0.3, 8)},
 			{At: span(dice, 12, 15), Do: "freeze", Target: edge(d, dice), For: span(dice, 0.3, 8)}, {At: span(dice, 13, 14), Do: "withdraw"},
 			{At: span(dice, 18, 20), Do: "freeze", Target: seat(dice), For: span(dice, 0.3, 4)}}
@@ -654,9 +638,26 @@
 	},
 }
 
+// inTurn does something to every machine, one after another.
+func inTurn(d repertoire.Deployment, dice *rand.Rand, do string) []Step {
+	plan := []Step{}
+	for index, seat := range repertoire.Seats {
+		plan = append(plan, Step{At: time.Duration(10+index*5) * time.Second, Do: do, Target: seat, For: span(dice, 0.3, 2)})
+	}
+	for number := range d.Ushers {
+		plan = append(plan, Step{At: time.Duration(10000+number*1200) * time.Millisecond, Do: do, Target: fmt.Sprintf("edge-%d", number+1), For: span(dice, 0.3, 1)})
+	}
+	return plan
+}
+
+// allTags lists the tags of both groups.
+func allTags(d repertoire.Deployment) []string {
+	return append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+}
+
 func anyStep(d repertoire.Deployment, dice *rand.Rand) Step {
 	at, length := span(dice, 9, 24), span(dice, 0.1, 5)
-	tags := append(append([]string{}, d.Districts...), playbill.UsageTag, playbill.BookTag)
+	tags := allTags(d)
 	switch dice.IntN(14) {
 	case 0:
 		return Step{at, "kill", seat(dice), length}
