--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -3,6 +3,9 @@
 // path. Matching is by one normalised path: exact routes before prefixes, longer
 // prefixes before shorter, never two that could both win. The same code serves the
 // store, which refuses bad sheets, and the proxies, which only apply checked ones.
+// A route may be bound to a host: it is then found by that host alone, through an
+// index, and any method and caller will do unless it names some. A split shares its
+// queries among services by weight.
 package blocking
 
 import (
@@ -16,17 +19,42 @@
 	"github.com/tidwall/gjson"
 )
 
-// Limits bound a sheet.
+// Limits bound a sheet. Lenient sheets may hold fields that are not known here; they
+// are kept and not read.
 type Limits struct {
 	Bytes   int64
 	Entries int64
 	Query   time.Duration
+	Lenient bool
 }
 
+// Share is one service's part of a route's queries.
+type Share struct {
+	Service string
+	Weight  int64
+}
+
+// Service is what a sheet says of a service: the path that asks for its liveness, and
+// how many wires an upstream of it takes from all callers; "" and 0 are not told.
+type Service struct {
+	Name     string
+	Liveness string
+	Wires    int64
+}
+
+// LeastPriority is the rank of a route or tenant that names none; 0 goes first.
+const LeastPriority = 1 << 20
+
 // Route is one rule: where a kind of query may go, who may ask it.
 type Route struct {
 	Name     string
+	Host     string
 	Service  string
+	Split    []Share
+	Attempts int64         // upstreams to which one query may be sent; 0: as the budget allows
+	Aim      time.Duration // within which an answer has its full worth; 0: not told
+	Priority int64         // 0 goes first
+	Open     bool          // needs no tenant's key
 	Path     string
 	Prefix   bool
 	Methods  map[string]bool
@@ -44,16 +72,35 @@
 	Version int64
 	Routes  []Route
 	keys    map[[sha256.Size]byte]string
-	tenants map[string]bool // those with a key
+	tenants map[string]bool  // those with a key
+	ranks   map[string]int64 // priorities of the tenants that have one
+	hosts   map[string]map[string][]int
+	kinds   map[string]Service
+}
+
+// Keyless says that no tenants are told at all: then no query wants a key.
+func (l *Layout) Keyless() bool { return len(l.keys) == 0 }
+
+// Rank is a tenant's own priority, which goes before its route's.
+func (l *Layout) Rank(tenant string) (int64, bool) {
+	rank, told := l.ranks[tenant]
+	return rank, told
 }
 
+// Service gives what the sheet says of a service.
+func (l *Layout) Service(name string) Service { return l.kinds[name] }
+
 // Honours says that some key of a tenant is honoured.
 func (l *Layout) Honours(tenant string) bool { return l.tenants[tenant] }
 
 var (
-	sheetKeys  = []string{"services", "tenants", "routes", "note"}
-	tenantKeys = []string{"name", "keys"}
-	routeKeys  = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar"}
+	sheetKeys   = []string{"version", "services", "tenants", "routes", "limits", "note"}
+	tenantKeys  = []string{"name", "keys", "priority"}
+	serviceKeys = []string{"name", "liveness", "wires", "protocol", "tls"}
+	routeKeys   = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar",
+		"host", "prefix", "kind", "split", "attempts", "aim_ms", "priority", "open"}
+	limitKeys  = []string{"head_bytes", "body_bytes", "head_ms", "idle_ms"}
+	kindList   = []string{"repeatable", "once", "upload"}
 	methodList = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
 
@@ -69,9 +116,13 @@
 	if !root.IsObject() {
 		return []string{"$: want an object"}, false
 	}
-	check := &checker{}
+	check := &checker{lenient: limits.Lenient}
 	check.keys("", root, sheetKeys)
-	services := check.names("services", root.Get("services"))
+	check.number("version", root.Get("version"), 0)
+	if bounds := root.Get("limits"); bounds.Exists() {
+		check.keys("limits.", bounds, limitKeys)
+	}
+	services := check.services(root.Get("services"))
 	if len(services) == 0 {
 		check.add("services", "want at least one name")
 	}
@@ -87,6 +138,7 @@
 			check.add(path+".name", "tenant stands twice")
 		}
 		tenants[name] = true
+		check.rank(path+".priority", tenant.Get("priority"))
 		check.list(path+".keys", tenant.Get("keys"), func(keyPath string, key gjson.Result) {
 			text := check.text(keyPath, key)
 			if first, twice := keysSeen[text]; twice && text != "" {
@@ -107,19 +159,29 @@
 			check.add(path+".name", "route stands twice")
 		}
 		namesSeen[name] = true
-		if service := check.text(path+".service", route.Get("service")); service != "" && !services[service] {
-			check.add(path+".service", "unknown service "+service)
+		check.targets(path, route, services)
+		match := route.Get("match")
+		hosted := route.Get("host").Exists()
+		if hosted {
+			check.hosted(path, route)
+			place := strings.ToLower(route.Get("host").String()) + " " + route.Get("prefix").String()
+			if first, twice := taken[place]; twice && len(route.Get("methods").Array()) == 0 {
+				check.add(path, "stands at the place of "+first.path)
+			}
+			taken[place] = claimed{path, name}
+		}
+		wantedPath := ""
+		if !hosted {
+			wantedPath = check.text(path+".path", route.Get("path"))
 		}
-		wantedPath := check.text(path+".path", route.Get("path"))
 		if normal, err := NormalPath(wantedPath); wantedPath != "" && (err != nil || normal != wantedPath) {
 			check.add(path+".path", "want a normalised path that begins with /")
 		}
-		match := route.Get("match")
 		if match.Exists() && match.String() != "exact" && match.String() != "prefix" {
 			check.add(path+".match", "want exact or prefix")
 		}
 		methods := check.names(path+".methods", route.Get("methods"))
-		if len(methods) == 0 {
+		if len(methods) == 0 && !hosted {
 			check.add(path+".methods", "want at least one method")
 		}
 		for method := range methods {
@@ -130,13 +192,13 @@
 			if match.String() == "" {
 				claim = "exact" + claim
 			}
-			if first, twice := taken[claim]; twice {
+			if first, twice := taken[claim]; twice && !hosted {
 				check.add(path, "ambiguous with "+first.path+" for "+method)
 			}
 			taken[claim] = claimed{path, name}
 		}
 		check.names(path+".callers", route.Get("callers"))
-		if len(route.Get("callers").Array()) == 0 {
+		if len(route.Get("callers").Array()) == 0 && !hosted {
 			check.add(path+".callers", `want at least one caller, or "*"`)
 		}
 		for tenant := range check.names(path+".tenants", route.Get("tenants")) {
@@ -147,6 +209,12 @@
 		if once := route.Get("once"); once.Exists() && !once.IsBool() {
 			check.add(path+".once", "want true or false")
 		}
+		if kind := route.Get("kind"); kind.Exists() && !slices.Contains(kindList, kind.String()) {
+			check.add(path+".kind", "want repeatable, once or upload")
+		}
+		check.number(path+".attempts", route.Get("attempts"), 0)
+		check.number(path+".aim_ms", route.Get("aim_ms"), 0)
+		check.rank(path+".priority", route.Get("priority"))
 		check.number(path+".timeout_ms", route.Get("timeout_ms"), int64(limits.Query/time.Millisecond))
 		check.number(path+".body_bytes", route.Get("body_bytes"), 0)
 		if calendar := route.Get("calendar"); calendar.Exists() {
@@ -159,7 +227,70 @@
 	return check.faults, false
 }
 
-type checker struct{ faults []string }
+type checker struct {
+	faults  []string
+	lenient bool
+}
+
+// services are names, or objects that say more.
+func (c *checker) services(value gjson.Result) map[string]bool {
+	names := map[string]bool{}
+	c.list("services", value, func(path string, item gjson.Result) {
+		name := item
+		if item.IsObject() {
+			c.keys(path+".", item, serviceKeys)
+			name = item.Get("name")
+			c.number(path+".wires", item.Get("wires"), 0)
+			path += ".name"
+		}
+		text := c.text(path, name)
+		if names[text] {
+			c.add(path, "stands twice")
+		}
+		names[text] = true
+	})
+	return names
+}
+
+// targets: a service, or a split of services with weights of which one is above 0.
+func (c *checker) targets(path string, route gjson.Result, services map[string]bool) {
+	known := func(path string, value gjson.Result) {
+		if service := c.text(path, value); service != "" && !services[service] {
+			c.add(path, "unknown service "+service)
+		}
+	}
+	if !route.Get("split").Exists() {
+		known(path+".service", route.Get("service"))
+		return
+	}
+	total := int64(0)
+	c.list(path+".split", route.Get("split"), func(sharePath string, share gjson.Result) {
+		known(sharePath+".service", share.Get("service"))
+		c.rank(sharePath+".weight", share.Get("weight"))
+		total += share.Get("weight").Int()
+	})
+	if total <= 0 {
+		c.add(path+".split", "want a weight above 0")
+	}
+}
+
+// hosted checks the place of a route that is bound to a host.
+func (c *checker) hosted(path string, route gjson.Result) {
+	c.text(path+".host", route.Get("host"))
+	if prefix := c.text(path+".prefix", route.Get("prefix")); prefix != "" && prefix[0] != '/' {
+		c.add(path+".prefix", "must begin with /")
+	}
+	if timeout := route.Get("timeout_ms"); !timeout.Exists() {
+		c.add(path+".timeout_ms", "missing")
+	}
+}
+
+// rank is a whole number of 0 or more.
+func (c *checker) rank(path string, value gjson.Result) {
+	if value.Exists() && (value.Type != gjson.Number || value.Num != float64(value.Int()) || value.Int() < 0) {
+		c.add(path, "want a whole number of 0 or more")
+	}
+}
 
 func (c *checker) add(path, text string) { c.faults = append(c.faults, path+": "+text) }
 
@@ -173,7 +304,7 @@
 		switch {
 		case seen[key.String()]:
 			c.add(prefix+key.String(), "key stands twice")
-		case !slices.Contains(known, key.String()):
+		case !slices.Contains(known, key.String()) && !c.lenient:
 			c.add(prefix+key.String(), "unknown field")
 		}
 		seen[key.String()] = true
@@ -227,9 +358,20 @@
 
 // Parse reads a sheet that Check has passed.
 func Parse(sheet string, version int64, body []byte, limits Limits) *Layout {
-	layout := &Layout{Sheet: sheet, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{}}
+	layout := &Layout{Sheet: sheet, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
+		ranks: map[string]int64{}, hosts: map[string]map[string][]int{}, kinds: map[string]Service{}}
 	root := gjson.ParseBytes(body)
+	for _, item := range root.Get("services").Array() {
+		service := Service{Name: item.String()}
+		if item.IsObject() {
+			service = Service{Name: item.Get("name").String(), Liveness: item.Get("liveness").String(), Wires: item.Get("wires").Int()}
+		}
+		layout.kinds[service.Name] = service
+	}
 	for _, tenant := range root.Get("tenants").Array() {
+		if rank := tenant.Get("priority"); rank.Exists() {
+			layout.ranks[tenant.Get("name").String()] = rank.Int()
+		}
 		for _, key := range tenant.Get("keys").Array() {
 			layout.keys[sha256.Sum256([]byte(key.String()))] = tenant.Get("name").String()
 			layout.tenants[tenant.Get("name").String()] = true
@@ -245,13 +387,29 @@
 	for _, item := range root.Get("routes").Array() {
 		route := Route{Name: item.Get("name").String(), Service: item.Get("service").String(), Path: item.Get("path").String(),
 			Prefix: item.Get("match").String() == "prefix", Methods: set(item.Get("methods")), Callers: set(item.Get("callers")),
-			Tenants: set(item.Get("tenants")), Limit: time.Duration(item.Get("timeout_ms").Int()) * time.Millisecond, BodyCap: item.Get("body_bytes").Int()}
+			Tenants: set(item.Get("tenants")), Limit: time.Duration(item.Get("timeout_ms").Int()) * time.Millisecond, BodyCap: item.Get("body_bytes").Int(),
+			Host: strings.ToLower(item.Get("host").String()), Attempts: item.Get("attempts").Int(), Aim: time.Duration(item.Get("aim_ms").Int()) * time.Millisecond,
+			Priority: LeastPriority, Open: item.Get("open").Bool()}
+		if route.Host != "" {
+			route.Path, route.Prefix = item.Get("prefix").String(), true
+		}
+		if rank := item.Get("priority"); rank.Exists() {
+			route.Priority = rank.Int()
+		}
+		for _, share := range item.Get("split").Array() {
+			route.Split = append(route.Split, Share{share.Get("service").String(), share.Get("weight").Int()})
+		}
 		if route.Limit <= 0 || route.Limit > limits.Query {
 			route.Limit = limits.Query
 		}
-		if once := item.Get("once"); once.Exists() {
+		switch once, kind := item.Get("once"), item.Get("kind"); {
+		case once.Exists():
 			route.Once = once.Bool()
-		} else {
+		case kind.Exists():
+			route.Once = kind.String() != "repeatable"
+		case len(route.Methods) == 0:
+			route.Once = true
+		default:
 			for method := range route.Methods {
 				route.Once = route.Once || method != "GET" && method != "HEAD"
 			}
@@ -268,9 +426,64 @@
 		}
 		return len(left.Path) > len(right.Path)
 	})
+	for index, route := range layout.Routes {
+		if route.Host == "" {
+			continue
+		}
+		if layout.hosts[route.Host] == nil {
+			layout.hosts[route.Host] = map[string][]int{}
+		}
+		layout.hosts[route.Host][route.Path] = append(layout.hosts[route.Host][route.Path], index)
+	}
 	return layout
 }
 
+// Find gives the route of a host with the longest prefix that begins a raw path; a
+// host without routes of its own has those that are bound to none.
+func (l *Layout) Find(host, method, path string) (Route, bool) {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	places, known := l.hosts[host]
+	if !known {
+		return l.Match(method, path)
+	}
+	for end := len(path); end > 0; end-- {
+		if end != len(path) && path[end-1] != '/' && path[end] != '/' {
+			continue
+		}
+		for _, index := range places[path[:end]] {
+			if route := l.Routes[index]; len(route.Methods) == 0 || route.Methods[method] {
+				return route, true
+			}
+		}
+	}
+	return Route{}, false
+}
+
+// Pick chooses the service of a route's query by a number from 0 to below 1.
+func (r Route) Pick(chance float64) string {
+	total := int64(0)
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	left := chance * float64(total)
+	for _, share := range r.Split {
+		if left -= float64(share.Weight); left < 0 && share.Weight > 0 {
+			return share.Service
+		}
+	}
+	return r.Service
+}
+
+// Leads says that the route may send a query to a service.
+func (r Route) Leads(service string) bool {
+	for _, share := range r.Split {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return len(r.Split) == 0 && r.Service == service
+}
+
 // Tenant finds who a key belongs to.
 func (l *Layout) Tenant(key string) (string, bool) {
 	tenant, found := l.keys[sha256.Sum256([]byte(key))]
@@ -280,7 +493,7 @@
 // Match finds the one route for a method and normalised path.
 func (l *Layout) Match(method, path string) (Route, bool) {
 	for _, route := range l.Routes {
-		if route.Methods[method] && route.covers(path) {
+		if route.Host == "" && route.Methods[method] && route.covers(path) {
 			return route, true
 		}
 	}
@@ -310,7 +523,8 @@
 // Allows checks tenant and caller against the route.
 func (r Route) Allows(tenant, caller string) bool {
 	tenantFits := len(r.Tenants) == 0 || r.Tenants["*"] || r.Tenants[tenant]
-	return tenantFits && (r.Callers["*"] || r.Callers[caller])
+	callerFits := r.Host != "" && len(r.Callers) == 0 || r.Callers["*"] || r.Callers[caller]
+	return tenantFits && callerFits
 }
 
 // NormalPath gives the one form of a raw path that routes are matched by: escapes of
--- a/internal/foyer/desk.go
+++ b/internal/foyer/desk.go
@@ -57,6 +57,7 @@
 	wire    Wire   // the one that the attempt went out on
 	judging bool   // a verdict is in; the answer or the next attempt is on its way
 	over    bool
+	gated   func(deadline time.Duration)
 	done    func(final *Final)
 	came    time.Duration
 }
@@ -114,9 +115,10 @@
 	d.CarryOut(d.room.Roster(view.Upstreams))
 }
 
-// Arrive begins a query's trip; done is called once with the final answer.
-func (d *Desk) Arrive(query *Query, done func(final *Final)) *Trip {
-	going := &Trip{Query: query, done: done, came: d.back.Now()}
+// Arrive begins a query's trip; gated is told once until when it may take, done is
+// called once with the final answer.
+func (d *Desk) Arrive(query *Query, gated func(deadline time.Duration), done func(final *Final)) *Trip {
+	going := &Trip{Query: query, gated: gated, done: done, came: d.back.Now()}
 	if !d.back.Queue(StageGate, going) {
 		d.finish(going, Refusal(notice.BusyPendingFull))
 	}
@@ -138,6 +140,7 @@
 		d.finish(going, final)
 		return
 	}
+	going.gated(going.Query.Deadline)
 	d.next(going)
 }
 
@@ -342,7 +345,12 @@
 	for _, order := range orders {
 		if !order.Start {
 			d.Conclude(order, script.Verdict{Kind: script.NotStarted, Code: int64(order.Code)})
-		} else if !d.back.Queue(StageStart, order) {
+			continue
+		}
+		if d.config.CountsBegun() {
+			order.Window = d.foyer.Began(time.Duration(d.back.Wall().UnixNano()), order.Carry.Tenant)
+		}
+		if !d.back.Queue(StageStart, order) {
 			d.Conclude(order, script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyPendingFull)})
 		}
 	}
@@ -350,6 +358,9 @@
 
 // Conclude sends a verdict back and starts what may start next.
 func (d *Desk) Conclude(order greenroom.Order, verdict script.Verdict) {
+	if order.Start && verdict.Kind == script.NotStarted && d.config.CountsBegun() {
+		d.foyer.Unbegun(order.Window, order.Carry.Tenant)
+	}
 	verdict, next := d.room.Finish(d.back.Now(), order, verdict)
 	d.lock.Lock()
 	back := d.replies[verdict.ID]
@@ -392,6 +403,16 @@
 	return true
 }
 
+// Dismiss takes an instance's last word, whatever it had registered; its name never
+// comes back.
+func (d *Desk) Dismiss(instance string) {
+	ending, found, orders := d.room.Dismiss(d.back.Now(), instance)
+	if found {
+		d.back.Tell(usher.SignedOff{Service: ending.Service, Instance: instance, Incarnation: ending.Incarnation})
+	}
+	d.CarryOut(orders)
+}
+
 // SignOff takes an upstream's last word; false when it is not registered here.
 func (d *Desk) SignOff(service, instance string, incarnation int64) bool {
 	found, orders := d.room.SignOff(service, instance, incarnation)
--- a/internal/foyer/desk_test.go
+++ b/internal/foyer/desk_test.go
@@ -67,14 +67,14 @@
 	config := playbill.Default()
 	config.District = "here"
 	f := New(config, func(string) (greenroom.Pass, bool) { return greenroom.Pass{}, false })
-	f.Show(0, &usher.View{Layouts: []*blocking.Layout{blocking.Parse("main", 1, []byte(sheet), usher.Limits(config))}, Known: true, RosterHere: true, Ushers: 2,
+	f.Show(0, &usher.View{Layouts: []*blocking.Layout{blocking.Parse("main", 1, []byte(sheet), config.SheetLimits())}, Known: true, RosterHere: true, Ushers: 2,
 		Upstreams: map[string][]script.Registration{"pay": {upstream("one", "here")}}})
 	back := &fakeBackstage{dice: rand.New(rand.NewPCG(1, 2))}
 	back.desk = NewDesk(config, f, greenroom.New(config, nil), back, script.Member{Name: "me", Address: "here:1"})
 	ask := func(id string) {
 		asked := query("POST", "/pay", KeyHeader, "secret", greenroom.CallerHeader, "shop")
 		asked.ID = id
-		back.desk.Arrive(asked, func(*Final) {})
+		back.desk.Arrive(asked, func(time.Duration) {}, func(*Final) {})
 	}
 	ask("sent")
 	c.Assert(back.wires, qt.HasLen, 1)
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -12,7 +12,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"sort"
 	"strings"
@@ -40,10 +39,16 @@
 	RawPath  string
 	RawQuery string
 	Header   http.Header
+	Host     string
 	Body     []byte
+	Came     time.Duration // when its first byte was here
 	Deadline time.Duration
 
 	Path     string
+	Name     string
+	Service  string // the one that the route's split fell on
+	Priority int64
+	Sent     int64 // attempts that reached an upstream, or may have
 	Layout   *blocking.Layout
 	Route    blocking.Route
 	Tenant   string
@@ -86,6 +91,9 @@
 
 const budgetBuckets = 20
 
+// looks is how many homes may turn a query away that no upstream has seen.
+const looks = 4
+
 const ownPrefix = "X-Beacon-"
 
 type budget struct {
@@ -97,6 +105,7 @@
 // Foyer holds the caller's side of one usher.
 type Foyer struct {
 	config  playbill.Config
+	manner  Manner
 	passOf  func(pass string) (greenroom.Pass, bool)
 	lock    sync.Mutex
 	view    *usher.View
@@ -110,9 +119,12 @@
 
 // New makes a foyer; passOf asks the greenroom of the same usher.
 func New(config playbill.Config, passOf func(pass string) (greenroom.Pass, bool)) *Foyer {
-	return &Foyer{config: config, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usage: map[int64]map[string]int64{}, open: map[string]int64{}, tallies: map[notice.Code]int64{}}
+	return &Foyer{config: config, manner: House{}, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usage: map[int64]map[string]int64{}, open: map[string]int64{}, tallies: map[notice.Code]int64{}}
 }
 
+// Speak sets the callers' manner; before it is used.
+func (f *Foyer) Speak(manner Manner) { f.manner = manner }
+
 // Show takes a new view of the control state.
 func (f *Foyer) Show(now time.Duration, view *usher.View) {
 	f.lock.Lock()
@@ -163,6 +175,15 @@
 	return f.view != nil && f.view.Known && f.view.RosterHere
 }
 
+// Patience is how long the read stage waits before the gate has said until when.
+func (f *Foyer) Patience(query *Query) time.Duration {
+	limit := f.config.QueryLimit()
+	if wait := f.manner.Claims(query).Wait; wait > 0 {
+		limit = min(limit, wait)
+	}
+	return limit
+}
+
 // Gate decides who asks for what: key to tenant, caller, route, size.
 func (f *Foyer) Gate(now time.Duration, wall time.Time, query *Query) *Final {
 	f.lock.Lock()
@@ -174,50 +195,58 @@
 	if limit := f.config.StaleGate(); limit > 0 && now-view.FreshAt > limit {
 		return Refusal(notice.BusyStale)
 	}
-	path, err := blocking.NormalPath(query.RawPath)
-	if err != nil {
-		return Refusal(notice.QueryBadPath)
+	path, code := f.manner.Place(query)
+	if code != notice.OK {
+		return Refusal(code)
 	}
 	query.Path = path
-	keys, pass := takeKeys(query), query.Header.Get(greenroom.PassHeader)
+	claims := f.manner.Claims(query)
 	key := ""
-	if len(keys) > 0 {
-		key = keys[0]
+	if len(claims.Keys) > 0 {
+		key = claims.Keys[0]
 	}
-	if shows(query.RawPath, keys, view.Layouts) {
+	if f.manner.Shown(query, claims.Keys, view.Layouts) {
 		return Refusal(notice.QueryBadPath)
 	}
-	claimed := query.Header.Get(greenroom.CallerHeader)
 	passed, byPass := greenroom.Pass{}, false
-	if pass != "" {
-		if passed, byPass = f.passOf(pass); !byPass {
+	if claims.Pass != "" {
+		if passed, byPass = f.passOf(claims.Pass); !byPass {
 			return Refusal(notice.QueryPassInvalid)
 		}
-	} else if key == "" {
-		return Refusal(notice.QueryNoKey)
 	}
-	known := byPass
+	known, open, anyRoute := byPass, false, false
 	for _, layout := range view.Layouts {
-		if !byPass {
-			if _, held := layout.Tenant(key); held {
-				known = true
-			}
-		}
-	}
-	if !known {
+		route, found := layout.Find(query.Host, query.Method, path)
+		_, held := layout.Tenant(key)
+		anyRoute = anyRoute || found
+		open = open || found && (route.Open || query.Host != "" && layout.Keyless())
+		known = known || held
+	}
+	switch {
+	case byPass || open || known:
+	case key == "":
+		return Refusal(notice.QueryNoKey)
+	default:
 		return Refusal(notice.QueryKeyUnknown)
 	}
+	if !anyRoute {
+		return Refusal(notice.QueryNoRoute)
+	}
 	for _, layout := range view.Layouts {
-		route, found := layout.Match(query.Method, path)
+		route, found := layout.Find(query.Host, query.Method, path)
 		if !found {
 			continue
 		}
 		tenant, held := layout.Tenant(key)
+		claimed := claims.Caller
 		if byPass {
 			// A pass is worth what its tenant's keys are: nothing once all are withdrawn.
 			tenant, claimed, held = passed.Tenant, passed.Service, layout.Honours(passed.Tenant)
 		}
-		if !held || !route.Allows(tenant, claimed) {
+		if f.config.Service != "" {
+			claimed = f.config.Service
+		}
+		if !held && !route.Open && !(route.Host != "" && layout.Keyless()) || !route.Allows(tenant, claimed) {
 			return Refusal(notice.QueryCallerRefused)
 		}
 		if route.Calendar != nil && !route.Calendar.Open(wall) {
@@ -228,90 +257,23 @@
 		if route.BodyCap > 0 && int64(len(query.Body)) > route.BodyCap {
 			return Refusal(notice.QueryTooLarge)
 		}
-		query.Layout, query.Route, query.Tenant, query.Caller = layout, route, tenant, claimed
+		query.Layout, query.Route, query.Tenant, query.Caller, query.Name = layout, route, tenant, claimed, claims.Name
+		query.Priority = route.Priority
+		if rank, told := layout.Rank(tenant); told {
+			query.Priority = rank
+		}
 		query.Deadline = min(query.Deadline, now+route.Limit)
+		if claims.Wait > 0 {
+			query.Deadline = min(query.Deadline, query.Came+claims.Wait)
+		}
 		query.Tried = map[string]bool{}
-		scrub(query, keys, view.Layouts)
+		f.manner.Scrub(query, claims.Keys, view.Layouts)
 		f.begin(query)
 		return nil
 	}
 	return Refusal(notice.QueryNoRoute)
 }
 
-// takeKeys gives every key that a query shows where keys belong; the first one counts.
-func takeKeys(query *Query) []string {
-	keys := slices.Clone(query.Header.Values(KeyHeader))
-	for _, value := range query.Header.Values("Authorization") {
-		if scheme, key, found := strings.Cut(value, " "); found && strings.EqualFold(scheme, "Bearer") {
-			keys = append(keys, strings.TrimSpace(key))
-		}
-	}
-	if values, err := url.ParseQuery(query.RawQuery); err == nil {
-		keys = append(keys, values[KeyParam]...)
-	}
-	return slices.DeleteFunc(keys, func(key string) bool { return key == "" })
-}
-
-var ownHeaders = map[string]bool{"x-tenant": true, "x-calling-service": true, "x-beacon-pass": true, "x-query-id": true,
-	"x-api-key": true, "authorization": true, "host": true, "expect": true}
-
-// shows finds a key in a text, in whatever letters, plain or percent-encoded, and any
-// key that is honoured where it stands alone or as one of several parts.
-func shows(text string, keys []string, layouts []*blocking.Layout) bool {
-	for range 3 {
-		lower := strings.ToLower(text)
-		for _, key := range keys {
-			if strings.Contains(lower, strings.ToLower(key)) {
-				return true
-			}
-		}
-		for _, part := range append(strings.FieldsFunc(text, func(letter rune) bool { return strings.ContainsRune(" ;,=/\"", letter) }), text) {
-			for _, layout := range layouts {
-				if _, honoured := layout.Tenant(part); honoured {
-					return true
-				}
-			}
-		}
-		plain, err := url.PathUnescape(text)
-		if err != nil || plain == text {
-			return false
-		}
-		text = plain
-	}
-	return false
-}
-
-// scrub removes what the mesh sets itself and keys wherever they stand.
-func scrub(query *Query, keys []string, layouts []*blocking.Layout) {
-	clean := http.Header{}
-	dropped := greenroom.HopHeaders(query.Header)
-	for name, values := range query.Header {
-		if dropped[name] || ownHeaders[strings.ReplaceAll(strings.ToLower(name), "_", "-")] || shows(name, keys, layouts) {
-			continue
-		}
-		for _, value := range values {
-			if !shows(value, keys, layouts) {
-				clean.Add(name, value)
-			}
-		}
-	}
-	query.Header = clean
-	if query.RawQuery == "" {
-		return
-	}
-	kept := []string{}
-	for _, part := range strings.Split(query.RawQuery, "&") {
-		name, value, _ := strings.Cut(part, "=")
-		plainName, nameErr := url.QueryUnescape(name)
-		plainValue, valueErr := url.QueryUnescape(value)
-		if nameErr != nil || valueErr != nil || strings.EqualFold(plainName, KeyParam) || shows(plainValue, keys, layouts) || shows(plainName, keys, layouts) {
-			continue
-		}
-		kept = append(kept, part)
-	}
-	query.RawQuery = strings.Join(kept, "&")
-}
-
 func (f *Foyer) bucketOf(now time.Duration, held *budget) int {
 	number := int64(now / (f.config.RetryWindow() / budgetBuckets))
 	slot := int(number % (budgetBuckets + 1))
@@ -332,6 +294,9 @@
 
 // begin counts a query that has passed the gate as open, for the usage report.
 func (f *Foyer) begin(query *Query) {
+	if f.config.CountsBegun() {
+		return
+	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	query.begun = true
@@ -383,7 +348,10 @@
 	}
 	near, far := []script.Registration{}, []script.Registration{}
 	known := 0
-	for _, registration := range f.view.Upstreams[query.Route.Service] {
+	if query.Service == "" {
+		query.Service = query.Route.Pick(dice.Float64())
+	}
+	for _, registration := range f.view.Upstreams[query.Service] {
 		if registration.State != script.StateReady {
 			continue
 		}
@@ -411,7 +379,7 @@
 	query.Target = chosen
 	query.Tried[peerKey(chosen)] = true
 	if query.Attempts++; query.Attempts == 1 {
-		f.first(now, query.Route.Service)
+		f.first(now, query.Service)
 	}
 	f.peer(peerKey(chosen)).mine++
 	return nil
@@ -460,6 +428,9 @@
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	code := notice.Code(verdict.Code)
+	if verdict.Sent || verdict.Kind != script.NotStarted {
+		query.Sent++
+	}
 	held := f.peer(peerKey(query.Target))
 	held.mine = max(0, held.mine-1)
 	if verdict.Slots > 0 {
@@ -485,7 +456,17 @@
 			return Refusal(code)
 		}
 	}
-	if !f.mayRetry(now, query.Route.Service) {
+	if query.Route.Attempts > 0 && query.Sent >= query.Route.Attempts {
+		if verdict.Kind == script.NotStarted {
+			return f.giveUp(query, code)
+		}
+		return Refusal(notice.UnknownOutcome)
+	}
+	if f.config.ByTarget() && query.Sent == 0 && query.Attempts < looks {
+		// No upstream has seen it, so nothing is spent.
+		return nil
+	}
+	if !f.mayRetry(now, query.Service) {
 		if verdict.Kind == script.NotStarted {
 			return f.giveUp(query, notice.BusyBudget)
 		}
@@ -544,9 +525,10 @@
 // Carry makes the frame for the chosen home.
 func (f *Foyer) Carry(now time.Duration, query *Query, self string, attempt string) script.Carry {
 	carry := script.Carry{ID: query.ID + "." + attempt, Usher: self, HomeBirth: query.Target.HomeBirth, Sheet: query.Layout.Sheet,
-		Version: query.Layout.Version, Route: query.Route.Name, Service: query.Route.Service, Instance: query.Target.Instance,
+		Version: query.Layout.Version, Route: query.Route.Name, Service: query.Service, Instance: query.Target.Instance,
 		Incarnation: query.Target.Incarnation, Tenant: query.Tenant, Caller: query.Caller, Method: query.Method, Path: query.Path,
-		RawQuery: query.RawQuery, Headers: []script.HeaderLine{}, Body: query.Body, AnswerCap: f.config.Limits.Answer}
+		RawQuery: query.RawQuery, Headers: []script.HeaderLine{}, Body: query.Body, AnswerCap: f.config.Limits.Answer,
+		Host: query.Host, Name: query.Name, Priority: query.Priority, Once: query.Route.Once}
 	remaining := query.Deadline - now
 	carry.Remaining = int64(remaining - min(remaining/20, f.config.NewsEvery()/10))
 	names := make([]string, 0, len(query.Header))
@@ -577,26 +559,54 @@
 		if layout.Sheet != carry.Sheet {
 			continue
 		}
-		if route, found := layout.Match(carry.Method, carry.Path); found && route.Service == carry.Service && route.Allows(carry.Tenant, carry.Caller) && layout.Honours(carry.Tenant) {
+		if f.config.ByTarget() && layout.Version <= carry.Version {
+			// The sheet that let it in is no older than this one.
+			return notice.OK
+		}
+		if route, found := layout.Find(carry.Host, carry.Method, carry.Path); found && route.Leads(carry.Service) && route.Allows(carry.Tenant, carry.Caller) &&
+			(route.Open || layout.Honours(carry.Tenant) || route.Host != "" && layout.Keyless()) {
 			return notice.OK
 		}
 	}
 	return notice.BusyLayoutDiffers
 }
 
+// Began counts a query that its home has begun, where the usage is of those; Unbegun
+// takes it back when the upstream says that it did not run.
+func (f *Foyer) Began(wall time.Duration, tenant string) (window int64) {
+	window = int64(wall / f.config.UsageWindow())
+	f.tally(window, tenant, 1)
+	return window
+}
+
+// Unbegun takes a count back.
+func (f *Foyer) Unbegun(window int64, tenant string) { f.tally(window, tenant, -1) }
+
+func (f *Foyer) tally(window int64, tenant string, count int64) {
+	if tenant == "" {
+		return
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.usage[window] == nil {
+		f.usage[window] = map[string]int64{}
+	}
+	f.usage[window][tenant] += count
+}
+
 // Count notes a final answer: for the counters by code, and for the usage report when
 // it is the upstream's own.
 func (f *Foyer) Count(wall time.Duration, query *Query, final *Final) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.tallies[final.Code]++
-	if query.begun {
+	if query.begun && !f.config.CountsBegun() {
 		query.begun = false
 		if f.open[query.Tenant]--; f.open[query.Tenant] == 0 {
 			delete(f.open, query.Tenant)
 		}
 	}
-	if final.Code != notice.OK || query.Tenant == "" {
+	if final.Code != notice.OK || query.Tenant == "" || f.config.CountsBegun() {
 		return
 	}
 	window := int64(wall / f.config.UsageWindow())
--- a/internal/foyer/foyer_test.go
+++ b/internal/foyer/foyer_test.go
@@ -26,12 +26,12 @@
 func ready(c *qt.C, withdrawal int64, upstreams ...script.Registration) *Foyer {
 	config := playbill.Default()
 	config.District, config.Bounds.KeyWithdrawal = "here", withdrawal
-	faults, _ := blocking.Check([]byte(sheet), usher.Limits(config))
+	faults, _ := blocking.Check([]byte(sheet), config.SheetLimits())
 	c.Assert(faults, qt.HasLen, 0)
 	f := New(config, func(pass string) (greenroom.Pass, bool) {
 		return greenroom.Pass{Tenant: "t", Service: "pay"}, pass == "good"
 	})
-	f.Show(0, &usher.View{Layouts: []*blocking.Layout{blocking.Parse("main", 1, []byte(sheet), usher.Limits(config))}, Known: true, RosterHere: true, Joined: true,
+	f.Show(0, &usher.View{Layouts: []*blocking.Layout{blocking.Parse("main", 1, []byte(sheet), config.SheetLimits())}, Known: true, RosterHere: true, Joined: true,
 		Ushers: 10, Upstreams: map[string][]script.Registration{"pay": upstreams}})
 	return f
 }
--- a/internal/foyer/stages.go
+++ b/internal/foyer/stages.go
@@ -9,12 +9,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"io"
 	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -171,6 +171,9 @@
 	if !t.Desk.Announce(told) {
 		return false
 	}
+	if t.config.ByTarget() {
+		return true
+	}
 	t.crew.Go("stage.guard", func(context.Context) { t.caller.Guard(told) })
 	return true
 }
@@ -188,8 +191,9 @@
 		return
 	}
 	defer t.inside.Dec()
-	query := &Query{ID: newID(), Method: in.Method, RawPath: in.URL.EscapedPath(), RawQuery: in.URL.RawQuery, Header: in.Header,
-		Deadline: t.crew.Now() + t.config.QueryLimit()}
+	came := t.crew.Now()
+	query := &Query{ID: newID(), Method: in.Method, RawPath: rawPath(in), RawQuery: in.URL.RawQuery, Header: in.Header,
+		Host: in.Host, Came: came, Deadline: came + t.config.QueryLimit()}
 	if in.URL.Opaque != "" || in.Method == http.MethodConnect {
 		t.refuse(out, notice.QueryBadPath)
 		return
@@ -205,50 +209,59 @@
 		return
 	}
 	query.Body = body
-	answered := make(chan *Final, 1)
-	going := t.Arrive(query, func(final *Final) { answered <- final })
-	timer := time.NewTimer(query.Deadline - t.crew.Now())
+	answered, gated := make(chan *Final, 1), make(chan time.Duration, 1)
+	timer := time.NewTimer(t.foyer.Patience(query))
 	defer timer.Stop()
-	select {
-	case final := <-answered:
-		WriteFinal(out, final)
-	case <-timer.C:
-		t.Abandon(going)
-		WriteFinal(out, <-answered)
-	case <-in.Context().Done():
-		t.Abandon(going)
+	going := t.Arrive(query, func(deadline time.Duration) { gated <- deadline }, func(final *Final) { answered <- final })
+	for {
+		select {
+		case final := <-answered:
+			t.write(out, final)
+			return
+		case deadline := <-gated:
+			timer.Reset(deadline - t.crew.Now())
+		case <-timer.C:
+			t.Abandon(going)
+			t.write(out, <-answered)
+			return
+		case <-in.Context().Done():
+			t.Abandon(going)
+			return
+		}
 	}
 }
 
 func (t *Stages) refuse(out http.ResponseWriter, code notice.Code) {
 	final := Refusal(code)
 	t.foyer.Count(0, &Query{}, final)
-	WriteFinal(out, final)
+	t.write(out, final)
 }
 
-// WriteFinal puts a final answer on HTTP.
-func WriteFinal(out http.ResponseWriter, final *Final) {
-	if final.Code == notice.OK {
-		for _, line := range final.Headers {
-			out.Header().Add(line.Name, line.Value)
-		}
-		if _, typed := out.Header()["Content-Type"]; !typed {
-			out.Header()["Content-Type"] = nil
-		}
-		if final.Status != http.StatusNoContent && final.Status != http.StatusNotModified {
-			out.Header().Set("Content-Length", strconv.Itoa(len(final.Body)))
-		}
-		out.WriteHeader(final.Status)
-		out.Write(final.Body)
+// write puts a final answer on HTTP, the mesh's own in the callers' manner.
+func (t *Stages) write(out http.ResponseWriter, final *Final) {
+	if final.Code != notice.OK {
+		t.foyer.manner.Answer(out, final)
 		return
 	}
-	out.Header().Set(CodeHeader, strconv.Itoa(int(final.Code)))
-	out.Header().Set("Content-Type", "application/json")
-	if final.RetryAfter > 0 {
-		out.Header().Set("Retry-After", strconv.FormatInt(int64((final.RetryAfter+time.Second-1)/time.Second), 10))
+	for _, line := range final.Headers {
+		out.Header().Add(line.Name, line.Value)
+	}
+	if _, typed := out.Header()["Content-Type"]; !typed {
+		out.Header()["Content-Type"] = nil
+	}
+	if final.Status != http.StatusNoContent && final.Status != http.StatusNotModified {
+		out.Header().Set("Content-Length", strconv.Itoa(len(final.Body)))
 	}
 	out.WriteHeader(final.Status)
-	json.NewEncoder(out).Encode(map[string]any{"code": int(final.Code), "result": final.Code.String(), "detail": notice.Entries[final.Code].Text})
+	out.Write(final.Body)
+}
+
+// rawPath is the path as it came, to the byte.
+func rawPath(in *http.Request) string {
+	if path, _, _ := strings.Cut(in.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return in.URL.EscapedPath()
 }
 
 func newID() string {
--- a/internal/greenroom/calling.go
+++ b/internal/greenroom/calling.go
@@ -14,6 +14,11 @@
 // after each announcement, for the time in which no sign comes. Each announcement also
 // renews a guard, a wire that carries nothing: when it breaks, nothing is dialled until
 // a newer beat, at once.
+//
+// Where the settings say that upstreams prove themselves (proof "target"), each query
+// names its upstream, and any other at that address refuses it; then no wire needs
+// proof, no guard is kept, and wires are made when they are wanted. An answer is then
+// known by the query's name: one that belongs to another is passed over.
 package greenroom
 
 import (
@@ -51,11 +56,14 @@
 	reader *bufio.Reader
 	limit  *io.LimitedReader
 	idleAt time.Duration
+
+	idleFor time.Duration // as the upstream told; 0: it did not
 }
 
 // Caller carries out start orders.
 type Caller struct {
 	config playbill.Config
+	manner Manner
 	room   *Greenroom
 	crew   *crew.Crew
 	lock   sync.Mutex
@@ -65,9 +73,12 @@
 
 // NewCaller makes a caller for a greenroom.
 func NewCaller(config playbill.Config, room *Greenroom, members *crew.Crew) *Caller {
-	return &Caller{config: config, room: room, crew: members, idle: map[Target][]*heldWire{}, guards: map[Target]*heldWire{}}
+	return &Caller{config: config, manner: House{}, room: room, crew: members, idle: map[Target][]*heldWire{}, guards: map[Target]*heldWire{}}
 }
 
+// Speak sets the upstreams' manner; before it is used.
+func (c *Caller) Speak(manner Manner) { c.manner = manner }
+
 func bare(target Target) Target {
 	target.Pass = ""
 	return target
@@ -93,7 +104,7 @@
 		wire.conn.Close()
 	}
 	if err == nil {
-		if !keep {
+		if !keep && !c.config.ByTarget() {
 			c.crew.Go("greenroom.refill", func(context.Context) { c.fill(bare(order.Target)) })
 		}
 		return answer
@@ -114,6 +125,14 @@
 		return wire, script.Verdict{}
 	}
 	gone := script.Verdict{Kind: script.NotStarted, Code: int64(notice.BusyUpstreamGone)}
+	if c.config.ByTarget() {
+		wire, err := c.dial(target, until)
+		if err != nil {
+			c.room.Broke(c.crew.Now(), target)
+			return nil, gone
+		}
+		return wire, script.Verdict{}
+	}
 	if !c.room.Usable(c.crew.Now(), target) || !c.guarded(target) {
 		return nil, gone
 	}
@@ -209,7 +228,7 @@
 	for list := c.idle[target]; len(list) > 0; list = c.idle[target] {
 		wire := list[len(list)-1]
 		c.idle[target] = list[:len(list)-1]
-		if c.crew.Now()-wire.idleAt < c.config.WireIdle() && quiet(wire) {
+		if c.crew.Now()-wire.idleAt < c.idleLimit(wire) && quiet(wire) {
 			return wire
 		}
 		wire.conn.Close()
@@ -218,6 +237,14 @@
 	return nil
 }
 
+// idleLimit is how long a wire may idle: less than the upstream allows.
+func (c *Caller) idleLimit(wire *heldWire) time.Duration {
+	if wire.idleFor > 0 {
+		return min(c.config.WireIdle(), wire.idleFor/2)
+	}
+	return c.config.WireIdle()
+}
+
 // quiet: nothing to read and not closed by the other side.
 func quiet(wire *heldWire) bool {
 	if wire.reader.Buffered() > 0 {
@@ -242,7 +269,7 @@
 	defer c.lock.Unlock()
 	wire.idleAt = c.crew.Now()
 	key := bare(target)
-	if len(c.idle[key]) >= 32 || !c.room.Usable(wire.idleAt, target) {
+	if len(c.idle[key]) >= 32 || !c.room.Usable(wire.idleAt, target) && !c.config.ByTarget() {
 		wire.conn.Close()
 		return
 	}
@@ -267,7 +294,7 @@
 	for target, list := range c.idle {
 		kept := list[:0]
 		for _, wire := range list {
-			if now-wire.idleAt < c.config.WireIdle() && c.room.Usable(now, target) {
+			if now-wire.idleAt < c.idleLimit(wire) && (c.room.Usable(now, target) || c.config.ByTarget() && c.room.Here(target)) {
 				kept = append(kept, wire)
 			} else {
 				wire.conn.Close()
@@ -283,7 +310,7 @@
 // exchange sends once and reads one whole answer.
 func (c *Caller) exchange(wire *heldWire, order Order, until time.Time) (script.Verdict, bool, error) {
 	carry := order.Carry
-	request, err := requestOf(carry, order.Target)
+	request, err := c.requestOf(carry, order.Target, until)
 	if err != nil {
 		return script.Verdict{Kind: script.NotStarted, Code: int64(notice.QueryBadPath)}, false, nil
 	}
@@ -296,33 +323,67 @@
 	if _, err := wire.conn.Write(text.Bytes()); err != nil {
 		return script.Verdict{}, false, notice.Wrap("greenroom.write", notice.UnknownOutcome, err)
 	}
-	wire.limit.N = carry.AnswerCap + headCap
+	for range othersPassed {
+		wire.limit.N = carry.AnswerCap + headCap
+		verdict, heard, keep, err := c.answer(wire, request, order)
+		if err != nil || !heard.Other {
+			return verdict, keep, err
+		}
+	}
+	return script.Verdict{}, false, notice.Wrap("greenroom.head", notice.AnswerMalformed, errors.New("answers to other queries only"))
+}
+
+// othersPassed is how many answers to other queries are passed over on a wire.
+const othersPassed = 3
+
+// answer reads one whole answer.
+func (c *Caller) answer(wire *heldWire, request *http.Request, order Order) (script.Verdict, Heard, bool, error) {
+	carry := order.Carry
+	fail := func(step string, code notice.Code, cause error) (script.Verdict, Heard, bool, error) {
+		return script.Verdict{}, Heard{}, false, notice.Wrap(step, code, cause)
+	}
 	response, err := readHead(wire.reader, request)
 	if err != nil {
-		code := notice.AnswerMalformed
 		if broken(err) {
-			code = notice.UnknownOutcome
+			return fail("greenroom.head", notice.UnknownOutcome, err)
 		}
-		return script.Verdict{}, false, notice.Wrap("greenroom.head", code, err)
+		return fail("greenroom.head", notice.AnswerMalformed, err)
 	}
 	defer response.Body.Close()
 	if !framed(response, carry.Method) {
-		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, errors.New("neither length nor chunks"))
+		return fail("greenroom.body", notice.AnswerMalformed, errors.New("neither length nor chunks"))
 	}
 	if response.ContentLength > carry.AnswerCap {
-		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerTooLarge, nil)
+		return fail("greenroom.body", notice.AnswerTooLarge, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, carry.AnswerCap+1))
 	if err != nil {
-		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, err)
+		return fail("greenroom.body", notice.AnswerMalformed, err)
 	}
 	if int64(len(body)) > carry.AnswerCap {
-		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerTooLarge, nil)
+		return fail("greenroom.body", notice.AnswerTooLarge, nil)
 	}
-	if wire.reader.Buffered() > 0 {
-		return script.Verdict{}, false, notice.Wrap("greenroom.body", notice.AnswerMalformed, errors.New("bytes behind the answer"))
+	heard := c.manner.Heed(response, carry, order.Target)
+	if heard.Other {
+		return script.Verdict{}, heard, false, nil
+	}
+	behind := wire.reader.Buffered() > 0
+	if behind && !c.config.ByTarget() {
+		// Without a name in the answer nobody can say which of the two is this one's.
+		return fail("greenroom.body", notice.AnswerMalformed, errors.New("bytes behind the answer"))
+	}
+	keep := !response.Close && !behind
+	wire.idleFor = heard.Idle
+	switch {
+	case heard.Refuse != notice.OK:
+		return script.Verdict{Kind: script.NotStarted, Code: int64(heard.Refuse), Sent: true}, heard, keep, nil
+	case heard.Spoilt || heard.Hides:
+		return fail("greenroom.head", notice.AnswerMalformed, errors.New("not the upstream's own whole answer"))
 	}
 	verdict := script.Verdict{Kind: script.StartedWhole, Status: int64(response.StatusCode), Headers: []script.HeaderLine{}, Body: body}
+	if heard.Loaded && heard.Load[2] > 0 {
+		verdict.Load = float64(heard.Load[0]+heard.Load[1]) / float64(heard.Load[2])
+	}
 	dropped := HopHeaders(response.Header)
 	for name, values := range response.Header {
 		if dropped[name] {
@@ -332,7 +393,7 @@
 			verdict.Headers = append(verdict.Headers, script.HeaderLine{Name: name, Value: value})
 		}
 	}
-	return verdict, !response.Close, nil
+	return verdict, heard, keep, nil
 }
 
 func broken(err error) bool {
@@ -363,7 +424,7 @@
 	return bodiless || chunked || response.ContentLength >= 0
 }
 
-func requestOf(carry script.Carry, target Target) (*http.Request, error) {
+func (c *Caller) requestOf(carry script.Carry, target Target, until time.Time) (*http.Request, error) {
 	path, err := url.PathUnescape(carry.Path)
 	if err != nil {
 		return nil, err
@@ -376,10 +437,14 @@
 	if _, given := request.Header["User-Agent"]; !given {
 		request.Header.Set("User-Agent", "")
 	}
-	request.Header.Set(TenantHeader, carry.Tenant)
-	request.Header.Set(CallerHeader, carry.Caller)
-	request.Header.Set(PassHeader, target.Pass)
-	request.Header.Set(QueryHeader, carry.ID)
+	if carry.Host != "" {
+		request.Host = carry.Host
+	}
+	if c.config.ByTarget() && len(carry.Path) > 1 && carry.Path[1] != '/' {
+		// As it came, to the byte.
+		request.URL.Opaque = carry.Path
+	}
+	c.manner.Dress(request.Header, carry, target, time.Until(until))
 	request.ContentLength = int64(len(carry.Body))
 	request.Body = http.NoBody
 	if len(carry.Body) > 0 {
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -34,6 +34,8 @@
 	Warming     bool    `json:"warming"`
 	Leaving     bool    `json:"leaving"`
 	Load        float64 `json:"load"`
+	Number      int64   `json:"number"`  // rises with each announcement of a life; 0: not told
+	Cold        int64   `json:"cold_ms"` // how long it stays slow yet
 }
 
 // keptBody is the largest answer kept for a usher that lost its wire.
@@ -49,6 +51,7 @@
 	Start  bool
 	Code   notice.Code
 	Target Target
+	Window int64 // of the usage in which it was counted as begun
 }
 
 // Target is the upstream as bound at the moment of starting.
@@ -105,11 +108,12 @@
 	passes    map[string]Pass
 	leaving   bool
 	sweptAt   time.Duration
+	ended     map[string]time.Duration // instances that signed off: names that never come back
 }
 
 // New makes a greenroom.
 func New(config playbill.Config, allows Allows) *Greenroom {
-	return &Greenroom{config: config, allows: allows, newPass: randomPass, upstreams: map[string]*upstream{}, verdicts: map[string]*kept{}, passes: map[string]Pass{}}
+	return &Greenroom{config: config, allows: allows, newPass: randomPass, upstreams: map[string]*upstream{}, verdicts: map[string]*kept{}, passes: map[string]Pass{}, ended: map[string]time.Duration{}}
 }
 
 // UsePasses replaces the source of passes, for the simulator's dice.
@@ -147,6 +151,10 @@
 	defer g.lock.Unlock()
 	key := told.key()
 	held, known := g.upstreams[key]
+	if _, gone := g.ended[told.Instance]; gone || known && told.Number < held.announcement.Number && told.Incarnation == held.announcement.Incarnation {
+		// A late one, behind the upstream's last word or a newer one: it alters nothing.
+		return true, nil, nil
+	}
 	if known && told.Incarnation < held.announcement.Incarnation {
 		return false, nil, nil
 	}
@@ -192,6 +200,33 @@
 	return true, g.end(held, notice.BusyLeaving)
 }
 
+// Dismiss ends whatever an instance has registered here, and takes no announcement of
+// its name any more; false when it was not registered.
+func (g *Greenroom) Dismiss(now time.Duration, instance string) (ending Announcement, found bool, orders []Order) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.ended[instance] = now
+	for _, key := range g.keys() {
+		if held := g.upstreams[key]; held.announcement.Instance == instance {
+			delete(g.upstreams, key)
+			return held.announcement, true, g.end(held, notice.BusyLeaving)
+		}
+	}
+	return Announcement{}, false, nil
+}
+
+// Holds says that an instance is registered here.
+func (g *Greenroom) Holds(instance string) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, held := range g.upstreams {
+		if held.announcement.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
 // end refuses everything pending at an upstream.
 func (g *Greenroom) end(held *upstream, code notice.Code) []Order {
 	orders := []Order{}
@@ -237,7 +272,7 @@
 	}
 	until := now + time.Duration(carry.Remaining)
 	g.remember(carry.ID, &kept{at: until, pending: true})
-	held.pending = append(held.pending, waiting{carry, until})
+	held.push(waiting{carry, until})
 	orders := g.fill(now, held)
 	if len(held.pending) > int(held.announcement.Slots) {
 		last := held.pending[len(held.pending)-1]
@@ -248,6 +283,15 @@
 	return orders
 }
 
+// push puts a query behind those of its own priority and better.
+func (u *upstream) push(item waiting) {
+	at := len(u.pending)
+	for at > 0 && u.pending[at-1].carry.Priority > item.carry.Priority {
+		at--
+	}
+	u.pending = slices.Insert(u.pending, at, item)
+}
+
 // admits: whether this upstream may be given this query now.
 func (g *Greenroom) admits(now time.Duration, held *upstream, known bool, carry script.Carry) notice.Code {
 	switch {
@@ -259,7 +303,7 @@
 		return notice.BusyUpstreamGone
 	case now-held.announcedAt > g.config.HomeBound():
 		return notice.BusyUpstreamGone
-	case held.broken:
+	case held.broken && !(g.config.ByTarget() && now-held.brokenAt > g.config.DialFresh()):
 		return notice.BusyUpstreamGone
 	case held.announcement.Leaving:
 		return notice.BusyLeaving
@@ -274,7 +318,7 @@
 // heldUp: this process stood still, so its upstreams may have found another home
 // meanwhile, and their slots are no longer this one's to give.
 func (g *Greenroom) heldUp(now time.Duration) bool {
-	return g.sweptAt > 0 && now-g.sweptAt > g.config.BeatBound()/6
+	return !g.config.ByTarget() && g.sweptAt > 0 && now-g.sweptAt > g.config.BeatBound()/6
 }
 
 // fill starts pending queries while slots are free.
@@ -425,13 +469,24 @@
 				// It closed the wire itself: most likely it has done with the query.
 				until = now + g.config.QueryLimit()/10
 			}
+			if g.config.ByTarget() {
+				// It was told how long it has, and that is over or the wire is.
+				until = now + g.config.DialFresh()/4
+			}
 			held.ghosts = append(held.ghosts, until)
 		}
+		if verdict.Kind == script.NotStarted && verdict.Sent && notice.Code(verdict.Code) == notice.BusySlotsFull {
+			// It has work that this home does not know of.
+			held.ghosts = append(held.ghosts, now+g.config.DialFresh())
+		}
 		orders = g.fill(now, held)
 	}
 	if known {
 		verdict.Outstanding = int64(len(held.running) + len(held.pending))
-		verdict.Slots, verdict.Load = held.announcement.Slots, held.announcement.Load
+		verdict.Slots = held.announcement.Slots
+		if verdict.Load == 0 {
+			verdict.Load = held.announcement.Load
+		}
 	}
 	if order.Start {
 		light := verdict
@@ -500,6 +555,11 @@
 	orders := []Order{}
 	stood := g.heldUp(now)
 	g.sweptAt = now
+	for instance, at := range g.ended {
+		if now-at > g.config.ForgetAfter() {
+			delete(g.ended, instance)
+		}
+	}
 	for _, key := range g.keys() {
 		held := g.upstreams[key]
 		if stood {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -51,6 +51,7 @@
 	Wings   *wings.Wings
 	machine cue.Machine
 	store   *wardrobe.Store
+	dress   func(header http.Header, node string, epoch int64)
 
 	commands  chan cue.Command
 	writes    chan cue.Write
@@ -104,6 +105,11 @@
 	h.traffic = traffic
 }
 
+// DressReports sets what else the collector is told in a report's head.
+func (h *House) DressReports(dress func(header http.Header, node string, epoch int64)) {
+	h.dress = dress
+}
+
 // Run binds the address, lets the traffic side begin, and starts the control goroutine.
 func (h *House) Run(machine cue.Machine, begin func(transport *wings.Wings)) error {
 	h.machine = machine
@@ -271,6 +277,9 @@
 	}
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
+	if h.dress != nil {
+		h.dress(request.Header, h.Config.Node, report.Epoch)
+	}
 	response, err := reportClient.Do(request)
 	if err != nil {
 		h.count("reports_failed")
--- a/internal/marquee/core.go
+++ b/internal/marquee/core.go
@@ -22,7 +22,6 @@
 	"beaconvane/internal/playbill"
 	"beaconvane/internal/promptbook"
 	"beaconvane/internal/script"
-	"beaconvane/internal/usher"
 )
 
 // CallboardModule is the registry; PromptbookModule the layout store.
@@ -118,6 +117,7 @@
 		return callboard.GetLayout{Sheet: mux.Vars(in)["sheet"], Version: number(in, "version")}
 	})).Methods(http.MethodGet)
 	router.HandleFunc("/v1/layouts/{sheet}/{version:[0-9]+}", c.put).Methods(http.MethodPut)
+	router.HandleFunc("/v1/layouts/{sheet}", c.put).Methods(http.MethodPut)
 }
 
 func number(in *http.Request, name string) int64 {
@@ -206,7 +206,7 @@
 	if !whole {
 		return
 	}
-	faults, tooLarge := blocking.Check(body, usher.Limits(c.config))
+	faults, tooLarge := blocking.Check(body, c.config.SheetLimits())
 	code := notice.OK
 	switch {
 	case tooLarge:
--- a/internal/marquee/marquee.go
+++ b/internal/marquee/marquee.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"beaconvane/internal/crew"
 	"beaconvane/internal/foyer"
+	"beaconvane/internal/greenroom"
 	"beaconvane/internal/house"
 	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
@@ -33,12 +35,30 @@
 	Short  string
 	Module fx.Option
 	More   func(root *cobra.Command)
+
+	Platform Platform // the adapter to the machines' own platform; nil: there is none
+}
+
+// Platform is the port to the machines' own platform: where the settings are, and how
+// callers, upstreams and the collector of usage speak there.
+type Platform interface {
+	Load(role string) (playbill.Config, error)
+	Callers() foyer.Manner
+	Upstreams() greenroom.Manner
+	DressReport(header http.Header, node string, epoch int64)
+}
+
+// Manners are the ways of speaking that a process was started with.
+type Manners struct {
+	Callers   foyer.Manner
+	Upstreams greenroom.Manner
+	Report    func(header http.Header, node string, epoch int64)
 }
 
 // Main runs a program's command line.
 func Main(program Program) {
 	flags := map[string]*string{}
-	configPath, checkOnly := "", false
+	configPath, checkOnly, onPlatform := "", false, false
 	root := &cobra.Command{Use: program.Role, Short: program.Short, Version: Version, SilenceUsage: true, SilenceErrors: true,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -48,7 +68,13 @@
 					given[name] = *value
 				}
 			}
-			config, err := playbill.Load(program.Role, configPath, given)
+			manners := Manners{Callers: foyer.House{}, Upstreams: greenroom.House{}}
+			load := func() (playbill.Config, error) { return playbill.Load(program.Role, configPath, given) }
+			if onPlatform {
+				load = func() (playbill.Config, error) { return program.Platform.Load(program.Role) }
+				manners = Manners{Callers: program.Platform.Callers(), Upstreams: program.Platform.Upstreams(), Report: program.Platform.DressReport}
+			}
+			config, err := load()
 			if err != nil {
 				return err
 			}
@@ -56,9 +82,12 @@
 				fmt.Println("settings are good")
 				return nil
 			}
-			return serve(program, config)
+			return serve(program, config, manners)
 		}}
 	root.Flags().StringVar(&configPath, "config", "", "settings file (JSON)")
+	if program.Platform != nil {
+		root.Flags().BoolVar(&onPlatform, "platform", false, "run on the users' platform, with the settings that it gives")
+	}
 	root.Flags().BoolVar(&checkOnly, "check", false, "check the settings and end")
 	for name, help := range map[string]string{"node": "name of this node", "seat": "seat of this core node", "district": "district of this machine",
 		"address": "ip:port for the other processes", "outside": "ip:port for HTTP", "data": "data folder", "seeds": "three ip:port, comma between",
@@ -75,10 +104,12 @@
 }
 
 // serve runs the fx app until a signal; a second signal ends at once.
-func serve(program Program, config playbill.Config) error {
+func serve(program Program, config playbill.Config, manners Manners) error {
+	thrift(config)
 	members := crew.New()
 	tower := house.New(config, program.Role, members)
-	app := fx.New(fx.NopLogger, fx.Supply(config, members, tower), program.Module)
+	tower.DressReports(manners.Report)
+	app := fx.New(fx.NopLogger, fx.Supply(config, members, tower, manners), program.Module)
 	if err := app.Err(); err != nil {
 		return notice.Wrap("marquee.build", notice.Internal, err)
 	}
@@ -104,6 +135,13 @@
 	return nil
 }
 
+// thrift keeps the process well below the memory it was given.
+func thrift(config playbill.Config) {
+	if config.Limits.Memory > 0 {
+		debug.SetMemoryLimit(config.Limits.Memory << 20 * 6 / 10)
+	}
+}
+
 // Face is one HTTP server of a process.
 type Face struct {
 	Router *mux.Router
@@ -116,13 +154,22 @@
 	return &Face{Router: router, server: &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}}
 }
 
-// Serve binds and serves.
-func (f *Face) Serve(members *crew.Crew, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return notice.Wrap("marquee.listen", notice.WireLost, err)
+// NewCallersFace serves one handler for every path.
+func NewCallersFace(handler http.Handler) *Face {
+	face := NewFace()
+	face.server.Handler = handler
+	return face
+}
+
+// Serve binds and serves, at each of some addresses.
+func (f *Face) Serve(members *crew.Crew, addresses ...string) error {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return notice.Wrap("marquee.listen", notice.WireLost, err)
+		}
+		members.Go("marquee.serve", func(context.Context) { f.server.Serve(listener) })
 	}
-	members.Go("marquee.serve", func(context.Context) { f.server.Serve(listener) })
 	return nil
 }
 
--- a/internal/marquee/usher.go
+++ b/internal/marquee/usher.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/gorilla/mux"
 	"go.uber.org/atomic"
 	"go.uber.org/fx"
 
@@ -36,14 +39,18 @@
 	foyer    *foyer.Foyer
 	stages   *foyer.Stages
 	stopping atomic.Bool
+	closed   atomic.Bool
 }
 
-func startUsher(life fx.Lifecycle, config playbill.Config, members *crew.Crew, tower *house.House) {
+func startUsher(life fx.Lifecycle, config playbill.Config, members *crew.Crew, tower *house.House, manners Manners) {
 	u := &usherFace{config: config, tower: tower, crew: members}
 	u.room = greenroom.New(config, func(carry script.Carry) notice.Code { return u.foyer.Allowed(carry) })
 	u.foyer = foyer.New(config, u.room.PassOf)
+	u.foyer.Speak(manners.Callers)
 	self := house.Self(config, script.RoleUsher)
-	u.stages = foyer.NewStages(config, u.foyer, u.room, greenroom.NewCaller(config, u.room, members), members, self, tower.Tell)
+	caller := greenroom.NewCaller(config, u.room, members)
+	caller.Speak(manners.Upstreams)
+	u.stages = foyer.NewStages(config, u.foyer, u.room, caller, members, self, tower.Tell)
 	tower.OnTraffic(u.stages.Traffic)
 	tower.OnPublish(func(view any) { u.stages.Show(view.(*usher.View)) })
 	machine := usher.New(config, self)
@@ -51,34 +58,57 @@
 	common(face.Router, "/beacon", tower, u.counters)
 	face.Router.HandleFunc("/beacon/ready", u.ready).Methods(http.MethodGet)
 	face.Router.HandleFunc("/beacon/announce", u.announce).Methods(http.MethodPost)
+	face.Router.HandleFunc("/beacon/announce/{instance}", u.announceNamed).Methods(http.MethodPost)
+	face.Router.HandleFunc("/beacon/signoff/{instance}", u.dismiss).Methods(http.MethodPost)
 	face.Router.HandleFunc("/beacon/signoff", u.signOff).Methods(http.MethodPost)
 	face.Router.PathPrefix("/beacon/").HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { writeCode(out, notice.QueryNoRoute, "") })
-	face.Router.NotFoundHandler = u.stages
+	faces, outside := []*Face{face}, []string{config.Outside}
+	if len(config.Beacon) > 0 {
+		// Callers have an address of their own, where every path is theirs.
+		faces, outside = []*Face{face, NewCallersFace(u.stages)}, config.Beacon
+	} else {
+		face.Router.NotFoundHandler = u.stages
+	}
 	face.Router.MethodNotAllowedHandler = http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { writeCode(out, notice.QueryNoRoute, "") })
-	face.Router.PathPrefix("/").Handler(u.stages)
+	if len(config.Beacon) == 0 {
+		face.Router.PathPrefix("/").Handler(u.stages)
+	}
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			if err := tower.Run(machine, func(transport *wings.Wings) { u.stages.Start(transport) }); err != nil {
 				return err
 			}
 			members.Go("usher.count", u.count)
-			return face.Serve(members, config.Outside)
+			if len(faces) > 1 {
+				if err := faces[1].Serve(members, config.Outside); err != nil {
+					return err
+				}
+			}
+			return face.Serve(members, outside...)
 		},
-		OnStop: func(ctx context.Context) error { return u.stop(ctx, face) },
+		OnStop: func(ctx context.Context) error { return u.stop(ctx, faces) },
 	})
 }
 
-// stop: unready, tell the others, refuse what has not started, finish the rest.
-func (u *usherFace) stop(ctx context.Context, face *Face) error {
+// stop: unready, tell the others, take queries a while yet where the settings say so,
+// refuse what has not started, finish the rest.
+func (u *usherFace) stop(ctx context.Context, faces []*Face) error {
 	u.stopping.Store(true)
 	u.tower.Tell(usher.Stop{})
-	u.stages.Leave()
 	graced, cancel := context.WithTimeout(ctx, u.config.Grace())
 	defer cancel()
-	linger := time.NewTimer(u.config.NewsEvery())
+	linger := time.NewTimer(max(u.config.Linger(), u.config.NewsEvery()))
 	defer linger.Stop()
+	if u.config.Linger() == 0 {
+		u.stages.Leave()
+	}
 	<-linger.C
-	err := face.Shutdown(graced)
+	u.closed.Store(true)
+	u.stages.Leave()
+	var err error
+	for index := len(faces) - 1; index >= 0; index-- {
+		err = errors.Join(err, faces[index].Shutdown(graced))
+	}
 	ticker := time.NewTicker(u.config.TickEvery())
 	defer ticker.Stop()
 	for u.stages.Inside() > 0 && graced.Err() == nil {
@@ -147,7 +177,7 @@
 		writeCode(out, notice.AnnounceBad, err.Error())
 		return
 	}
-	if u.stopping.Load() {
+	if u.leaving() {
 		writeCode(out, notice.BusyLeaving, "announce to another usher")
 		return
 	}
@@ -158,6 +188,56 @@
 	writeCode(out, notice.OK, "")
 }
 
+// leaving: announcements are for another usher; one that lingers takes them yet.
+func (u *usherFace) leaving() bool {
+	return u.closed.Load() || u.stopping.Load() && u.config.Linger() == 0
+}
+
+// announceNamed takes an announcement whose instance is named by the path and whose
+// state by a word. Fields that are not known are passed over. An instance's name is of
+// one life, so there is no incarnation.
+func (u *usherFace) announceNamed(out http.ResponseWriter, in *http.Request) {
+	word := struct {
+		State string `json:"state"`
+	}{}
+	told := greenroom.Announcement{}
+	body, err := io.ReadAll(http.MaxBytesReader(out, in.Body, 16<<10))
+	if err == nil {
+		err = errors.Join(json.Unmarshal(body, &told), json.Unmarshal(body, &word))
+	}
+	if err != nil {
+		writeCode(out, notice.AnnounceBad, err.Error())
+		return
+	}
+	told.Instance, told.Incarnation = mux.Vars(in)["instance"], 1
+	switch word.State {
+	case script.StateReady:
+	case script.StateWarming:
+		told.Warming = true
+	case script.StateLeaving:
+		told.Leaving = true
+	default:
+		writeCode(out, notice.AnnounceBad, "state wants ready, warming or leaving")
+		return
+	}
+	if err := checkAnnouncement(u.config, told); err != nil {
+		writeCode(out, notice.AnnounceBad, err.Error())
+		return
+	}
+	if u.leaving() {
+		writeCode(out, notice.BusyLeaving, "")
+		return
+	}
+	u.stages.Announce(told)
+	writeCode(out, notice.OK, "")
+}
+
+// dismiss takes the last word of an instance that is named by the path.
+func (u *usherFace) dismiss(out http.ResponseWriter, in *http.Request) {
+	u.stages.Dismiss(mux.Vars(in)["instance"])
+	writeCode(out, notice.OK, "")
+}
+
 func checkAnnouncement(config playbill.Config, told greenroom.Announcement) error {
 	host, port, err := net.SplitHostPort(told.Address)
 	known := false
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -17,6 +17,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"beaconvane/internal/blocking"
 	"beaconvane/internal/notice"
 	"beaconvane/internal/script"
 )
@@ -52,8 +53,21 @@
 	Query       int64   `json:"query_ms"`
 	Grace       int64   `json:"grace_ms"`
 	SpillMargin float64 `json:"spill_margin"`
+	Linger      int64   `json:"linger_ms"` // a polite stop takes queries for so long yet
+	Memory      int64   `json:"memory_mb"` // of the process; 0: not told
 }
 
+// Proofs of whom a query reaches, and what becomes of unknown fields in sheets.
+const (
+	ProofWire    = "wire"
+	ProofTarget  = "target"
+	FieldsRefuse = "refuse"
+	FieldsKeep   = "keep"
+
+	CountAnswered = "answered"
+	CountBegun    = "begun"
+)
+
 // Config is the settings of one process.
 type Config struct {
 	Node      string            `json:"node"`
@@ -70,6 +84,11 @@
 	Collector string            `json:"collector"`
 	Active    map[string]string `json:"active"`
 	LogLevel  int64             `json:"log_level"`
+	Service   string            `json:"service"` // a usher's: the service that calls from its machine; "": callers name theirs
+	Beacon    []string          `json:"beacon"`  // a usher's: addresses of its own calls, apart from the callers'; default none apart
+	Proof     string            `json:"proof"`   // of whom a query reaches: "wire" or "target"
+	Fields    string            `json:"fields"`  // sheets' fields that are not known: "refuse" or "keep"
+	Counted   string            `json:"counted"` // for usage: queries "answered", or "begun" by an upstream
 	Bounds    Bounds            `json:"bounds"`
 	Limits    Limits            `json:"limits"`
 }
@@ -79,6 +98,8 @@
 	return Config{
 		Sheets: []string{"main"},
 		Active: map[string]string{},
+		Proof:  ProofWire,
+		Fields: FieldsRefuse, Counted: CountAnswered,
 		Bounds: Bounds{
 			LayoutInForce: 2000, KeyWithdrawal: 0, Drain: 2000, SlipBack: 250, AnswerHold: 200,
 			UsageLate: 10000, UsageWindow: 5000, KeeperRest: 3000, Restore: 15000, Beat: 3000,
@@ -208,9 +229,24 @@
 	if role != script.RolePromptbook {
 		needAddress("outside", c.Outside)
 	}
-	if len(c.Seeds) != 3 {
+	if len(c.Seeds) != 3 && (len(c.Seeds) == 0 || len(c.Seeds) > 3 || c.Proof != ProofTarget) {
 		add(notice.ConfigBadValue, "seeds", "want three addresses")
 	}
+	for index, address := range c.Beacon {
+		needAddress(fmt.Sprintf("beacon.%d", index), address)
+	}
+	if c.Proof != ProofWire && c.Proof != ProofTarget {
+		add(notice.ConfigBadValue, "proof", "want wire or target")
+	}
+	if c.Fields != FieldsRefuse && c.Fields != FieldsKeep {
+		add(notice.ConfigBadValue, "fields", "want refuse or keep")
+	}
+	if c.Counted != CountAnswered && c.Counted != CountBegun {
+		add(notice.ConfigBadValue, "counted", "want answered or begun")
+	}
+	if c.Limits.Linger < 0 || c.Limits.Memory < 0 || c.Limits.Linger >= c.Limits.Grace {
+		add(notice.ConfigBadValue, "limits", "linger_ms and memory_mb want 0 or more, linger_ms less than grace_ms")
+	}
 	for index, seed := range c.Seeds {
 		needAddress(fmt.Sprintf("seeds.%d", index), seed)
 	}
@@ -300,6 +336,17 @@
 	return c.Slices
 }
 
+// ByTarget says that upstreams themselves refuse a query that names another.
+func (c Config) ByTarget() bool { return c.Proof == ProofTarget }
+
+// CountsBegun says that usage is of queries that upstreams began.
+func (c Config) CountsBegun() bool { return c.Counted == CountBegun }
+
+// SheetLimits are what every reader of sheets goes by.
+func (c Config) SheetLimits() blocking.Limits {
+	return blocking.Limits{Bytes: c.Limits.Layout, Entries: c.Limits.Entries, Query: c.QueryLimit(), Lenient: c.Fields == FieldsKeep}
+}
+
 func ms(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
 
 // The ratios. Each timer of the system is one of these.
@@ -334,7 +381,13 @@
 // HomeBound is how long a home gives an upstream work without hearing from it: it may
 // have said elsewhere that it leaves. DialFresh is how long a sign of life proves who
 // is at an address.
-func (c Config) HomeBound() time.Duration   { return min(c.BeatBound(), ms(c.Bounds.Drain)*4/5) }
+func (c Config) HomeBound() time.Duration {
+	if c.ByTarget() {
+		// Beats come to the home alone, and a target proves itself.
+		return c.BeatBound()
+	}
+	return min(c.BeatBound(), ms(c.Bounds.Drain)*4/5)
+}
 func (c Config) DialFresh() time.Duration   { return c.BeatBound() / 30 }
 func (c Config) WireIdle() time.Duration    { return c.BeatBound() * 2 / 3 }
 func (c Config) ProbeEvery() time.Duration  { return ms(c.Bounds.Restore) / 60 }
@@ -346,7 +399,15 @@
 func (c Config) UsageWindow() time.Duration { return ms(c.Bounds.UsageWindow) }
 func (c Config) SaveEvery() time.Duration   { return ms(c.Bounds.Sync) / 5 }
 func (c Config) SlowSync() time.Duration    { return ms(c.Bounds.Sync) }
-func (c Config) CountEvery() time.Duration  { return ms(c.Bounds.Sync) / 2 }
+
+// CountEvery: counts begun at homes are told once a fortieth of their window; a home's
+// death loses no more.
+func (c Config) CountEvery() time.Duration {
+	if c.CountsBegun() {
+		return c.UsageWindow() / 40
+	}
+	return ms(c.Bounds.Sync) / 2
+}
 func (c Config) ReportEvery() time.Duration { return ms(c.Bounds.UsageLate) / 20 }
 func (c Config) DigestEvery() time.Duration { return ms(c.Bounds.LayoutInForce) / 10 }
 func (c Config) PutLimit() time.Duration    { return ms(c.Bounds.LayoutInForce) * 2 }
@@ -354,5 +415,6 @@
 func (c Config) VerdictKept() time.Duration { return ms(c.Limits.Query) * 2 }
 func (c Config) QueryLimit() time.Duration  { return ms(c.Limits.Query) }
 func (c Config) WarmSpan() time.Duration    { return ms(c.Bounds.Beat) * 2 / 3 }
+func (c Config) Linger() time.Duration      { return ms(c.Limits.Linger) }
 func (c Config) Grace() time.Duration       { return ms(c.Limits.Grace) }
 func (c Config) RetryWindow() time.Duration { return ms(c.Bounds.RetryWindow) }
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -23,6 +23,7 @@
 	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
 	"beaconvane/internal/script"
+	"github.com/tidwall/gjson"
 )
 
 // Group is the name of the promptbooks' three seats as a group.
@@ -568,6 +569,10 @@
 
 func (m *Machine) begin(s *cue.Stage, next pendingPut) {
 	put := next.put
+	if put.Version == 0 {
+		put.Version = gjson.GetBytes(put.Body, "version").Int()
+		next.put = put
+	}
 	refuse := func(code notice.Code, detail string, faults []string) {
 		m.tell(s, next.from, script.BookTold{Ticket: put.Ticket, Code: int64(code), Detail: detail, Faults: faults, Sheet: put.Sheet, Version: put.Version})
 	}
@@ -585,7 +590,7 @@
 		refuse(notice.LayoutBad, "", []string{"$: want a version above 0 and one of the sheets of the settings"})
 		return
 	}
-	faults, tooLarge := blocking.Check(put.Body, blocking.Limits{Bytes: m.config.Limits.Layout, Entries: m.config.Limits.Entries, Query: m.config.QueryLimit()})
+	faults, tooLarge := blocking.Check(put.Body, m.config.SheetLimits())
 	if tooLarge {
 		refuse(notice.LayoutTooLarge, "", faults)
 		return
--- a/internal/rehearsal/people.go
+++ b/internal/rehearsal/people.go
@@ -471,7 +471,7 @@
 			Deadline: chosenUsher.Now() + chosenUsher.config.QueryLimit()}
 		sentLife := life
 		chosenUsher.inside++
-		going := chosenUsher.desk.Arrive(query, func(final *foyer.Final) {
+		going := chosenUsher.desk.Arrive(query, func(time.Duration) {}, func(final *foyer.Final) {
 			w.after(100*time.Microsecond, func() {
 				if !chosenUsher.up || chosenUsher.life != sentLife {
 					return
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -496,6 +496,10 @@
 		Body        []byte
 		Remaining   int64
 		AnswerCap   int64
+		Host        string
+		Name        string // the caller's own name of this try
+		Priority    int64  // 0 goes first
+		Once        bool
 	}
 	Verdict struct {
 		ID          string
@@ -509,6 +513,7 @@
 		Load        float64
 		RetryAfter  int64
 		Whole       int64 // how long ago the answer was whole at the home
+		Sent        bool  // an upstream has seen the query, be it that it turned it away
 	}
 	VerdictAsk struct {
 		ID        string
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -112,18 +112,13 @@
 	return m
 }
 
-// Limits are the sheet limits that every reader of sheets uses.
-func Limits(config playbill.Config) blocking.Limits {
-	return blocking.Limits{Bytes: config.Limits.Layout, Entries: config.Limits.Entries, Query: config.QueryLimit()}
-}
-
 func (m *Machine) changed(s *cue.Stage, topic string) {
 	for _, sheet := range m.config.Sheets {
 		if chorus.SheetTopic(sheet) != topic {
 			continue
 		}
 		if version, body, known := m.chorus.Sheet(sheet); known {
-			m.layouts[sheet] = blocking.Parse(sheet, version, body, Limits(m.config))
+			m.layouts[sheet] = blocking.Parse(sheet, version, body, m.config.SheetLimits())
 			m.beatAt = s.Now
 		}
 	}
