--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -106,6 +106,8 @@
 		s.Reply(ticket, m.ready(s))
 	case Reported:
 		m.usage.done(s, asked.Window)
+	case cue.Reseeded:
+		m.company.Reseed(asked.Seeds)
 	case cue.WireBroke:
 		m.chorus.WireBroke(s, asked.Address)
 	case Stop:
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -130,6 +130,9 @@
 	return known.member, true
 }
 
+// Reseed takes other seeds, as settings that were changed tell them.
+func (c *Company) Reseed(seeds []string) { c.config.Seeds = slices.Clone(seeds) }
+
 // Remember adds addresses known from an earlier life.
 func (c *Company) Remember(addresses []string) { c.seen = append(c.seen, addresses...) }
 
--- a/internal/cue/cue.go
+++ b/internal/cue/cue.go
@@ -57,6 +57,9 @@
 // opened to an address has ended, as it does at once when the process there ends.
 type WireBroke struct{ Address string }
 
+// Reseeded is tidings that the settings name other seeds now.
+type Reseeded struct{ Seeds []string }
+
 // Effects, in the order in which they are to be carried out.
 type (
 	// Send goes by wire to another process; it may be lost.
--- a/internal/foyer/stages.go
+++ b/internal/foyer/stages.go
@@ -43,8 +43,8 @@
 
 	gate   chan *Trip
 	choose chan *Trip
-	judge  chan Judged
-	starts chan greenroom.Order
+	judge  chan *Judged
+	starts chan *greenroom.Order
 	inside atomic.Int64
 	dice   *mathrand.Rand
 }
@@ -53,8 +53,8 @@
 func NewStages(config playbill.Config, foyer *Foyer, room *greenroom.Greenroom, caller *greenroom.Caller, members *crew.Crew, self script.Member, tell func(tidings any)) *Stages {
 	capacity := int(config.Limits.Pending)
 	t := &Stages{config: config, room: room, caller: caller, crew: members, tell: tell,
-		gate: make(chan *Trip, capacity), choose: make(chan *Trip, capacity), judge: make(chan Judged, capacity*2+16),
-		starts: make(chan greenroom.Order, capacity*4), dice: mathrand.New(lockedSource{&sync.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())})}
+		gate: make(chan *Trip, capacity), choose: make(chan *Trip, capacity), judge: make(chan *Judged, capacity*2+16),
+		starts: make(chan *greenroom.Order, capacity*4), dice: mathrand.New(lockedSource{&sync.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())})}
 	t.Desk = NewDesk(config, foyer, room, t, self)
 	return t
 }
@@ -77,11 +77,11 @@
 	for range 4 {
 		t.crew.Go("stage.gate", func(ctx context.Context) { work(ctx, t.gate, t.Gate) })
 		t.crew.Go("stage.choose", func(ctx context.Context) { work(ctx, t.choose, t.Choose) })
-		t.crew.Go("stage.judge", func(ctx context.Context) { work(ctx, t.judge, t.Judge) })
+		t.crew.Go("stage.judge", func(ctx context.Context) { work(ctx, t.judge, func(item *Judged) { t.Judge(*item) }) })
 	}
 	t.crew.Go("stage.home", func(ctx context.Context) {
-		work(ctx, t.starts, func(order greenroom.Order) {
-			t.crew.Go("stage.call", func(context.Context) { t.Conclude(order, t.caller.Call(order)) })
+		work(ctx, t.starts, func(order *greenroom.Order) {
+			t.crew.Go("stage.call", func(context.Context) { t.Conclude(*order, t.caller.Call(*order)) })
 		})
 	})
 	t.crew.Go("stage.expire", t.runExpire)
@@ -126,9 +126,11 @@
 	case StageChoose:
 		return offer(t.choose, item.(*Trip))
 	case StageJudge:
-		return offer(t.judge, item.(Judged))
+		judged := item.(Judged)
+		return offer(t.judge, &judged)
 	}
-	return offer(t.starts, item.(greenroom.Order))
+	order := item.(greenroom.Order)
+	return offer(t.starts, &order)
 }
 
 func offer[T any](queue chan T, item T) bool {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -31,7 +31,10 @@
 	"beaconvane/internal/wings"
 )
 
-const journalKept = 2000
+const (
+	journalKept   = 2000
+	writesPending = 16384
+)
 
 // Entry is one line of the journal.
 type Entry struct {
@@ -54,7 +57,7 @@
 	dress   func(header http.Header, node string, epoch int64)
 
 	commands  chan cue.Command
-	writes    chan cue.Write
+	writes    chan *cue.Write
 	published func(view any)
 	traffic   func(from string, message any, back func(message any) error) bool
 
@@ -85,7 +88,7 @@
 // New makes a house; the machine is set by Run.
 func New(config playbill.Config, role string, members *crew.Crew) *House {
 	return &House{Config: config, Crew: members, Log: NewLog(config, role), commands: make(chan cue.Command, 4096),
-		writes: make(chan cue.Write, 65536), replies: map[int64]chan any{}, counts: map[string]int64{}}
+		writes: make(chan *cue.Write, writesPending), replies: map[int64]chan any{}, counts: map[string]int64{}}
 }
 
 // OpenDisk reads the data folder of a program.
@@ -113,7 +116,7 @@
 // Run binds the address, lets the traffic side begin, and starts the control goroutine.
 func (h *House) Run(machine cue.Machine, begin func(transport *wings.Wings)) error {
 	h.machine = machine
-	transport, err := wings.New(h.Crew, h.Config.Address, h.Config.Limits.Frame, int(h.Config.Limits.Pending)*4, h.Config.WireDial(), h.inbound)
+	transport, err := wings.New(h.Crew, h.Config.Address, h.Config.Limits.Frame, int(h.Config.Limits.Pending), h.Config.WireDial(), h.inbound)
 	if err != nil {
 		return err
 	}
@@ -175,7 +178,7 @@
 			h.count("datagrams_dropped")
 		}
 	case cue.Write:
-		h.writes <- done
+		h.writes <- &done
 	case cue.Reply:
 		h.lock.Lock()
 		waiting := h.replies[done.Ticket]
@@ -223,7 +226,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-h.writes:
-			batch := []cue.Write{first}
+			batch := []*cue.Write{first}
 			for len(h.writes) > 0 && len(batch) < 256 {
 				batch = append(batch, <-h.writes)
 			}
@@ -232,7 +235,7 @@
 	}
 }
 
-func (h *House) sync(batch []cue.Write) {
+func (h *House) sync(batch []*cue.Write) {
 	for len(batch) > 0 {
 		run := 0
 		records := [][]byte{}
--- a/internal/marquee/marquee.go
+++ b/internal/marquee/marquee.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,6 +21,7 @@
 	"go.uber.org/fx"
 
 	"beaconvane/internal/crew"
+	"beaconvane/internal/cue"
 	"beaconvane/internal/foyer"
 	"beaconvane/internal/greenroom"
 	"beaconvane/internal/house"
@@ -82,7 +85,7 @@
 				fmt.Println("settings are good")
 				return nil
 			}
-			return serve(program, config, manners)
+			return serve(program, config, manners, load)
 		}}
 	root.Flags().StringVar(&configPath, "config", "", "settings file (JSON)")
 	if program.Platform != nil {
@@ -104,7 +107,7 @@
 }
 
 // serve runs the fx app until a signal; a second signal ends at once.
-func serve(program Program, config playbill.Config, manners Manners) error {
+func serve(program Program, config playbill.Config, manners Manners, load func() (playbill.Config, error)) error {
 	thrift(config)
 	members := crew.New()
 	tower := house.New(config, program.Role, members)
@@ -120,6 +123,7 @@
 	if err := app.Start(started); err != nil {
 		return notice.Wrap("marquee.start", notice.Internal, err)
 	}
+	members.Go("marquee.reload", func(ctx context.Context) { reload(ctx, config, tower, load) })
 	tower.Log.Info("started", "address", config.Address, "outside", config.Outside, "version", Version)
 	<-signals
 	tower.Log.Info("stopping")
@@ -135,10 +139,48 @@
 	return nil
 }
 
+// reload reads the settings again, on SIGHUP and now and then, since the file may change
+// without it. Seeds are taken at once; whatever else has changed is said, and taken at
+// the next start.
+func reload(ctx context.Context, config playbill.Config, tower *house.House, load func() (playbill.Config, error)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(config.LookAgain())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+		}
+		told, err := load()
+		if err != nil {
+			tower.Log.Info("settings not read again", "cause", err.Error())
+			continue
+		}
+		if !slices.Equal(told.Seeds, config.Seeds) {
+			tower.Log.Info("seeds changed", "seeds", told.Seeds)
+			tower.Tell(cue.Reseeded{Seeds: told.Seeds})
+		}
+		config.Seeds = told.Seeds
+		if !reflect.DeepEqual(told, config) {
+			tower.Log.Info("settings changed: taken at the next start")
+		}
+		config = told
+	}
+}
+
+// collectAt is the growth of the heap, in percent, at which garbage is collected where
+// memory is bounded: time of the processor is cheaper there.
+const collectAt = 30
+
 // thrift keeps the process well below the memory it was given.
 func thrift(config playbill.Config) {
 	if config.Limits.Memory > 0 {
 		debug.SetMemoryLimit(config.Limits.Memory << 20 * 6 / 10)
+		debug.SetGCPercent(collectAt)
 	}
 }
 
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -390,6 +390,7 @@
 }
 func (c Config) DialFresh() time.Duration   { return c.BeatBound() / 30 }
 func (c Config) WireIdle() time.Duration    { return c.BeatBound() * 2 / 3 }
+func (c Config) LookAgain() time.Duration   { return ms(c.Bounds.Restore) / 6 }
 func (c Config) ProbeEvery() time.Duration  { return ms(c.Bounds.Restore) / 60 }
 func (c Config) ProbeLimit() time.Duration  { return ms(c.Bounds.Restore) / 150 }
 func (c Config) SuspectFor() time.Duration  { return ms(c.Bounds.Restore) / 12 }
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -657,6 +657,9 @@
 
 // Asked takes the process's own questions.
 func (m *Machine) Asked(s *cue.Stage, ticket int64, question any) {
+	if reseeded, isReseeded := question.(cue.Reseeded); isReseeded {
+		m.company.Reseed(reseeded.Seeds)
+	}
 	if _, isStop := question.(Stop); isStop {
 		m.stopping = true
 		m.tenures.Yield(s)
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -220,12 +220,21 @@
 		}
 		view.RosterAt = min(view.RosterAt, freshAt)
 		for _, registration := range registrations {
+			if m.homeless(registration) {
+				continue
+			}
 			view.Upstreams[registration.Service] = append(view.Upstreams[registration.Service], registration)
 		}
 	}
 	return view
 }
 
+// homeless: the home's process, of that life, is known to have ended or left.
+func (m *Machine) homeless(registration script.Registration) bool {
+	home, known := m.company.Find(registration.Home)
+	return known && home.State >= script.Dead && home.Birth >= registration.HomeBirth
+}
+
 // Hear takes a message from another process.
 func (m *Machine) Hear(s *cue.Stage, from string, message any) {
 	if !m.company.Hear(s, from, message) && !m.chorus.Hear(s, from, message) {
@@ -291,6 +300,8 @@
 				s.Send(callboard.Address, told)
 			}
 		}
+	case cue.Reseeded:
+		m.company.Reseed(asked.Seeds)
 	case cue.WireBroke:
 		m.chorus.WireBroke(s, asked.Address)
 	case ReadSealed:
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -20,6 +20,9 @@
 	"beaconvane/internal/script"
 )
 
+// bufferSize of a wire, each way: some frames.
+const bufferSize = 8 << 10
+
 // Inbound takes what arrives. Back answers on the same wire, for traffic frames.
 type Inbound func(from string, message any, back func(message any) error)
 
@@ -256,7 +259,7 @@
 
 func (wire *Wire) write(ctx context.Context) {
 	defer wire.Close()
-	writer := bufio.NewWriterSize(wire.conn, 65536)
+	writer := bufio.NewWriterSize(wire.conn, bufferSize)
 	var head [4]byte
 	for {
 		select {
@@ -282,7 +285,7 @@
 }
 
 func (wire *Wire) read(heard func(message any)) {
-	reader := bufio.NewReaderSize(wire.conn, 65536)
+	reader := bufio.NewReaderSize(wire.conn, bufferSize)
 	var head [4]byte
 	for {
 		if _, err := io.ReadFull(reader, head[:]); err != nil {
