An upstream is chosen by its pace, its use and its district

Cause: upstreams of a service differ in speed by more than two; the choice knew only their use. Ruled out: latency as seen by the caller (it holds the wait and the way); plain averages (times have long tails). Change: foyer/choice.go: pace learned in logarithms against each route's usual time, cost of use, of lately failed attempts, of being fresh, of another district.

--- /dev/null
+++ b/internal/foyer/choice.go
@@ -0,0 +1,89 @@
+// This file chooses the upstream of a query's next attempt. Each upstream has a pace,
+// how long it takes against the others for the same routes, learned from the times that
+// homes tell with their verdicts: in logarithms, since times of work have long tails,
+// and against the usual time of each route, which is learned beside it. The cost of an
+// upstream is its pace, more when its slots fill up, when it failed lately, when it is
+// fresh, and by a margin when it is in another district. Of some candidates drawn at
+// random the cheapest is taken.
+package foyer
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"beaconvane/internal/script"
+)
+
+const (
+	paceShare  = 1.0 / 24 // how much one time moves an upstream's pace
+	usualShare = 1.0 / 64 // and a route's usual time
+	paceMost   = 1.4      // of a pace's logarithm, either way
+	failShare  = 1.0 / 8
+	failCost   = 4.0
+	fullCost   = 0.5 // of a pace, when all slots are taken
+	drawn      = 6   // candidates of each kind
+)
+
+// learnPace takes the time that an upstream took for a whole answer.
+func (f *Foyer) learnPace(held *peer, route string, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	told := math.Log(float64(took))
+	usual, known := f.usual[route]
+	if !known {
+		f.usual[route] = told - held.pace
+		return
+	}
+	held.pace += (told - usual - held.pace) * paceShare
+	held.pace = min(max(held.pace, -paceMost), paceMost)
+	f.usual[route] = usual + (told-held.pace-usual)*usualShare
+}
+
+// learnFailure takes whether an attempt ended without the upstream's whole answer.
+func (held *peer) learnFailure(failed bool) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	held.failing += (outcome - held.failing) * failShare
+}
+
+// outstanding is the work that an upstream has, as far as this usher can tell: what its
+// home told last, and what was sent from here since.
+func (f *Foyer) outstanding(now time.Duration, held *peer) float64 {
+	if now-held.reportedAt > f.config.NewsEvery()*2 {
+		return float64(held.mine)
+	}
+	return float64(max(held.mine, held.reported+held.mine-held.mineThen))
+}
+
+// cost of giving an upstream one more query.
+func (f *Foyer) cost(now time.Duration, registration script.Registration) float64 {
+	held := f.peer(peerKey(registration))
+	use := (f.outstanding(now, held) + 1) / float64(max(1, registration.Slots))
+	cost := math.Exp(held.pace) * (1 + fullCost*use*use + max(0, use-1) + min(max(held.load, 0), 1)/4)
+	if since := now - held.readySince; since < f.config.WarmSpan() {
+		cost *= 2 - float64(since)/float64(f.config.WarmSpan())
+	}
+	cost += failCost * held.failing
+	if registration.District != f.config.District {
+		cost += f.config.Limits.SpillMargin
+	}
+	return cost
+}
+
+// cheapest takes some candidates at random and keeps the best.
+func (f *Foyer) cheapest(now time.Duration, list []script.Registration, dice *rand.Rand) (chosen script.Registration, least float64) {
+	least = math.Inf(1)
+	for number := range min(drawn, len(list)) {
+		// A draw without putting back: the drawn one changes places with the first left.
+		other := number + dice.IntN(len(list)-number)
+		list[number], list[other] = list[other], list[number]
+		if cost := f.cost(now, list[number]); cost < least {
+			chosen, least = list[number], cost
+		}
+	}
+	return chosen, least
+}
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -80,6 +80,9 @@
 
 type peer struct {
 	mine       int64
+	mineThen   int64   // when the home told
+	pace       float64 // logarithm of its time against the usual
+	failing    float64 // share of attempts that ended without its whole answer, lately
 	reported   int64
 	slots      int64
 	load       float64
@@ -111,6 +114,7 @@
 	view    *usher.View
 	peers   map[string]*peer
 	budgets map[string]*budget
+	usual   map[string]float64 // by route: logarithm of the time that it takes
 	usage   map[int64]map[string]int64
 	open    map[string]int64 // by tenant: begun, not answered yet
 	tallies map[notice.Code]int64
@@ -119,7 +123,7 @@
 
 // New makes a foyer; passOf asks the greenroom of the same usher.
 func New(config playbill.Config, passOf func(pass string) (greenroom.Pass, bool)) *Foyer {
-	return &Foyer{config: config, manner: House{}, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usage: map[int64]map[string]int64{}, open: map[string]int64{}, tallies: map[notice.Code]int64{}}
+	return &Foyer{config: config, manner: House{}, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usual: map[string]float64{}, usage: map[int64]map[string]int64{}, open: map[string]int64{}, tallies: map[notice.Code]int64{}}
 }
 
 // Speak sets the callers' manner; before it is used.
@@ -372,8 +376,8 @@
 		}
 		return f.giveUp(query, notice.BusyNoUpstream)
 	}
-	chosen, score := f.better(now, near, dice)
-	if other, otherScore := f.better(now, far, dice); len(near) == 0 || len(far) > 0 && (score >= 1 && otherScore < 1 || score > otherScore+f.config.Limits.SpillMargin) {
+	chosen, cost := f.cheapest(now, near, dice)
+	if other, otherCost := f.cheapest(now, far, dice); otherCost < cost {
 		chosen = other
 	}
 	query.Target = chosen
@@ -385,37 +389,6 @@
 	return nil
 }
 
-// better takes two at random and keeps the less used.
-func (f *Foyer) better(now time.Duration, list []script.Registration, dice *rand.Rand) (script.Registration, float64) {
-	if len(list) == 0 {
-		return script.Registration{}, 0
-	}
-	first := dice.IntN(len(list))
-	chosen, score := list[first], f.score(now, list[first])
-	if len(list) > 1 {
-		second := (first + 1 + dice.IntN(len(list)-1)) % len(list)
-		if other := f.score(now, list[second]); other < score {
-			chosen, score = list[second], other
-		}
-	}
-	return chosen, score
-}
-
-// score is the use of an upstream: outstanding work against slots, with its own load
-// folded in, and slots scaled down while it is fresh.
-func (f *Foyer) score(now time.Duration, registration script.Registration) float64 {
-	held := f.peer(peerKey(registration))
-	outstanding := held.mine
-	if now-held.reportedAt < f.config.NewsEvery()*2 {
-		outstanding = max(outstanding, held.reported)
-	}
-	ramp := 1.0
-	if since := now - held.readySince; since < f.config.WarmSpan() {
-		ramp = 0.2 + 0.8*float64(since)/float64(f.config.WarmSpan())
-	}
-	return (float64(outstanding)/float64(max(1, registration.Slots)) + min(max(held.load, 0), 1)/2) / ramp
-}
-
 func (f *Foyer) giveUp(query *Query, code notice.Code) *Final {
 	if query.Started {
 		return Refusal(notice.UnknownOutcome)
@@ -434,10 +407,14 @@
 	held := f.peer(peerKey(query.Target))
 	held.mine = max(0, held.mine-1)
 	if verdict.Slots > 0 {
-		held.reported, held.slots, held.load, held.reportedAt = verdict.Outstanding, verdict.Slots, verdict.Load, now
+		held.reported, held.slots, held.load, held.reportedAt, held.mineThen = verdict.Outstanding, verdict.Slots, verdict.Load, now, held.mine
+	}
+	if verdict.Kind != script.NotStarted {
+		held.learnFailure(verdict.Kind != script.StartedWhole)
 	}
 	switch verdict.Kind {
 	case script.StartedWhole:
+		f.learnPace(held, query.Route.Name, time.Duration(verdict.Took))
 		return &Final{Code: notice.OK, Status: int(verdict.Status), Headers: notOwn(verdict.Headers), Body: verdict.Body}
 	case script.NotStarted:
 		f.learn(now, held, query, code)
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -80,6 +80,7 @@
 
 type kept struct {
 	verdict script.Verdict
+	began   time.Duration
 	at      time.Duration
 	done    bool
 	barred  bool
@@ -343,7 +344,7 @@
 			continue
 		}
 		held.running[next.carry.ID] = true
-		g.remember(next.carry.ID, &kept{at: now})
+		g.remember(next.carry.ID, &kept{at: now, began: now})
 		pass := g.newPass()
 		g.passes[pass] = Pass{next.carry.Tenant, next.carry.Service, next.carry.ID}
 		carry := next.carry
@@ -488,6 +489,9 @@
 			verdict.Load = held.announcement.Load
 		}
 	}
+	if old, seen := g.verdicts[verdict.ID]; order.Start && seen {
+		verdict.Took = int64(now - old.began)
+	}
 	if order.Start {
 		light := verdict
 		if len(light.Body) > keptBody {
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -513,6 +513,7 @@
 		Load        float64
 		RetryAfter  int64
 		Whole       int64 // how long ago the answer was whole at the home
+		Took        int64 // from the start at the upstream to its whole answer
 		Sent        bool  // an upstream has seen the query, be it that it turned it away
 	}
 	VerdictAsk struct {
