A holder that comes back is granted at once; homes adopt their upstreams

Cause: after everything was killed nothing was served for 2.3 s: voters waited out a tenure that they had promised to the very seat that asked; a home waited for the next beat of its upstream; a query was refused that news a moment later could have served. Ruled out: shorter tenures (they are what keeps two holders apart). Change: a voter whose disk's last promise was to the asker grants it in the wait of a restart; a home takes its own upstreams from the roster until they announce themselves; news is asked for four times as often until it is there; joins come close together at a start; busy answers say when to come back.

--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -5,7 +5,8 @@
 // to grant another. The holder renews, counts its time from when it asked, and stops
 // acting a margin before the promises lapse. The epoch is what keeps two holders
 // apart; the clocks only make it rare that a stale one tries. A voter that restarts
-// waits a full tenure, since it has forgotten its promise. A tag's starting state in
+// waits a full tenure, since it has forgotten its promise, before it grants another than
+// the one it promised last, which its disk tells. A tag's starting state in
 // the settings is a preference: that seat asks first, and gets the tag back from a
 // living holder only by the holder's own handing over.
 //
@@ -62,6 +63,7 @@
 	tags    map[string]*tagState
 	order   []string
 	votesAt time.Duration
+	written bool // the votes are this disk's own, with every promise it made
 	round   int64
 	fit     func(tag string) bool
 	took    func(s *cue.Stage, tag string, epoch int64)
@@ -156,6 +158,7 @@
 	}
 	if t.votesAt < 0 {
 		t.StandUp(s, false)
+		t.written = true
 	}
 	for _, tag := range t.order {
 		state := t.tags[tag]
@@ -176,7 +179,7 @@
 			state.freeAt = 0
 			continue
 		}
-		if s.Now < t.votesAt || s.Now < state.tryAt || !t.fit(tag) {
+		if s.Now < t.votesAt && !t.promisedTo(state, t.seating.Seat, t.seating.State.Identity) || s.Now < state.tryAt || !t.fit(tag) {
 			continue
 		}
 		if state.freeAt == 0 {
@@ -196,7 +199,7 @@
 			state.reserved = ""
 			continue
 		}
-		if state.epoch <= max(state.vote.Epoch, state.seen) && !t.preferred(tag) && state.reserved == "" && state.tryAt == 0 {
+		if state.epoch <= max(state.vote.Epoch, state.seen) && !t.preferred(tag) && state.reserved == "" && state.tryAt == 0 && s.Now >= t.votesAt {
 			// The preferred seat asks first; the others after a part of a tenure.
 			state.tryAt = s.Now + t.config.Tenure()/3 + time.Duration(s.Dice.Int64N(int64(t.config.Tenure()/3)))
 			continue
@@ -205,6 +208,12 @@
 	}
 }
 
+// promisedTo: what this disk promised last was to that very holder, so whatever was
+// forgotten in a restart bars it from nothing.
+func (t *Tenures) promisedTo(state *tagState, seat, identity string) bool {
+	return t.written && state.synced && state.vote.Holder == seat && state.vote.Identity == identity
+}
+
 func (t *Tenures) preferred(tag string) bool { return t.config.Active[tag] == t.seating.Seat }
 
 // goesBefore orders two candidates that try at one time.
@@ -312,7 +321,7 @@
 	if known && !ask.Trial && ask.Seat != t.seating.Seat && ask.Seat != state.rival && ask.Epoch >= state.vote.Epoch && t.seating.Holds(ask.Seat, ask.Identity) {
 		state.rival, state.rivalAt = ask.Seat, s.Now
 	}
-	if !known || !t.seating.Standing() || t.votesAt < 0 || s.Now < t.votesAt {
+	if !known || !t.seating.Standing() || t.votesAt < 0 || s.Now < t.votesAt && !t.promisedTo(state, ask.Seat, ask.Identity) {
 		return
 	}
 	answer := script.TenureVote{Group: ask.Group, Tag: ask.Tag, Epoch: ask.Epoch, Round: ask.Round,
--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -363,6 +363,9 @@
 
 func (c *Chorus) ask(s *cue.Stage) {
 	c.askAt = s.Now + c.config.NewsEvery()
+	if c.hungry() {
+		c.askAt = s.Now + c.config.NewsEvery()/4
+	}
 	c.round++
 	c.asks[c.round] = s.Now
 	delete(c.asks, c.round-64)
@@ -380,6 +383,16 @@
 	}
 }
 
+// hungry: some topic that is wanted here has never been known current in this life.
+func (c *Chorus) hungry() bool {
+	for topic := range c.own {
+		if held := c.shelves[topic]; !held.known || held.freshAt == never {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Chorus) askPart(s *cue.Stage, topic string, held *collecting) {
 	self := c.company.Self()
 	s.Send(c.parentAt, script.NewsAsk{Round: -1, Child: self.Name, Role: self.Role, Marks: []script.Mark{held.mark}, PartOf: topic, Part: int64(len(held.buffer))})
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -57,6 +57,7 @@
 	relays   map[int64]relayed
 	nextAt   time.Duration
 	joinAt   time.Duration
+	joins    int
 	lastTick time.Duration
 	seen     []string          // addresses of an earlier life
 	away     map[string]string // addresses of members forgotten since, by name
@@ -237,9 +238,13 @@
 func (c *Company) names() []string { return slices.Sorted(maps.Keys(c.members)) }
 
 func (c *Company) join(s *cue.Stage) {
+	// A life begins with some joins close together: when many start at one moment, the
+	// first ones find nobody up yet.
+	c.joins++
 	wait := c.config.JoinEvery()
+	early := wait / 8 << min(c.joins, 8)
 	targets := append([]string{}, c.config.Seeds...)
-	if alive := c.Alive(""); len(alive) > 0 {
+	if alive := c.Alive(""); len(alive) > 0 && early >= wait {
 		wait *= 2
 		targets = []string{c.config.Seeds[s.Dice.IntN(len(c.config.Seeds))], alive[s.Dice.IntN(len(alive))].Address}
 		if names := c.names(); len(names) > 0 {
@@ -253,6 +258,7 @@
 	} else {
 		targets = append(targets, c.seen...)
 	}
+	wait = min(wait, early)
 	c.joinAt = s.Now + wait + time.Duration(s.Dice.Int64N(int64(wait)/2+1))
 	sent := map[string]bool{c.self.Address: true}
 	for _, target := range targets {
--- a/internal/foyer/desk.go
+++ b/internal/foyer/desk.go
@@ -113,6 +113,23 @@
 func (d *Desk) Show(view *usher.View) {
 	d.foyer.Show(d.back.Now(), view)
 	d.CarryOut(d.room.Roster(view.Upstreams))
+	if d.config.ByTarget() && d.back.Now()-d.born < d.config.BeatBound() {
+		d.adopt(view)
+	}
+}
+
+// adopt takes over what the roster says of the upstreams beside an earlier life of this
+// home, until they announce themselves: a query names its upstream, so one that is no
+// longer there refuses what is sent.
+func (d *Desk) adopt(view *usher.View) {
+	for _, list := range view.Upstreams {
+		for _, registration := range list {
+			if registration.Home == d.node && registration.HomeBirth < d.life && !d.room.Holds(registration.Instance) {
+				d.Announce(greenroom.Announcement{Service: registration.Service, Instance: registration.Instance, Incarnation: registration.Incarnation,
+					Address: registration.Address, District: registration.District, Slots: registration.Slots, Leaving: registration.State == script.StateLeaving})
+			}
+		}
+	}
 }
 
 // Arrive begins a query's trip; gated is told once until when it may take, done is
@@ -127,7 +144,7 @@
 
 // Gate is the gate stage.
 func (d *Desk) Gate(going *Trip) {
-	if now := d.back.Now(); now-d.born < d.config.Reparent() && now-going.came < d.config.NewsEvery()*2 && !d.foyer.Here() {
+	if now := d.back.Now(); now-d.born < d.config.Reparent() && now-going.came < d.foyer.Moment(going.Query) && !d.foyer.Here() {
 		// This usher has only just begun, and its news is a moment away.
 		d.back.After(d.config.TickEvery(), func() {
 			if !d.back.Queue(StageGate, going) {
@@ -279,6 +296,7 @@
 	}
 	going.over = true
 	going.lock.Unlock()
+	final = d.foyer.soon(final)
 	d.foyer.Count(time.Duration(d.back.Wall().UnixNano()), going.Query, final)
 	going.done(final)
 }
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -78,6 +78,19 @@
 	return final
 }
 
+// soon says when a busy answer's cause will most likely be over: news is some askings
+// away, a slot is free after a part of a query's time.
+func (f *Foyer) soon(final *Final) *Final {
+	switch {
+	case final.RetryAfter == 0 || !f.config.ByTarget() || final.Code == notice.QueryRouteClosed:
+	case final.Code == notice.BusyNotReady || final.Code == notice.BusyStale:
+		final.RetryAfter = f.config.NewsEvery() * 2
+	default:
+		final.RetryAfter = f.config.NewsEvery()
+	}
+	return final
+}
+
 type peer struct {
 	mine       int64
 	mineThen   int64   // when the home told
@@ -188,6 +201,14 @@
 	return limit
 }
 
+// Moment is how long a query may wait at a usher that has only just begun.
+func (f *Foyer) Moment(query *Query) time.Duration {
+	if f.config.ByTarget() {
+		return min(f.config.NewsEvery()*4, f.Patience(query)/2)
+	}
+	return f.config.NewsEvery() * 2
+}
+
 // Gate decides who asks for what: key to tenant, caller, route, size.
 func (f *Foyer) Gate(now time.Duration, wall time.Time, query *Query) *Final {
 	f.lock.Lock()
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -214,11 +214,13 @@
 	for _, district := range m.config.Subscribed() {
 		registrations, known := m.chorus.Slice(district)
 		freshAt, fresh := m.chorus.FreshAt(chorus.SliceTopic(district))
-		if !known || !fresh {
+		if !known || !fresh && !m.config.ByTarget() {
 			view.RosterHere = false
 			continue
 		}
-		view.RosterAt = min(view.RosterAt, freshAt)
+		if fresh {
+			view.RosterAt = min(view.RosterAt, freshAt)
+		}
 		for _, registration := range registrations {
 			if m.homeless(registration) {
 				continue
