--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -45,7 +45,7 @@
 			return nil
 		}}
 	flags := root.Flags()
-	flags.StringVar(&name, "deployment", name, "small, umuyoboro or jendela")
+	flags.StringVar(&name, "deployment", name, "small, umuyoboro, jendela, seats-3, seats-5 or seats-3-4")
 	flags.StringVar(&scenarios, "scenario", scenarios, "all, or some of: "+strings.Join(rehearsal.Names(), ", "))
 	flags.Uint64Var(&first, "seed", first, "first seed")
 	flags.IntVar(&count, "count", count, "how many seeds")
--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -51,7 +51,7 @@
 func (l *Layout) Honours(tenant string) bool { return l.tenants[tenant] }
 
 var (
-	sheetKeys  = []string{"services", "tenants", "routes", "note"}
+	sheetKeys  = []string{"version", "services", "tenants", "routes", "note"}
 	tenantKeys = []string{"name", "keys"}
 	routeKeys  = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar"}
 	methodList = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
@@ -71,6 +71,7 @@
 	}
 	check := &checker{}
 	check.keys("", root, sheetKeys)
+	check.number("version", root.Get("version"), 0)
 	services := check.names("services", root.Get("services"))
 	if len(services) == 0 {
 		check.add("services", "want at least one name")
--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -132,6 +132,7 @@
 		}
 	}
 	m.seating = casting.NewSeating(Group, config, m, kept.Seat, func(s *cue.Stage, fresh bool) { m.tenures.StandUp(s, fresh) })
+	m.UseSeats(m.seating)
 	tags := append(append([]string{}, config.Districts...), playbill.UsageTag)
 	m.tenures = casting.NewTenures(config, m, m.seating, tags, votes, m.fit, m.took, m.lost)
 	return m, nil
@@ -185,6 +186,12 @@
 	}
 }
 
+// Forget drops what rested on a seat that is another's now; the roster stays, as news.
+func (m *Machine) Forget(s *cue.Stage) {
+	m.tenures.Forget(s)
+	m.usage.forget()
+}
+
 func (m *Machine) fit(tag string) bool {
 	if m.Failure() != nil || m.stopping || m.company.Superseded() {
 		return false
@@ -255,9 +262,9 @@
 		}
 		for _, peer := range m.Peers() {
 			if !m.whole[tag] {
-				s.Send(peer.Address, script.RosterPull{Tag: tag, Seat: m.config.Seat})
+				s.Send(peer.Address, script.RosterPull{Tag: tag, Seat: m.seating.Seat})
 			} else {
-				s.Send(peer.Address, script.RosterCheck{Tag: tag, Round: m.round, Seat: m.config.Seat, Mark: m.slices[tag].Mark})
+				s.Send(peer.Address, script.RosterCheck{Tag: tag, Round: m.round, Seat: m.seating.Seat, Mark: m.slices[tag].Mark})
 			}
 		}
 		if !m.whole[tag] && (len(m.unwhole[tag]) >= len(m.config.Seats)-1 || s.Now-m.bootAt > m.config.TakeOver()) {
@@ -426,13 +433,13 @@
 		m.hearChange(s, from, heard)
 	case script.RosterCheck:
 		if slice, known := m.slices[heard.Tag]; known && m.keeps(s, heard.Tag) {
-			s.Send(from, script.RosterDigest{Tag: heard.Tag, Round: heard.Round, Seat: m.config.Seat, Mark: slice.Mark})
+			s.Send(from, script.RosterDigest{Tag: heard.Tag, Round: heard.Round, Seat: m.seating.Seat, Mark: slice.Mark})
 		}
 	case script.RosterDigest:
 		m.hearDigest(s, from, heard)
 	case script.RosterPull:
 		if slice, known := m.slices[heard.Tag]; known {
-			s.Send(from, script.RosterView{Tag: heard.Tag, Seat: m.config.Seat, Whole: m.whole[heard.Tag],
+			s.Send(from, script.RosterView{Tag: heard.Tag, Seat: m.seating.Seat, Whole: m.whole[heard.Tag],
 				Keeper: m.keeps(s, heard.Tag), Mark: slice.Mark, Registrations: slice.List()})
 		}
 	case script.RosterView:
@@ -506,7 +513,7 @@
 	m.pullAt[tag] = s.Now + m.config.DigestEvery()/2 + time.Duration(s.Dice.Int64N(int64(m.config.DigestEvery()/2)))
 	s.Note("roster-pull", 0, m.slices[tag].Mark.Epoch, tag+": "+cause)
 	for _, peer := range m.Peers() {
-		s.Send(peer.Address, script.RosterPull{Tag: tag, Seat: m.config.Seat})
+		s.Send(peer.Address, script.RosterPull{Tag: tag, Seat: m.seating.Seat})
 	}
 }
 
@@ -516,7 +523,7 @@
 		return
 	}
 	if !view.Whole && !view.Keeper {
-		if !m.whole[view.Tag] {
+		if !m.whole[view.Tag] && view.Seat != "" {
 			if m.unwhole[view.Tag] == nil {
 				m.unwhole[view.Tag] = map[string]bool{}
 			}
--- a/internal/callboard/outside.go
+++ b/internal/callboard/outside.go
@@ -120,6 +120,9 @@
 // or the hint of the last one that did not.
 func (o *outside) holder(s *cue.Stage) (string, bool) {
 	books := o.m.company.Alive(script.RolePromptbook)
+	if seated := slices.DeleteFunc(slices.Clone(books), func(book script.Member) bool { return book.Seat == "" }); len(seated) > 0 {
+		books = seated
+	}
 	parent, _, _ := o.m.chorus.Parent()
 	for _, wanted := range []string{o.hint, parent} {
 		for _, book := range books {
@@ -206,6 +209,9 @@
 		// Settled is settled: this seat and its peers pass it on at once, whatever
 		// becomes of the promptbook that settled it.
 		settled := script.SheetSettled{Sheet: told.Sheet, Version: told.Version, Body: waiting.put.Body}
+		if len(told.Body) > 0 {
+			settled.Body = told.Body
+		}
 		o.m.chorus.PutSheet(s, settled.Sheet, settled.Version, settled.Body)
 		for _, peer := range o.m.Peers() {
 			s.Send(peer.Address, settled)
@@ -256,7 +262,7 @@
 		return answerCode(notice.DiskFault, "")
 	case m.seating.ShutOut || m.company.Superseded():
 		return answerCode(notice.SeatShutOut, "")
-	case !m.seating.Standing():
+	case !m.seating.Standing() && !m.seating.Spare(s):
 		return answerCode(notice.SeatRecovering, "")
 	case m.stopping || !m.company.Joined():
 		return answerCode(notice.BusyNotReady, "")
@@ -298,7 +304,7 @@
 		relays[name] = map[string]any{"path": seen.batch.Path, "ready": seen.batch.Ready, "heard_ms": (s.Now - seen.at).Milliseconds()}
 	}
 	parent, path, moves := m.chorus.Parent()
-	return answerJSON(notice.OK, map[string]any{"node": m.config.Node, "seat": m.config.Seat, "standing": m.seating.Standing(), "shut_out": m.seating.ShutOut,
+	return answerJSON(notice.OK, map[string]any{"node": m.config.Node, "seat": m.seating.Seat, "standing": m.seating.Standing(), "shut_out": m.seating.ShutOut,
 		"members": members, "relays": relays, "tenures": tenures, "slices": slices, "sheets": sheets,
 		"news": map[string]any{"from": parent, "path": path, "moves": moves}, "usage": map[string]any{"reported": m.usage.reported}})
 }
--- a/internal/callboard/usage.go
+++ b/internal/callboard/usage.go
@@ -181,12 +181,18 @@
 
 func (u *usage) took(s *cue.Stage, epoch int64) {
 	u.epoch, u.reading, u.ready, u.open, u.readFor = epoch, true, false, nil, 0
-	u.reads = map[string]string{u.m.config.Seat: u.m.seating.State.Identity}
+	u.reads = map[string]string{u.m.seating.Seat: u.m.seating.State.Identity}
 	u.sentAt = 0
 }
 
 func (u *usage) lost() { u.reading, u.ready, u.open = false, false, nil }
 
+// forget drops the values a seat vouched for. The counts are the ushers' word, and stay.
+func (u *usage) forget() {
+	u.sealed, u.final, u.reported, u.epoch = map[int64]script.UsageSealed{}, map[int64]bool{}, 0, 0
+	u.reading, u.ready, u.open, u.readFor = false, false, nil, 0
+}
+
 func (u *usage) tick(s *cue.Stage) {
 	for window := range u.counts {
 		if u.settled(window) {
@@ -203,8 +209,9 @@
 	case u.reading && again:
 		u.sentAt = s.Now
 		for _, peer := range u.m.Peers() {
-			s.Send(peer.Address, script.UsageRead{Epoch: u.epoch, Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity})
+			s.Send(peer.Address, script.UsageRead{Epoch: u.epoch, Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp()})
 		}
+		u.readEnough()
 	case u.open != nil && again:
 		u.send(s)
 	case u.ready && !u.reading && u.open == nil:
@@ -241,7 +248,7 @@
 		if u.readFor != window {
 			// Counts of a usher that died may be with another seat only: ask first.
 			u.readFor, u.reading, u.sentAt = window, true, 0
-			u.reads = map[string]string{u.m.config.Seat: u.m.seating.State.Identity}
+			u.reads = map[string]string{u.m.seating.Seat: u.m.seating.State.Identity}
 			return
 		}
 		value, known := u.sealed[window]
@@ -254,7 +261,7 @@
 		u.sentAt = s.Now
 		u.m.Persist(s, value, func(s *cue.Stage, failure error) {
 			if failure == nil && u.open != nil && u.open.Window == value.Window && u.open.Epoch == value.Epoch {
-				u.ack(s, u.m.config.Seat, u.m.seating.State.Identity)
+				u.ack(s, u.m.seating.Seat, u.m.seating.State.Identity)
 			}
 		})
 		u.send(s)
@@ -300,7 +307,7 @@
 func (u *usage) send(s *cue.Stage) {
 	u.sentAt = s.Now
 	for _, peer := range u.m.Peers() {
-		s.Send(peer.Address, script.UsageSeal{Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity, Sealed: *u.open, Reported: u.reported})
+		s.Send(peer.Address, script.UsageSeal{Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(), Sealed: *u.open, Reported: u.reported})
 	}
 }
 
@@ -353,7 +360,7 @@
 	switch heard := message.(type) {
 	case script.UsageRead:
 		if u.m.tenures.Epoch(playbill.UsageTag) == heard.Epoch && u.m.seating.Standing() && u.m.seating.Holds(heard.Seat, heard.Identity) {
-			s.Send(from, script.UsageReadTold{Epoch: heard.Epoch, Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity,
+			s.Send(from, script.UsageReadTold{Epoch: heard.Epoch, Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(),
 				Sealed: u.tail(), Reported: u.reported, Held: u.held()})
 		}
 	case script.UsageReadTold:
@@ -370,12 +377,7 @@
 			}
 		}
 		u.reads[heard.Seat] = heard.Identity
-		if u.m.seating.Majority(u.reads) {
-			u.reading = false
-			if !u.ready {
-				u.ready, u.final = true, map[int64]bool{}
-			}
-		}
+		u.readEnough()
 	case script.UsageSeal:
 		u.hearSeal(s, from, heard)
 	case script.UsageSealTold:
@@ -388,6 +390,15 @@
 	return true
 }
 
+func (u *usage) readEnough() {
+	if u.m.seating.Majority(u.reads) {
+		u.reading = false
+		if !u.ready {
+			u.ready, u.final = true, map[int64]bool{}
+		}
+	}
+}
+
 func (u *usage) hearSeal(s *cue.Stage, from string, seal script.UsageSeal) {
 	if seal.Sealed.Epoch < u.m.tenures.Epoch(playbill.UsageTag) || !u.m.seating.Standing() || !u.m.seating.Holds(seal.Seat, seal.Identity) {
 		return
@@ -396,7 +407,7 @@
 	u.restore(seal.Sealed)
 	u.m.Persist(s, seal.Sealed, func(s *cue.Stage, failure error) {
 		if failure == nil {
-			s.Send(from, script.UsageSealTold{Seat: u.m.config.Seat, Identity: u.m.seating.State.Identity, Window: seal.Sealed.Window, Epoch: seal.Sealed.Epoch})
+			s.Send(from, script.UsageSealTold{Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(), Window: seal.Sealed.Window, Epoch: seal.Sealed.Epoch})
 		}
 	})
 }
--- a/internal/casting/core.go
+++ b/internal/casting/core.go
@@ -20,6 +20,9 @@
 	role    string
 	company *company.Company
 	ledger  *wardrobe.Ledger
+	seatAt  func(address string) string
+	bornAt  time.Duration
+	born    bool
 	seen    []string
 	seenAt  time.Duration
 	sync    time.Duration // how long writes take, smoothed
@@ -51,11 +54,46 @@
 // Synced answers a write.
 func (c *Core) Synced(s *cue.Stage, ticket int64, failure error) { c.ledger.Synced(s, ticket, failure) }
 
-// Peers are the other members of the role, dead ones aside.
-func (c *Core) Peers() []script.Member { return c.company.Alive(c.role) }
+// Peers are the other members of the role, dead ones aside. Where seats are sought,
+// who sits where is the seating's knowledge, not the membership's.
+func (c *Core) Peers() []script.Member {
+	peers := c.company.Alive(c.role)
+	if c.seatAt != nil {
+		for index := range peers {
+			peers[index].Seat = c.seatAt(peers[index].Address)
+		}
+	}
+	return peers
+}
+
+// UseSeats has the peers' seats told by the seating.
+func (c *Core) UseSeats(seating *Seating) {
+	if seating.sought() {
+		c.seatAt = seating.SeatAt
+	}
+}
+
+// Sit says in the membership which seat this node holds.
+func (c *Core) Sit(seat string) { c.company.Sit(seat) }
+
+// Superseded: this node's name lives on elsewhere.
+func (c *Core) Superseded() bool { return c.company.Superseded() }
+
+// Gone says that a node is dead or has left. One that was never heard of is gone only
+// to a node that has been up, among others, for long enough to have heard of it.
+func (c *Core) Gone(s *cue.Stage, node string) bool {
+	member, known := c.company.Find(c.role + "/" + node)
+	if known {
+		return member.State >= script.Dead
+	}
+	return c.born && s.Now-c.bornAt > c.config.SuspectFor()*4 && c.company.Joined()
+}
 
 // Keep is the steady part: remember addresses, and leave when shut out.
 func (c *Core) Keep(s *cue.Stage, shutOut bool) {
+	if !c.born {
+		c.born, c.bornAt = true, s.Now
+	}
 	if shutOut && !c.company.HasLeft() {
 		// Nobody should look here for the seat any more.
 		c.company.Leave(s)
--- a/internal/casting/seating.go
+++ b/internal/casting/seating.go
@@ -6,7 +6,8 @@
 // counting. A seat that lost its disk claims its place anew: both others first write
 // the new identity down, which voids the old one's acks, also those in flight, and
 // then tell it what they hold; only with both grants in hand does it stand. The old
-// machine, should it wake, is on nobody's roll.
+// machine, should it wake, is on nobody's roll. That is the form in which the settings
+// name the seats; placing.go has the other.
 package casting
 
 import (
@@ -30,6 +31,12 @@
 	Peers() []script.Member
 	StateForGrant() []byte
 	AbsorbGrants(s *cue.Stage, states [][]byte)
+	// Where seats are sought: sit in one ("" for none), drop what rested on one, and
+	// what the membership says of a node and of this one.
+	Sit(seat string)
+	Forget(s *cue.Stage)
+	Gone(s *cue.Stage, node string) bool
+	Superseded() bool
 }
 
 type heardSeat struct {
@@ -52,6 +59,15 @@
 	writing bool
 	ShutOut bool
 	standUp func(s *cue.Stage, fresh bool)
+
+	founders  map[string]heardSeat // by node
+	listed    string
+	listedAt  time.Duration
+	digest    string // of the roll
+	rolling   int    // newer rolls being written
+	differs   bool   // another's stamp was of another roll
+	differsAt time.Duration
+	freeSince map[string]time.Duration
 }
 
 // NewSeating restores a seating; an empty state gets an identity from the dice on
@@ -63,9 +79,17 @@
 	if state.Pledge == nil {
 		state.Pledge = map[string]string{}
 	}
-	return &Seating{Group: group, Seat: config.Seat, State: state, config: config, host: host,
+	g := &Seating{Group: group, Seat: config.Seat, State: state, config: config, host: host,
 		heard: map[string]heardSeat{}, grants: map[string]script.SeatGrant{}, standUp: standUp,
-		pledged: len(state.Pledge) > 0}
+		founders: map[string]heardSeat{}, freeSince: map[string]time.Duration{}, pledged: len(state.Pledge) > 0}
+	if g.sought() {
+		g.takeRoll(g.State.Roll)
+		if state.Formed {
+			g.Seat = state.Seat
+			host.Sit(g.Seat)
+		}
+	}
+	return g
 }
 
 // Standing says that this seat may vote; one whose disk has failed may not.
@@ -75,6 +99,9 @@
 
 // Holds checks an identity against the roll, now.
 func (g *Seating) Holds(seat, identity string) bool {
+	if g.sought() {
+		return g.holdsStamp(seat, identity)
+	}
 	return g.State.Formed && identity != "" && g.State.Roll[seat] == identity
 }
 
@@ -85,16 +112,21 @@
 func (g *Seating) Majority(acks map[string]string) bool {
 	count := 0
 	for seat, identity := range acks {
-		if g.Holds(seat, identity) {
+		if g.Holds(seat, identity) || g.sought() && seat == g.Seat && g.Stamp() != "" && bare(identity) == g.State.Identity {
+			// What this disk has synced it says again under whatever roll it holds.
 			count++
 		}
 	}
 	return count*2 > len(g.config.Seats)
 }
 
-func (g *Seating) told(answer bool) script.SeatTold {
+func (g *Seating) told(s *cue.Stage, answer bool) script.SeatTold {
 	told := script.SeatTold{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity, Formed: g.State.Formed,
-		Standing: g.Standing(), Pledge: map[string]string{}, Roll: map[string]string{}, Answer: answer}
+		Standing: g.Standing(), Pledge: map[string]string{}, Roll: map[string]string{}, Answer: answer, Founder: g.State.Founder && !g.State.Formed, Round: g.State.Round, Free: g.free(s)}
+	if g.rolling > 0 {
+		told.Formed = false
+		told.Founder = false
+	}
 	if g.pledged {
 		told.Pledge = maps.Clone(g.State.Pledge)
 	}
@@ -107,6 +139,10 @@
 
 // Tick asks around, founds, or claims.
 func (g *Seating) Tick(s *cue.Stage) {
+	if g.sought() {
+		g.tickSought(s)
+		return
+	}
 	if g.State.Identity == "" {
 		g.State.Identity = strconv.FormatUint(s.Dice.Uint64(), 36) + strconv.FormatUint(s.Dice.Uint64(), 36)
 		clear(g.State.Roll)
@@ -131,7 +167,7 @@
 		if g.replaced() {
 			s.Send(peer.Address, script.SeatClaim{Group: g.Group, Seat: g.Seat, Identity: g.State.Identity})
 		} else {
-			s.Send(peer.Address, g.told(true))
+			s.Send(peer.Address, g.told(s, true))
 		}
 	}
 }
@@ -152,6 +188,12 @@
 
 // Hear takes a seating message; false when it is another part's.
 func (g *Seating) Hear(s *cue.Stage, from string, message any) bool {
+	if group, isSeating := groupOf(message); g.sought() && isSeating {
+		if group == g.Group {
+			g.hearSought(s, from, message)
+		}
+		return true
+	}
 	switch heard := message.(type) {
 	case script.SeatTold:
 		if heard.Group == g.Group && heard.Seat != g.Seat {
@@ -171,12 +213,24 @@
 	return true
 }
 
+func groupOf(message any) (string, bool) {
+	switch heard := message.(type) {
+	case script.SeatTold:
+		return heard.Group, true
+	case script.SeatClaim:
+		return heard.Group, true
+	case script.SeatGrant:
+		return heard.Group, true
+	}
+	return "", false
+}
+
 func (g *Seating) hearTold(s *cue.Stage, from string, told script.SeatTold) {
 	if g.State.Identity == "" || g.writing {
 		return
 	}
 	if told.Answer {
-		s.Send(from, g.told(false))
+		s.Send(from, g.told(s, false))
 	}
 	if g.State.Formed && !g.Holds(told.Seat, told.Identity) {
 		return
@@ -230,15 +284,14 @@
 }
 
 func (g *Seating) form(s *cue.Stage, roll map[string]string) {
-	g.State.Formed, g.State.Standing, g.State.Roll = true, true, maps.Clone(roll)
-	g.writing = true
-	g.host.CompactNow(s, func(s *cue.Stage, failure error) {
-		g.writing = failure != nil
-		if failure == nil {
-			s.Note("seat-founded", 0, 0, g.Seat)
-			g.standUp(s, true)
+	g.State.Formed, g.State.Standing = true, true
+	g.takeRoll(maps.Clone(roll))
+	for seat, identity := range roll {
+		if g.sought() && identity == g.State.Identity {
+			g.Seat, g.State.Seat = seat, seat
 		}
-	})
+	}
+	g.stand(s, "seat-founded", true)
 }
 
 func (g *Seating) hearClaim(s *cue.Stage, from string, claim script.SeatClaim) {
@@ -344,14 +397,7 @@
 	}
 	g.host.AbsorbGrants(s, states)
 	g.State.Formed, g.State.Standing, g.State.Roll = true, true, roll
-	g.writing = true
-	g.host.CompactNow(s, func(s *cue.Stage, failure error) {
-		g.writing = failure != nil
-		if failure == nil {
-			s.Note("seat-recovered", 0, 0, g.Seat)
-			g.standUp(s, false)
-		}
-	})
+	g.stand(s, "seat-recovered", false)
 }
 
 // vacant: a grantor's roll says that an operator has given the seat up.
--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -199,6 +199,9 @@
 		if state.epoch <= max(state.vote.Epoch, state.seen) && !t.preferred(tag) && state.reserved == "" && state.tryAt == 0 {
 			// The preferred seat asks first; the others after a part of a tenure.
 			state.tryAt = s.Now + t.config.Tenure()/3 + time.Duration(s.Dice.Int64N(int64(t.config.Tenure()/3)))
+			if t.seating.sought() && t.config.Active[tag] == "" {
+				state.tryAt -= t.config.Tenure() / 3
+			}
 			continue
 		}
 		t.campaign(s, tag, state)
@@ -228,7 +231,7 @@
 	state.round, state.askedAt, state.renewAt = t.round, s.Now, s.Now+t.config.RenewEvery()
 	state.acks = map[string]string{}
 	ask := script.TenureAsk{Group: t.seating.Group, Tag: tag, Epoch: state.epoch, Seat: t.seating.Seat,
-		Identity: t.seating.State.Identity, Round: state.round, Trial: state.trial}
+		Identity: t.seating.Stamp(), Round: state.round, Trial: state.trial}
 	for _, peer := range t.host.Peers() {
 		if peer.Seat != t.seating.Seat {
 			s.Send(peer.Address, ask)
@@ -275,7 +278,7 @@
 
 func (t *Tenures) yieldTo(s *cue.Stage, tag string, state *tagState, to string) {
 	yield := script.TenureYield{Group: t.seating.Group, Tag: tag, Epoch: state.epoch, Seat: t.seating.Seat,
-		Identity: t.seating.State.Identity, To: to}
+		Identity: t.seating.Stamp(), To: to}
 	t.drop(s, tag, "handed over to "+to)
 	state.tryAt = s.Now + t.config.Tenure()*2
 	for _, peer := range t.host.Peers() {
@@ -316,15 +319,16 @@
 		return
 	}
 	answer := script.TenureVote{Group: ask.Group, Tag: ask.Tag, Epoch: ask.Epoch, Round: ask.Round,
-		Seat: t.seating.Seat, Identity: t.seating.State.Identity, Trial: ask.Trial, Seen: max(state.vote.Epoch, state.seen)}
+		Seat: t.seating.Seat, Identity: t.seating.Stamp(), Trial: ask.Trial, Seen: max(state.vote.Epoch, state.seen)}
 	reply := func(s *cue.Stage) {
+		answer.Identity = t.seating.Stamp()
 		if from == "" {
 			t.hearVote(s, answer)
 		} else {
 			s.Send(from, answer)
 		}
 	}
-	same := state.vote.Holder == ask.Seat && state.vote.Identity == ask.Identity
+	same := state.vote.Holder == ask.Seat && state.vote.Identity == bare(ask.Identity)
 	switch {
 	case !t.seating.Holds(ask.Seat, ask.Identity):
 		answer.Reason = "not on the roll"
@@ -368,7 +372,7 @@
 			state.proven = false
 			state.changedAt = s.Now
 		}
-		state.vote.Epoch, state.vote.Holder, state.vote.Identity = ask.Epoch, ask.Seat, ask.Identity
+		state.vote.Epoch, state.vote.Holder, state.vote.Identity = ask.Epoch, ask.Seat, bare(ask.Identity)
 		state.reserved = ""
 		state.promised = s.Now + t.config.Tenure()
 		state.synced = false
@@ -446,6 +450,15 @@
 	}
 }
 
+// Forget drops all that this seat held and promised: the seat is another's now.
+func (t *Tenures) Forget(s *cue.Stage) {
+	for _, tag := range t.order {
+		t.drop(s, tag, "the seat is another's")
+		t.tags[tag] = &tagState{vote: script.Vote{Tag: tag}, synced: true}
+	}
+	t.votesAt = -1
+}
+
 // Forsake leaps over whatever epochs the lost disks may have given out.
 func (t *Tenures) Forsake() {
 	for _, state := range t.tags {
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -74,6 +74,15 @@
 // Self is this node as the others see it.
 func (c *Company) Self() script.Member { return c.self }
 
+// Sit names the seat that this node holds from now on, to the others as well.
+func (c *Company) Sit(seat string) {
+	if c.self.Seat != seat {
+		c.self.Seat = seat
+		c.self.Incarnation++
+		c.edition++
+	}
+}
+
 // Edition grows whenever the membership changes.
 func (c *Company) Edition() int64 { return c.edition }
 
--- a/internal/marquee/core.go
+++ b/internal/marquee/core.go
@@ -107,6 +107,7 @@
 	router.HandleFunc("/v1/layouts/{sheet}", c.ask(func(in *http.Request) any {
 		return callboard.GetLayout{Sheet: mux.Vars(in)["sheet"]}
 	})).Methods(http.MethodGet)
+	router.HandleFunc("/v1/layouts/{sheet}", c.put).Methods(http.MethodPut)
 	router.HandleFunc("/v1/layouts/{sheet}/versions", c.ask(func(in *http.Request) any {
 		return callboard.GetLayout{Sheet: mux.Vars(in)["sheet"], List: true}
 	})).Methods(http.MethodGet)
--- a/internal/marquee/marquee.go
+++ b/internal/marquee/marquee.go
@@ -62,7 +62,7 @@
 	root.Flags().BoolVar(&checkOnly, "check", false, "check the settings and end")
 	for name, help := range map[string]string{"node": "name of this node", "seat": "seat of this core node", "district": "district of this machine",
 		"address": "ip:port for the other processes", "outside": "ip:port for HTTP", "data": "data folder", "seeds": "three ip:port, comma between",
-		"collector": "URL that takes usage reports"} {
+		"collector": "URL that takes usage reports", "found": "true: this start, on an empty disk, may found the core group"} {
 		flags[name] = root.Flags().String(name, "", help+" (over the file)")
 	}
 	if program.More != nil {
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -12,6 +12,7 @@
 	"os"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -59,6 +60,8 @@
 	Node      string            `json:"node"`
 	Seat      string            `json:"seat"`
 	Seats     []string          `json:"seats"`
+	SeatCount int64             `json:"seat_count"` // instead of seat and seats: how many, found by the processes themselves
+	Found     bool              `json:"found"`      // this start, with an empty disk, may found the group
 	District  string            `json:"district"`
 	Districts []string          `json:"districts"`
 	Address   string            `json:"address"`
@@ -66,6 +69,7 @@
 	Seeds     []string          `json:"seeds"`
 	Data      string            `json:"data"`
 	Sheets    []string          `json:"sheets"`
+	Puts      string            `json:"puts"`   // rising: a lower number is a conflict; highest: it is acknowledged and alters nothing
 	Slices    []string          `json:"slices"` // a usher's: districts it takes upstreams from; default all
 	Collector string            `json:"collector"`
 	Active    map[string]string `json:"active"`
@@ -78,6 +82,7 @@
 func Default() Config {
 	return Config{
 		Sheets: []string{"main"},
+		Puts:   PutsRising,
 		Active: map[string]string{},
 		Bounds: Bounds{
 			LayoutInForce: 2000, KeyWithdrawal: 0, Drain: 2000, SlipBack: 250, AnswerHold: 200,
@@ -97,6 +102,24 @@
 	BookTag  = "book"
 )
 
+// seatsMost bounds a group; its roll goes with every telling.
+const seatsMost = 99
+
+// How puts are taken.
+const (
+	PutsRising  = "rising"
+	PutsHighest = "highest"
+)
+
+// SeatNames gives the names of seats that the settings only count.
+func SeatNames(count int64) []string {
+	names := []string{}
+	for number := range count {
+		names = append(names, strconv.FormatInt(number+1, 10))
+	}
+	return names
+}
+
 // Read takes a file's bytes over the defaults and lists every fault. Pairs of a
 // flag's name and value go over the file before the check.
 func Read(role string, body []byte, flags map[string]string) (Config, []string) {
@@ -117,6 +140,8 @@
 			config.Node = value
 		case "seat":
 			config.Seat = value
+		case "found":
+			config.Found = value == "true"
 		case "district":
 			config.District = value
 		case "address":
@@ -132,6 +157,9 @@
 		}
 	}
 	faults = append(faults, config.check(role)...)
+	if config.SeatCount > 0 {
+		config.Seats = SeatNames(config.SeatCount)
+	}
 	sort.Strings(faults)
 	return config, faults
 }
@@ -208,7 +236,10 @@
 	if role != script.RolePromptbook {
 		needAddress("outside", c.Outside)
 	}
-	if len(c.Seeds) != 3 {
+	switch {
+	case c.SeatCount > 0 && len(c.Seeds) == 0:
+		add(notice.ConfigMissing, "seeds", "want at least one address")
+	case c.SeatCount == 0 && len(c.Seeds) != 3:
 		add(notice.ConfigBadValue, "seeds", "want three addresses")
 	}
 	for index, seed := range c.Seeds {
@@ -228,11 +259,26 @@
 	if len(c.Sheets) == 0 {
 		add(notice.ConfigMissing, "sheets", "want at least one")
 	}
+	if c.Puts != PutsRising && c.Puts != PutsHighest {
+		add(notice.ConfigBadValue, "puts", "want rising or highest")
+	}
+	seats := c.Seats
+	if c.SeatCount != 0 {
+		seats = SeatNames(min(c.SeatCount, seatsMost))
+		if c.SeatCount < 1 || c.SeatCount > seatsMost || c.SeatCount%2 == 0 {
+			add(notice.ConfigBadValue, "seat_count", fmt.Sprintf("want an odd number from 1 to %d", seatsMost))
+		}
+		if c.Seat != "" || len(c.Seats) > 0 {
+			add(notice.ConfigBadValue, "seat_count", "stands instead of seat and seats, not beside them")
+		}
+	} else if c.Found {
+		add(notice.ConfigBadValue, "found", "goes with seat_count only")
+	}
 	if role != script.RoleUsher {
-		if len(c.Seats) != 3 {
+		if c.SeatCount == 0 && len(c.Seats) != 3 {
 			add(notice.ConfigBadValue, "seats", "want the names of the three seats")
 		}
-		if c.Seat == "" || !slices.Contains(c.Seats, c.Seat) {
+		if c.SeatCount == 0 && (c.Seat == "" || !slices.Contains(c.Seats, c.Seat)) {
 			add(notice.ConfigMissing, "seat", "want one of seats")
 		}
 		if c.Data == "" {
@@ -243,7 +289,7 @@
 		if tag != UsageTag && tag != BookTag && !slices.Contains(c.Districts, tag) {
 			add(notice.ConfigBadValue, "active."+tag, "no such tag")
 		}
-		if role != script.RoleUsher && !slices.Contains(c.Seats, seat) {
+		if role != script.RoleUsher && !slices.Contains(seats, seat) {
 			add(notice.ConfigBadValue, "active."+tag, "no such seat: "+seat)
 		}
 	}
--- a/internal/playbill/playbill_test.go
+++ b/internal/playbill/playbill_test.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -52,3 +53,27 @@
 	c.Assert(config.Node, qt.Equals, "other")
 	c.Assert(config.Seeds[2], qt.Equals, "1.1.1.3:1")
 }
+
+func TestSeatsThatAreOnlyCounted(t *testing.T) {
+	c := qt.New(t)
+	body, err := os.ReadFile("../../docs/settings/jendela-callboard.json")
+	c.Assert(err, qt.IsNil)
+	changed := regexp.MustCompile(`(?s)"seats?":\s*("[^"]*"|\[[^\]]*\]),|"active":\s*\{[^}]*\},`).ReplaceAllString(string(body), "")
+	for head, wanted := range map[string]string{
+		``:                                    "seats: want the names of the three seats",
+		`"seat_count":4,`:                     "seat_count: want an odd number from 1 to 99",
+		`"seat_count":-1,`:                    "seat_count: want an odd number from 1 to 99",
+		`"seat_count":3,"seat":"1",`:          "seat_count: stands instead of seat and seats, not beside them",
+		`"found":true,"seats":["a","b","c"],`: "found: goes with seat_count only",
+		`"seat_count":3,"active":{"usage":"core"},`: "active.usage: no such seat: core",
+		`"seat_count":3,"puts":"lowest",`:           "puts: want rising or highest",
+	} {
+		_, faults := Read("callboard", []byte(strings.Replace(changed, "{", "{"+head, 1)), nil)
+		c.Check(strings.Join(faults, "\n"), qt.Contains, wanted, qt.Commentf(head))
+	}
+	config, faults := Read("callboard", []byte(strings.Replace(changed, "{", `{"seat_count":5,"active":{"usage":"5"},"puts":"highest",`, 1)), map[string]string{"found": "true"})
+	c.Assert(faults, qt.HasLen, 0)
+	c.Assert(config.Seats, qt.DeepEquals, []string{"1", "2", "3", "4", "5"})
+	c.Assert(config.Found, qt.IsTrue)
+	c.Assert(Default().Puts, qt.Equals, PutsRising)
+}
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -15,6 +15,8 @@
 	"slices"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"beaconvane/internal/blocking"
 	"beaconvane/internal/casting"
 	"beaconvane/internal/chorus"
@@ -125,6 +127,7 @@
 	m.chorus = chorus.New(config, m.company, func(*cue.Stage, string) {})
 	m.Core = casting.NewCore(config, script.RolePromptbook, m.company, m.view, view == nil)
 	m.seating = casting.NewSeating(Group, config, m, kept.Seat, func(s *cue.Stage, fresh bool) { m.tenures.StandUp(s, fresh) })
+	m.UseSeats(m.seating)
 	m.tenures = casting.NewTenures(config, m, m.seating, []string{playbill.BookTag}, votes, m.fit, m.took, m.lost)
 	m.chorus.ServeWhen(func(now time.Duration) bool { return m.mode == serving && m.tenures.Holding(playbill.BookTag, now) }, func() []string { return []string{m.holderName()} })
 	return m, nil
@@ -202,6 +205,14 @@
 	m.synced = m.position()
 }
 
+// Forget drops what rested on a seat that is another's now.
+func (m *Machine) Forget(s *cue.Stage) {
+	m.tenures.Forget(s)
+	m.term, m.mode, m.reads, m.acks = 0, idle, nil, nil
+	m.absorb(script.BookState{})
+	m.synced = m.position()
+}
+
 func (m *Machine) fit(string) bool {
 	return m.Failure() == nil && !m.stopping && !m.company.Superseded()
 }
@@ -219,7 +230,7 @@
 func (m *Machine) took(s *cue.Stage, _ string, epoch int64) {
 	m.term, m.mode, m.sentAt = epoch, reading, 0
 	at := m.position()
-	m.reads = map[string]script.BookReadTold{m.config.Seat: {Epoch: epoch, Seat: m.config.Seat, Identity: m.seating.State.Identity,
+	m.reads = map[string]script.BookReadTold{m.seating.Seat: {Epoch: epoch, Seat: m.seating.Seat, Identity: m.seating.State.Identity,
 		AtEpoch: at.epoch, AtSeq: at.seq, Hash: at.hash}}
 	m.inFlight = nil
 	m.step(s)
@@ -284,15 +295,17 @@
 	switch m.mode {
 	case reading:
 		for _, peer := range m.Peers() {
-			s.Send(peer.Address, script.BookRead{Epoch: m.term, Seat: m.config.Seat, Identity: m.seating.State.Identity})
+			s.Send(peer.Address, script.BookRead{Epoch: m.term, Seat: m.seating.Seat, Identity: m.seating.Stamp()})
 		}
+		m.chooseSource(s)
 	case pulling:
 		for _, peer := range m.Peers() {
 			if peer.Seat == m.source.Seat {
-				s.Send(peer.Address, script.BookPull{Epoch: m.term, Seat: m.config.Seat, Identity: m.seating.State.Identity})
+				s.Send(peer.Address, script.BookPull{Epoch: m.term, Seat: m.seating.Seat, Identity: m.seating.Stamp()})
 			}
 		}
 	case adopting:
+		m.adoption.Identity = m.seating.Stamp()
 		for _, peer := range m.Peers() {
 			s.Send(peer.Address, m.adoption)
 		}
@@ -306,8 +319,8 @@
 func (m *Machine) sendInFlight(s *cue.Stage) {
 	m.sentAt = s.Now
 	for _, peer := range m.Peers() {
-		if _, acked := m.acks[peer.Seat]; !acked {
-			s.Send(peer.Address, script.BookSettle{Epoch: m.term, Seq: m.inFlight.Seq, Seat: m.config.Seat, Identity: m.seating.State.Identity, Layout: *m.inFlight})
+		if !m.seating.Holds(peer.Seat, m.acks[peer.Seat]) {
+			s.Send(peer.Address, script.BookSettle{Epoch: m.term, Seq: m.inFlight.Seq, Seat: m.seating.Seat, Identity: m.seating.Stamp(), Layout: *m.inFlight})
 		}
 	}
 }
@@ -328,7 +341,7 @@
 	switch heard := message.(type) {
 	case script.BookRead:
 		if valid(heard.Seat, heard.Identity, heard.Epoch) {
-			s.Send(from, script.BookReadTold{Epoch: heard.Epoch, Seat: m.config.Seat, Identity: m.seating.State.Identity,
+			s.Send(from, script.BookReadTold{Epoch: heard.Epoch, Seat: m.seating.Seat, Identity: m.seating.Stamp(),
 				AtEpoch: m.synced.epoch, AtSeq: m.synced.seq, Hash: m.synced.hash})
 		}
 	case script.BookReadTold:
@@ -338,7 +351,7 @@
 		}
 	case script.BookPull:
 		if valid(heard.Seat, heard.Identity, heard.Epoch) {
-			s.Send(from, script.BookView{Epoch: heard.Epoch, Seat: m.config.Seat, AtEpoch: m.epoch, AtSeq: m.seq, Layouts: m.all()})
+			s.Send(from, script.BookView{Epoch: heard.Epoch, Seat: m.seating.Seat, AtEpoch: m.epoch, AtSeq: m.seq, Layouts: m.all()})
 		}
 	case script.BookView:
 		m.hearView(s, from, heard)
@@ -380,7 +393,7 @@
 	if !m.seating.Majority(acks) {
 		return
 	}
-	best := m.reads[m.config.Seat]
+	best := m.reads[m.seating.Seat]
 	for _, seat := range m.config.Seats {
 		told, read := m.reads[seat]
 		if read && m.seating.Holds(seat, told.Identity) && (position{best.AtEpoch, best.AtSeq, 0}).before(position{told.AtEpoch, told.AtSeq, 0}) {
@@ -389,7 +402,7 @@
 	}
 	m.source = best
 	m.sentAt = 0
-	if best.Seat == m.config.Seat {
+	if best.Seat == m.seating.Seat {
 		m.adopt(s)
 		return
 	}
@@ -400,7 +413,7 @@
 // adopt settles the whole book again under this term.
 func (m *Machine) adopt(s *cue.Stage) {
 	at := m.position()
-	m.adoption = script.BookAdopt{Epoch: m.term, Seat: m.config.Seat, Identity: m.seating.State.Identity, AtEpoch: at.epoch, AtSeq: at.seq, Hash: at.hash}
+	m.adoption = script.BookAdopt{Epoch: m.term, Seat: m.seating.Seat, Identity: m.seating.Stamp(), AtEpoch: at.epoch, AtSeq: at.seq, Hash: at.hash}
 	m.mode, m.acks, m.sentAt = adopting, map[string]string{}, 0
 	m.epoch, m.seq = m.term, 0
 	term, reached := m.term, m.position()
@@ -410,7 +423,7 @@
 		}
 		m.synced = reached
 		if m.term == term {
-			m.hearSettled(s, script.BookSettled{Epoch: term, Seq: 0, Seat: m.config.Seat, Identity: m.seating.State.Identity})
+			m.hearSettled(s, script.BookSettled{Epoch: term, Seq: 0, Seat: m.seating.Seat, Identity: m.seating.State.Identity})
 		}
 	})
 	m.step(s)
@@ -438,7 +451,7 @@
 // confirm says what this seat has synced.
 func (m *Machine) confirm(s *cue.Stage, to string) {
 	if m.synced.epoch == m.tenures.Epoch(playbill.BookTag) {
-		s.Send(to, script.BookSettled{Epoch: m.synced.epoch, Seq: m.synced.seq, Seat: m.config.Seat, Identity: m.seating.State.Identity})
+		s.Send(to, script.BookSettled{Epoch: m.synced.epoch, Seq: m.synced.seq, Seat: m.seating.Seat, Identity: m.seating.Stamp()})
 	}
 }
 
@@ -448,7 +461,7 @@
 	}
 	m.pullAt = s.Now + m.config.DigestEvery()/2
 	s.Note("book-pull", 0, m.epoch, "behind the holder")
-	s.Send(from, script.BookPull{Epoch: m.tenures.Epoch(playbill.BookTag), Seat: m.config.Seat, Identity: m.seating.State.Identity})
+	s.Send(from, script.BookPull{Epoch: m.tenures.Epoch(playbill.BookTag), Seat: m.seating.Seat, Identity: m.seating.Stamp()})
 }
 
 func (m *Machine) hearView(s *cue.Stage, from string, view script.BookView) {
@@ -571,42 +584,73 @@
 	refuse := func(code notice.Code, detail string, faults []string) {
 		m.tell(s, next.from, script.BookTold{Ticket: put.Ticket, Code: int64(code), Detail: detail, Faults: faults, Sheet: put.Sheet, Version: put.Version})
 	}
+	number := gjson.GetBytes(put.Body, "version")
+	if put.Version == 0 {
+		put.Version = number.Int()
+	}
+	if put.Version <= 0 || !slices.Contains(m.config.Sheets, put.Sheet) {
+		refuse(notice.LayoutBad, "", []string{"$: want a version above 0 and one of the sheets of the settings"})
+		return
+	}
+	check := func() bool {
+		faults, tooLarge := blocking.Check(put.Body, blocking.Limits{Bytes: m.config.Limits.Layout, Entries: m.config.Limits.Entries, Query: m.config.QueryLimit()})
+		if tooLarge {
+			refuse(notice.LayoutTooLarge, "", faults)
+			return false
+		}
+		if number.Exists() && number.Int() != put.Version {
+			faults = append(faults, "version: differs from the number put")
+		}
+		if len(faults) > 0 {
+			refuse(notice.LayoutBad, "", faults)
+			return false
+		}
+		return true
+	}
+	current, known := m.current(put.Sheet)
+	if m.config.Puts == playbill.PutsHighest {
+		if !check() {
+			return
+		}
+		if known && put.Version <= current.Version {
+			// What it relies on is settled, for nothing is in flight here.
+			m.tell(s, next.from, script.BookTold{Ticket: put.Ticket, Detail: fmt.Sprintf("the current version is %d", current.Version),
+				Sheet: put.Sheet, Version: current.Version, Body: current.Body})
+			return
+		}
+		m.settle(s, next, put)
+		return
+	}
 	for _, held := range m.layouts[put.Sheet] {
 		if held.Version == put.Version && string(held.Body) == string(put.Body) {
 			refuse(notice.OK, "already settled", nil)
 			return
 		}
 	}
-	if current, known := m.current(put.Sheet); known && put.Version <= current.Version {
+	if known && put.Version <= current.Version {
 		refuse(notice.LayoutConflict, fmt.Sprintf("the current version is %d", current.Version), nil)
 		return
 	}
-	if put.Version <= 0 || !slices.Contains(m.config.Sheets, put.Sheet) {
-		refuse(notice.LayoutBad, "", []string{"$: want a version above 0 and one of the sheets of the settings"})
-		return
-	}
-	faults, tooLarge := blocking.Check(put.Body, blocking.Limits{Bytes: m.config.Limits.Layout, Entries: m.config.Limits.Entries, Query: m.config.QueryLimit()})
-	if tooLarge {
-		refuse(notice.LayoutTooLarge, "", faults)
-		return
-	}
-	if len(faults) > 0 {
-		refuse(notice.LayoutBad, "", faults)
-		return
+	if check() {
+		m.settle(s, next, put)
 	}
+}
+
+// settle begins a put that is in order.
+func (m *Machine) settle(s *cue.Stage, next pendingPut, put script.BookPut) {
 	m.seq++
 	layout := script.KeptLayout{Sheet: put.Sheet, Version: put.Version, Epoch: m.term, Seq: m.seq, Body: put.Body}
 	m.inFlight, m.asker, m.acks = &layout, next, map[string]string{}
 	m.keep(layout)
 	reached, term := m.position(), m.term
-	record := script.BookSettle{Epoch: term, Seq: layout.Seq, Seat: m.config.Seat, Identity: m.seating.State.Identity, Layout: layout}
+	record := script.BookSettle{Epoch: term, Seq: layout.Seq, Seat: m.seating.Seat, Identity: m.seating.Stamp(), Layout: layout}
 	m.Persist(s, record, func(s *cue.Stage, failure error) {
 		if failure != nil {
 			return
 		}
 		m.synced = reached
 		if m.term == term {
-			m.hearSettled(s, script.BookSettled{Epoch: term, Seq: layout.Seq, Seat: m.config.Seat, Identity: m.seating.State.Identity})
+			m.hearSettled(s, script.BookSettled{Epoch: term, Seq: layout.Seq, Seat: m.seating.Seat, Identity: m.seating.State.Identity})
 		}
 	})
 	m.sendInFlight(s)
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -66,6 +66,7 @@
 	slowUntil time.Duration
 	inside    int // callers' queries not answered yet
 	stopping  bool
+	retired   bool // its machine was taken away for good
 	deaf      bool // takes no new queries: its listener is closed
 	spanOn    bool
 }
@@ -76,7 +77,7 @@
 	for index := range repertoire.Seats {
 		seeds = append(seeds, fmt.Sprintf("10.1.0.%d:7400", index+1))
 	}
-	for index, seat := range repertoire.Seats {
+	for index, seat := range d.CoreNames() {
 		district := d.Districts[index%len(d.Districts)]
 		host := fmt.Sprintf("10.1.0.%d", index+1)
 		w.addNode(script.RoleCallboard, seat, seat, district, host+":7400", seeds)
@@ -106,6 +107,14 @@
 	return node
 }
 
+// place names the seat in the record: the settings' one, or the machine.
+func (n *Node) place() string {
+	if n.config.Seat != "" {
+		return n.config.Seat
+	}
+	return n.machine
+}
+
 func (n *Node) address() string { return n.config.Address }
 
 // Now is the node's own clock: since its boot, at its own rate.
@@ -126,10 +135,12 @@
 
 // boot starts the process from its disk.
 func (n *Node) boot() {
-	if n.up {
+	if n.up || n.retired {
 		return
 	}
-	n.life++
+	if n.life++; n.life > 1 {
+		n.config.Found = false
+	}
 	n.up, n.frozen, n.bootAt, n.inbox, n.diskAt, n.underway = true, false, n.world.now, nil, 0, nil
 	n.inside, n.deaf, n.stopping = 0, false, false
 	n.stage = cue.NewStage(n.world.dice.Uint64())
@@ -304,12 +315,12 @@
 	switch done.Deed {
 	case "tenure-taken":
 		tag, _, _ := strings.Cut(done.Cause, " ")
-		n.world.record.Keeping = append(n.world.record.Keeping, critic.Keeping{Tag: tag, Seat: n.config.Seat, Epoch: done.Epoch, At: n.world.now})
+		n.world.record.Keeping = append(n.world.record.Keeping, critic.Keeping{Tag: tag, Seat: n.place(), Epoch: done.Epoch, At: n.world.now})
 	case "layout-in-force":
 		n.world.record.Forced = append(n.world.record.Forced, critic.Force{Node: n.machine, Sheet: done.Cause, Version: done.Epoch, At: n.world.now})
 	case "roster-change":
 		tag, _, _ := strings.Cut(done.Cause, " ")
-		n.world.record.Acts = append(n.world.record.Acts, critic.Keeping{Tag: tag, Seat: n.config.Seat, Epoch: done.Epoch, At: n.world.now})
+		n.world.record.Acts = append(n.world.record.Acts, critic.Keeping{Tag: tag, Seat: n.place(), Epoch: done.Epoch, At: n.world.now})
 	}
 }
 
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 
 func (s Step) String() string { return fmt.Sprintf("%s %s %s for %s", s.At, s.Do, s.Target, s.For) }
 
+// heirMark ends the name of a machine that was put beside the one it replaces.
+const heirMark = "-heir"
+
 const loadBegins = 8 * time.Second
 
 // machineNodes lists the processes of a machine, or the one named.
@@ -108,8 +112,19 @@
 	}
 }
 
+// cores lists the core machines, replaced ones aside.
+func (w *World) cores() []string {
+	list := []string{}
+	for _, node := range w.of(script.RoleCallboard) {
+		if !node.retired && !strings.HasSuffix(node.machine, heirMark) {
+			list = append(list, node.machine)
+		}
+	}
+	return list
+}
+
 func (w *World) machines() []string {
-	list := append([]string{}, repertoire.Seats...)
+	list := append([]string{}, w.cores()...)
 	for _, node := range w.of(script.RoleUsher) {
 		list = append(list, node.machine)
 	}
@@ -154,11 +169,11 @@
 	case "isolate-out":
 		w.cutBetween([]string{step.Target}, without(w.machines(), step.Target), false, step.For)
 	case "cut-core":
-		w.cutBetween([]string{step.Target}, without(repertoire.Seats, step.Target), true, step.For)
+		w.cutBetween([]string{step.Target}, without(w.cores(), step.Target), true, step.For)
 	case "cut-core-one-way":
-		w.cutBetween([]string{step.Target}, without(repertoire.Seats, step.Target), false, step.For)
+		w.cutBetween([]string{step.Target}, without(w.cores(), step.Target), false, step.For)
 	case "halve":
-		left, right := []string{step.Target}, without(repertoire.Seats, step.Target)
+		left, right := []string{step.Target}, without(w.cores(), step.Target)
 		for index, node := range w.of(script.RoleUsher) {
 			if index%3 == 0 {
 				left = append(left, node.machine)
@@ -203,7 +218,7 @@
 			}
 		}
 	case "kill-core":
-		for _, seat := range repertoire.Seats {
+		for _, seat := range w.cores() {
 			w.restart(w.machineNodes(seat), false, step.For)
 		}
 	case "kill-all":
@@ -212,6 +227,8 @@
 		}
 	case "replace-seat":
 		w.replaceSeat(step.Target, step.For)
+	case "replace-core":
+		w.replaceCore(step.Target, step.For)
 	case "usurp":
 		w.usurp(step.Target, step.For)
 	case "forsake":
@@ -265,13 +282,35 @@
 	})
 }
 
+// replaceCore ends a core machine for good and adds an empty one of another name at
+// another address; its settings name three core machines of now.
+func (w *World) replaceCore(machine string, down time.Duration) {
+	for _, old := range w.machineNodes(machine) {
+		old.kill(true, true)
+		old.retired = true
+		w.serial++
+		host, port, _ := strings.Cut(old.config.Address, ":")
+		heir := w.addNode(old.role, fmt.Sprintf("%s-after", machine), "", old.config.District, fmt.Sprintf("%s.%s:%s", strings.Join(strings.Split(host, ".")[:3], "."), strconv.Itoa(100+w.serial), port), old.config.Seeds)
+		heir.config.Found = false
+		w.after(down, func() {
+			heir.config.Seeds = []string{}
+			for _, board := range w.of(script.RoleCallboard) {
+				if board != heir && !board.retired && len(heir.config.Seeds) < 3 {
+					heir.config.Seeds = append(heir.config.Seeds, board.address())
+				}
+			}
+			heir.boot()
+		})
+	}
+}
+
 // usurp freezes a core machine, puts an empty one at a new address in its seat, and
 // lets the old one wake later.
 func (w *World) usurp(machine string, frozen time.Duration) {
 	for index, old := range w.machineNodes(machine) {
 		host := fmt.Sprintf("10.1.9.%d:7%d00", len(w.order)+1, 4+index)
-		heir := w.addNode(old.role, machine+"-heir", old.config.Seat, old.config.District, host, old.config.Seeds)
-		heir.name, heir.config.Node = old.role+"/"+machine+"-heir", old.config.Node
+		heir := w.addNode(old.role, machine+heirMark, old.config.Seat, old.config.District, host, old.config.Seeds)
+		heir.name, heir.config.Node = old.role+"/"+machine+heirMark, old.config.Node
 		w.after(500*time.Millisecond, heir.boot)
 	}
 	w.freeze(w.machineNodes(machine), frozen)
@@ -492,7 +531,7 @@
 				version := listed.Int()
 				board.ask(callboard.GetLayout{Sheet: "main", Version: version}, func(answer any) {
 					if got := answer.(callboard.Answer); got.Code == notice.OK {
-						w.record.Kept = append(w.record.Kept, critic.Kept{Seat: board.config.Seat, Sheet: "main", Version: version, Digest: critic.Digest(got.Body)})
+						w.record.Kept = append(w.record.Kept, critic.Kept{Seat: board.place(), Sheet: "main", Version: version, Digest: critic.Digest(got.Body)})
 					}
 				})
 			}
@@ -506,7 +545,7 @@
 						counts[tenant.String()] = count.Int()
 						return true
 					})
-					w.record.Reread = append(w.record.Reread, critic.Reported{Window: window, From: board.config.Seat, Counts: counts})
+					w.record.Reread = append(w.record.Reread, critic.Reported{Window: window, From: board.place(), Counts: counts})
 				}
 			})
 		}
@@ -636,6 +675,39 @@
 	"seat-replaced": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		return []Step{{At: span(dice, 10, 12), Do: "replace-seat", Target: seat(dice), For: span(dice, 0.3, 4)}, {At: span(dice, 16, 18), Do: "put"}}
 	},
+	"core-replaced": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 10, 12), Do: "replace-core", Target: core(d, dice), For: span(dice, 0.3, 4)}, {At: span(dice, 10, 13), Do: "put"}, {At: span(dice, 16, 18), Do: "put"}}
+	},
+	"cores-replaced": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		// One after another, until all that founded are gone.
+		plan := []Step{}
+		for index, name := range d.CoreNames() {
+			plan = append(plan, Step{At: span(dice, 10+float64(index)*9, 11+float64(index)*9), Do: "replace-core", Target: name, For: span(dice, 0.3, 2)},
+				Step{At: span(dice, 12+float64(index)*9, 17+float64(index)*9), Do: "put"})
+		}
+		return plan
+	},
+	"acked-and-wiped": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		return []Step{{At: span(dice, 9, 10), Do: "put-and-kill-disk", For: span(dice, 0.2, 2)}, {At: span(dice, 18, 19), Do: "put-and-kill-disk", For: span(dice, 0.2, 2)},
+			{At: span(dice, 26, 27), Do: "put"}}
+	},
+	"core-replaced-one-away": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		chosen := dice.Perm(len(d.CoreNames()))
+		at := span(dice, 10, 12)
+		return []Step{{At: at, Do: "replace-core", Target: d.CoreNames()[chosen[0]], For: span(dice, 0.3, 3)},
+			{At: at + span(dice, 0, 6), Do: "kill", Target: d.CoreNames()[chosen[1]], For: span(dice, 0.3, 3)},
+			{At: at + span(dice, 0, 6), Do: []string{"cut-core", "cut-core-one-way", "put"}[dice.IntN(3)], Target: d.CoreNames()[chosen[2]], For: span(dice, 0.3, 3)}, {At: span(dice, 22, 24), Do: "put"}}
+	},
+	"core-replaced-all-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		at := span(dice, 10, 12)
+		return []Step{{At: at, Do: "replace-core", Target: core(d, dice), For: span(dice, 0.3, 3)}, {At: at + span(dice, 0.5, 7), Do: "kill-core", For: span(dice, 0.2, 1)},
+			{At: span(dice, 22, 24), Do: "put"}}
+	},
+	"core-wiped-others-killed": func(d repertoire.Deployment, dice *rand.Rand) []Step {
+		name := core(d, dice)
+		at := span(dice, 10, 12)
+		return []Step{{At: at, Do: "kill-disk", Target: name, For: span(dice, 0.2, 2)}, {At: at + span(dice, 0, 3), Do: "kill-core", For: span(dice, 0.2, 1)}, {At: span(dice, 12, 20), Do: "put"}}
+	},
 	"seeds-swapped": func(d repertoire.Deployment, dice *rand.Rand) []Step {
 		plan := []Step{}
 		for index, seat := range repertoire.Seats {
@@ -805,6 +877,10 @@
 
 func seat(dice *rand.Rand) string { return repertoire.Seats[dice.IntN(len(repertoire.Seats))] }
 
+func core(d repertoire.Deployment, dice *rand.Rand) string {
+	return d.CoreNames()[dice.IntN(len(d.CoreNames()))]
+}
+
 func edge(d repertoire.Deployment, dice *rand.Rand) string {
 	return fmt.Sprintf("edge-%d", 1+dice.IntN(d.Ushers))
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -77,6 +77,7 @@
 	record     critic.Record
 	asked      []*critic.Asked
 	versions   int64
+	serial     int // of machines added
 	tenants    int // how many tenants the newest sheet has
 	operations []*bookOperation
 	sent       map[int64]int // control messages by second
--- a/internal/repertoire/repertoire.go
+++ b/internal/repertoire/repertoire.go
@@ -33,6 +33,8 @@
 	Rate       float64
 	Withdrawal bool
 	DiskDelay  time.Duration
+	Cores      int   // core machines; 0 is three
+	SeatCount  int64 // the processes find their seats; 0: the settings name them
 }
 
 // Umuyoboro sends patient messages in Kigali.
@@ -63,7 +65,9 @@
 // word and another is given its number.
 func (d Deployment) Vanish() time.Duration { return 150 * time.Millisecond }
 
-// Named finds a deployment; "small" is Umuyoboro with few machines, for quick runs.
+// Named finds a deployment; "small" is Umuyoboro with few machines, for quick runs;
+// "seats-3" and "seats-5" are small ones whose core groups find their seats, "seats-3-4" has
+// a core machine more than seats.
 func Named(name string) (Deployment, bool) {
 	switch name {
 	case "umuyoboro":
@@ -75,6 +79,15 @@
 		small.Name, small.Ushers, small.Rate = "small", 3, 120
 		small.Services[0].Count, small.Services[1].Count = 3, 2
 		return small, true
+	case "seats-3", "seats-5", "seats-3-4":
+		sought, _ := Named("small")
+		sought.Name, sought.Cores, sought.SeatCount = name, 3, 3
+		if name == "seats-5" {
+			sought.Cores, sought.SeatCount = 5, 5
+		} else if name == "seats-3-4" {
+			sought.Cores = 4
+		}
+		return sought, true
 	}
 	return Deployment{}, false
 }
@@ -139,6 +152,18 @@
 // Seats of the core.
 var Seats = []string{"core-1", "core-2", "core-3"}
 
+// CoreNames lists the core machines.
+func (d Deployment) CoreNames() []string {
+	if d.Cores == 0 {
+		return Seats
+	}
+	names := []string{}
+	for number := range d.Cores {
+		names = append(names, fmt.Sprintf("core-%d", number+1))
+	}
+	return names
+}
+
 // Config gives the settings of one process of the deployment; place gives addresses.
 func (d Deployment) Config(role, node, seat, district, address, outside string, seeds []string, data string) playbill.Config {
 	config := playbill.Default()
@@ -148,6 +173,10 @@
 	for index, name := range d.Districts {
 		config.Active[name] = Seats[index%len(Seats)]
 	}
+	if d.SeatCount > 0 {
+		config.Seat, config.Seats, config.SeatCount = "", playbill.SeatNames(d.SeatCount), d.SeatCount
+		config.Active, config.Found = map[string]string{}, true
+	}
 	if d.Withdrawal {
 		config.Bounds.KeyWithdrawal = 5000
 	}
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -80,6 +80,9 @@
 		Pledge   map[string]string
 		Roll     map[string]string
 		Answer   bool
+		Founder  bool     // takes part in a founding
+		Round    int64    // of the pledge
+		Free     []string // seats whose holders are dead or have left, as the teller knows
 	}
 	SeatClaim struct {
 		Group    string
@@ -105,6 +108,9 @@
 	Pledge   map[string]string
 	Roll     map[string]string
 	Former   []string
+	Seat     string // held or claimed, where the settings name none
+	Founder  bool   // was made at a start that may found
+	Round    int64  // of the pledge; each round is pledged once
 }
 
 // Vote is one voter's persisted promise for a tag.
