--- a/internal/foyer/desk.go
+++ b/internal/foyer/desk.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/atomic"
+
 	"beaconvane/internal/greenroom"
 	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
@@ -97,6 +99,8 @@
 	life    int64 // an earlier life's queries are none of this one's knowledge
 	born    time.Duration
 
+	heardOf atomic.Bool // an upstream has announced itself in this life
+
 	lock    sync.Mutex
 	wires   map[string]Wire
 	waiting map[string]*Trip
@@ -113,19 +117,19 @@
 func (d *Desk) Show(view *usher.View) {
 	d.foyer.Show(d.back.Now(), view)
 	d.CarryOut(d.room.Roster(view.Upstreams))
-	if d.config.ByTarget() && d.back.Now()-d.born < d.config.BeatBound() {
+	if d.config.ByTarget() && d.back.Now()-d.born < d.config.BeatBound() && !d.heardOf.Load() {
 		d.adopt(view)
 	}
 }
 
-// adopt takes over what the roster says of the upstreams beside an earlier life of this
-// home, until they announce themselves: a query names its upstream, so one that is no
-// longer there refuses what is sent.
+// adopt takes over, until any upstream has announced itself here, what the roster
+// says of those beside an earlier life of this home: a query names its upstream, so one
+// that is no longer there refuses what is sent.
 func (d *Desk) adopt(view *usher.View) {
 	for _, list := range view.Upstreams {
 		for _, registration := range list {
 			if registration.Home == d.node && registration.HomeBirth < d.life && !d.room.Holds(registration.Instance) {
-				d.Announce(greenroom.Announcement{Service: registration.Service, Instance: registration.Instance, Incarnation: registration.Incarnation,
+				d.take(greenroom.Announcement{Service: registration.Service, Instance: registration.Instance, Incarnation: registration.Incarnation,
 					Address: registration.Address, District: registration.District, Slots: registration.Slots, Leaving: registration.State == script.StateLeaving})
 			}
 		}
@@ -409,6 +413,11 @@
 
 // Announce takes a checked announcement; false when a higher incarnation is known.
 func (d *Desk) Announce(told greenroom.Announcement) bool {
+	d.heardOf.Store(true)
+	return d.take(told)
+}
+
+func (d *Desk) take(told greenroom.Announcement) bool {
 	accepted, endings, orders := d.room.Announce(d.back.Now(), told)
 	if !accepted {
 		return false
--- a/internal/marquee/usher.go
+++ b/internal/marquee/usher.go
@@ -79,6 +79,7 @@
 				return err
 			}
 			members.Go("usher.count", u.count)
+			members.Go("usher.tell", u.tellTallies)
 			if len(faces) > 1 {
 				if err := faces[1].Serve(members, config.Outside); err != nil {
 					return err
@@ -145,6 +146,32 @@
 	}
 }
 
+// tellTallies logs how queries ended since the last line, where any was refused.
+func (u *usherFace) tellTallies(ctx context.Context) {
+	ticker := time.NewTicker(u.config.LookAgain())
+	defer ticker.Stop()
+	last := map[string]int64{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		tallies, _ := u.foyer.Tallies()
+		since := map[string]int64{}
+		for code, count := range tallies {
+			if count > last[code] && code != notice.OK.String() {
+				since[code] = count - last[code]
+			}
+		}
+		if len(since) > 0 {
+			since[notice.OK.String()] = tallies[notice.OK.String()] - last[notice.OK.String()]
+			u.tower.Log.Info("answers", "since", since)
+		}
+		last = tallies
+	}
+}
+
 func (u *usherFace) counters() map[string]any {
 	tallies, retries := u.foyer.Tallies()
 	running, pending := u.room.Running()
