--- a/internal/callboard/callboard.go
+++ b/internal/callboard/callboard.go
@@ -22,7 +22,7 @@
 	"beaconvane/internal/script"
 )
 
-// Group is the name of the callboards' three seats as a group.
+// Group is the name of the callboards' seats as a group.
 const Group = "callboard"
 
 type beatSeen struct {
--- a/internal/casting/placing_test.go
+++ b/internal/casting/placing_test.go
@@ -439,3 +439,29 @@
 	c.Assert(nodeOf(players[0].seating.State.Roll["3"]), qt.Equals, "n3")
 	c.Assert(editionOf(players[0].seating.State.Roll["3"]), qt.Equals, uint64(0))
 }
+
+// Two grants on two rolls are not one decision.
+func TestGrantsOfTwoRollsDoNotAddUp(t *testing.T) {
+	c := qt.New(t)
+	troupe, players := founded(c, 3, 3)
+	troupe.kill(players[2], true)
+	players[2].boot(false)
+	newcomer := players[2].seating
+	for newcomer.State.Seat == "" || newcomer.writing {
+		troupe.run(step)
+		c.Assert(newcomer.Standing(), qt.IsFalse)
+	}
+	roll := maps.Clone(players[0].seating.State.Roll)
+	roll["3"] = newcomer.State.Identity
+	other := maps.Clone(roll)
+	other["2"] = identityOf(3, 1, 1, "n2")
+	grant := func(seat string, roll map[string]string) {
+		newcomer.Hear(players[2].stage, "a"+seat, script.SeatGrant{Group: "book", Seat: seat, Identity: roll[seat], To: newcomer.State.Identity, Roll: roll, State: []byte{}})
+	}
+	newcomer.grants = map[string]script.SeatGrant{}
+	grant("1", other)
+	grant("2", roll)
+	c.Assert(newcomer.State.Formed, qt.IsFalse)
+	grant("1", roll)
+	c.Assert(newcomer.State.Formed, qt.IsTrue)
+}
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -27,7 +27,7 @@
 	"beaconvane/internal/script"
 )
 
-// Group is the name of the promptbooks' three seats as a group.
+// Group is the name of the promptbooks' seats as a group.
 const Group = "promptbook"
 
 type mode int
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -316,6 +316,10 @@
 	case "tenure-taken":
 		tag, _, _ := strings.Cut(done.Cause, " ")
 		n.world.record.Keeping = append(n.world.record.Keeping, critic.Keeping{Tag: tag, Seat: n.place(), Epoch: done.Epoch, At: n.world.now})
+	case "seat-recovered":
+		n.world.dangers["seats taken by an empty disk"]++
+	case "seat-lost":
+		n.world.dangers["seats lost to another machine"]++
 	case "layout-in-force":
 		n.world.record.Forced = append(n.world.record.Forced, critic.Force{Node: n.machine, Sheet: done.Cause, Version: done.Epoch, At: n.world.now})
 	case "roster-change":
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -83,3 +83,32 @@
 		})
 	}
 }
+
+// Core groups that find their seats: each run must have had the seats taken that it is
+// about, and no promise broken.
+func TestSeatsAreFound(t *testing.T) {
+	for _, fixed := range []struct {
+		deployment, scenario string
+		seed                 uint64
+		taken                int
+	}{
+		{"seats-3", "calm", 1, 0},
+		{"seats-3", "core-replaced", 1, 2},
+		{"seats-3", "acked-and-wiped", 1, 4},
+		{"seats-3", "all-killed", 1, 0},
+		{"seats-3", "core-replaced-one-away", 2, 2},
+		{"seats-5", "calm", 1, 0},
+		{"seats-5", "core-replaced", 1, 2},
+		{"seats-5", "acked-and-wiped", 1, 4},
+		{"seats-5", "all-killed", 1, 0},
+		{"seats-5", "core-replaced-one-away", 1, 2},
+		{"seats-5", "core-replaced-all-killed", 1, 2},
+		{"seats-3-4", "core-replaced", 1, 2},
+	} {
+		t.Run(fmt.Sprintf("%s-%s-%d", fixed.deployment, fixed.scenario, fixed.seed), func(t *testing.T) {
+			t.Parallel()
+			result := play(t, fixed.deployment, fixed.scenario, fixed.seed)
+			reached(t, "seats taken by an empty disk", result.Review.Seen["danger: seats taken by an empty disk"], fixed.taken)
+		})
+	}
+}
