--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -585,7 +585,8 @@
 	}
 	if isAnswer {
 		for _, name := range told.Path {
-			if _, avoided := c.avoid[name]; avoided && !c.resort {
+			// One that was merely full is a good way to its own children.
+			if _, shunned := c.failed[name]; shunned && !c.resort {
 				c.leaveQuietly(s, c.config.Reparent()*2)
 				c.askAt = s.Now
 				return
