Hollow fleets measure what a fleet's size costs, by role and part of the control work

Cause: the target is 12,000 nodes; what each role spends as the fleet grows was not known, and nothing counted bytes.

Ruled out: the simulator for this (it has no processor time, no wires and no disk of its own); the real programs one by one (a usher's process holds 25 MB, which ends the matter at a few hundred, and its HTTP face says nothing of bytes); one process for all (processor time could not be told apart by role).

Change: wings counts frames by way, direction and kind, house counts syncs and their bytes. cmd/walkon starts the real control machines through package house: each core seat is a process, many ushers share one. It measures a steady stretch, one with layouts and one with restarts at each size, fits shapes of growth, and prints table, JSON and plots. A troupe's process ends with its input.

--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -204,10 +204,12 @@
 	h.Log.Info(done.Deed, "code", done.Code, "epoch", done.Epoch, "cause", done.Cause)
 }
 
-func (h *House) count(name string) {
+func (h *House) count(name string) { h.add(name, 1) }
+
+func (h *House) add(name string, amount int) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	h.counts[name]++
+	h.counts[name] += int64(amount)
 }
 
 // runDisk syncs writes in order, those that wait together at once.
@@ -229,11 +231,14 @@
 func (h *House) sync(batch []cue.Write) {
 	for len(batch) > 0 {
 		run := 0
-		records := [][]byte{}
+		records, size := [][]byte{}, len(batch[0].View)
 		for run < len(batch) && batch[run].View == nil {
 			records = append(records, batch[run].Record)
+			size += len(batch[run].Record)
 			run++
 		}
+		h.count("disk_syncs")
+		h.add("disk_bytes", size)
 		var failure error
 		if run > 0 {
 			failure = h.store.Append(records)
--- a/internal/script/schema.go
+++ b/internal/script/schema.go
@@ -50,6 +50,14 @@
 	byType[goType] = entry
 }
 
+// KindName names the message of a frame's kind byte.
+func KindName(kind byte) string {
+	if entry, found := byKind[kind]; found {
+		return entry.goType.Name()
+	}
+	return ""
+}
+
 // SchemaOf derives the Avro schema of a struct.
 func SchemaOf(sample any) avro.Schema {
 	return avro.MustParse(schemaText(reflect.TypeOf(sample), map[string]bool{}))
--- /dev/null
+++ b/internal/walkon/walkon_test.go
@@ -0,0 +1,161 @@
+// The reckoning on made-up figures, and the smallest hollow fleet, in this process.
+package walkon
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/script"
+	"beaconvane/internal/wings"
+)
+
+func made(grows func(size float64) float64, scatter float64) []Row {
+	list := []Row{}
+	for _, size := range []int{16, 32, 64, 128, 256} {
+		value := grows(float64(size))
+		list = append(list, Row{Phase: Steady, Role: script.RoleUsher, Metric: "bytes", Size: size, Values: []float64{value * (1 - scatter), value, value * (1 + scatter)}})
+	}
+	return list
+}
+
+// Each shape is found again, and its figure at a size that was not run.
+func TestSlopesAreFoundAgain(t *testing.T) {
+	for _, known := range []struct {
+		shape string
+		grows func(size float64) float64
+	}{
+		{"flat", func(float64) float64 { return 250 }},
+		{"log n", func(size float64) float64 { return 3 + 5*math.Log2(size) }},
+		{"n", func(size float64) float64 { return 100 + 7*size }},
+		{"n log n", func(size float64) float64 { return 10 + 2*size*math.Log2(size) }},
+		{"n²", func(size float64) float64 { return 50 + 0.3*size*size }},
+	} {
+		t.Run(known.shape, func(t *testing.T) {
+			c := qt.New(t)
+			slope := SlopeOf(made(known.grows, 0.02), 12000)
+			c.Assert(slope.Shape, qt.Equals, known.shape)
+			wanted := known.grows(12000)
+			c.Assert(math.Abs(slope.Target-wanted) < wanted*1e-6, qt.IsTrue, qt.Commentf("%v, not %v", slope.Target, wanted))
+			c.Assert(slope.Least <= slope.Target*0.985 && slope.Most >= slope.Target*1.015, qt.IsTrue, qt.Commentf("%+v", slope))
+		})
+	}
+}
+
+// What only scatters is not taken for growth.
+func TestScatterIsFlat(t *testing.T) {
+	c := qt.New(t)
+	list := []Row{}
+	for index, value := range []float64{100, 109, 93, 104, 98} {
+		list = append(list, Row{Size: 16 << index, Values: []float64{value}})
+	}
+	slope := SlopeOf(list, 12000)
+	c.Assert(slope.Shape, qt.Equals, "flat")
+	c.Assert(slope.Target > 90 && slope.Target < 110, qt.IsTrue)
+}
+
+// A figure never goes below nothing, nor does one size make a slope.
+func TestFewSizes(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(SlopeOf(nil, 12000).Shape, qt.Equals, "none")
+	slope := SlopeOf([]Row{{Size: 16, Values: []float64{5, 7}}}, 12000)
+	c.Assert(slope.Shape, qt.Equals, "flat")
+	c.Assert(slope.Target, qt.Equals, 6.0)
+	c.Assert([]float64{slope.Least, slope.Most}, qt.DeepEquals, []float64{5, 7})
+	c.Assert(SlopeOf(made(func(float64) float64 { return 0 }, 0), 12000).Target, qt.Equals, 0.0)
+}
+
+func TestNumbers(t *testing.T) {
+	c := qt.New(t)
+	for value, text := range map[float64]string{0: "0", 0.0001: "0", 0.0123: "0.0123", 9.876: "9.88", 123.4: "123", 5678: "5678", 45678: "45.7k", 3.21e6: "3.21M", 4e9: "4G"} {
+		c.Assert(number(value), qt.Equals, text)
+	}
+}
+
+// The table has a column a size and leaves out what never was; the plots are drawn.
+func TestTableAndPlots(t *testing.T) {
+	c := qt.New(t)
+	table := Table{Course: Course{Sizes: []int{16, 32, 64, 128, 256}, Phases: []string{Steady}}, Target: 12000,
+		Rows: append(made(func(size float64) float64 { return 100 * size }, 0.1), Row{Phase: Steady, Role: script.RoleUsher, Metric: "dropped", Size: 16, Values: []float64{0}})}
+	table.Reckon()
+	out := bytes.Buffer{}
+	table.Markdown(&out)
+	c.Assert(out.String(), qt.Contains, "| usher | bytes | 1600 ±160 | 3200 ±320 | 6400 ±640 | 12.8k ±1280 | 25.6k ±2560 | n | 0% | 1.2M (1.08M..1.32M) |")
+	c.Assert(strings.Contains(out.String(), "dropped"), qt.IsFalse)
+	body := bytes.Buffer{}
+	c.Assert(table.JSON(&body), qt.IsNil)
+	again := Table{}
+	c.Assert(json.Unmarshal(body.Bytes(), &again), qt.IsNil)
+	c.Assert(again.Rows, qt.DeepEquals, table.Rows)
+	folder := t.TempDir()
+	c.Assert(table.Plot(folder), qt.IsNil)
+	drawn, err := os.Stat(filepath.Join(folder, "capacity-bytes.png"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(drawn.Size() > 1000, qt.IsTrue)
+}
+
+// Differences of two readings are a second's; a kind that is known to no part counts
+// with the seats.
+func TestRates(t *testing.T) {
+	c := qt.New(t)
+	before, after := Reading{At: time.Second, Processor: time.Second}, Reading{At: 3 * time.Second, Processor: 1500 * time.Millisecond, House: map[string]int64{"disk_syncs": 8}}
+	for _, kind := range []string{"Ping", "BeatBatch", "TenureAsk", "BookPut"} {
+		after.Counts = append(after.Counts, wings.Count{Way: "tcp", Out: true, Kind: kind, Messages: 10, Bytes: 100})
+	}
+	rate := rates(before, after)
+	for metric, value := range map[string]float64{"processor": 25, "disk_syncs": 4, "tcp_out_messages": 20, "bytes": 200, "bytes_membership": 50, "bytes_beats": 50, "bytes_seats": 50, "bytes_book": 50, "udp_in_bytes": 0} {
+		c.Assert(rate[metric], qt.Equals, value, qt.Commentf(metric))
+	}
+}
+
+// The smallest fleet in this process: whole, a layout in force everywhere, a usher that
+// was ended and is back; every stretch leaves its rows.
+func TestTinyFleet(t *testing.T) {
+	c := qt.New(t)
+	plan := Plan{Ushers: 4, Districts: 2, Services: 3, Tenants: 2, Fanout: 2, Share: 2, Folder: t.TempDir()}
+	course := Course{Sizes: []int{4}, Repeats: 1, Limit: time.Minute, Window: time.Millisecond, Phases: []string{Steady, Layouts, Restarts}}
+	list, err := Measure(plan, course)
+	c.Assert(err, qt.IsNil)
+	found := map[string]float64{}
+	for _, row := range list {
+		found[row.Phase+" "+row.Role+" "+row.Metric] = row.Values[0]
+	}
+	c.Assert(found["steady fleet ready"], qt.Equals, 4.0)
+	c.Assert(found["layouts fleet in_force_ms"] > 0, qt.IsTrue)
+	c.Assert(found["restarts fleet restored_ms"] > 0, qt.IsTrue)
+	c.Assert(found["layouts promptbook disk_bytes"] > 0, qt.IsTrue)
+	c.Assert(found["layouts usher bytes_news"] > 0, qt.IsTrue)
+	c.Assert(found["steady usher resident"] > 0, qt.IsTrue)
+}
+
+// A troupe's process answers line by line, names what it can't do, and ends with its input.
+func TestServe(t *testing.T) {
+	c := qt.New(t)
+	plan := Plan{Ushers: 1, Districts: 1, Services: 1, Fanout: 2, Folder: t.TempDir()}
+	address, err := freeAddress("127.88.9.1")
+	c.Assert(err, qt.IsNil)
+	parts := []Part{{Role: script.RoleUsher, Service: "service-001", Config: plan.Config(script.RoleUsher, "edge", "", districtName(0), address, []string{address, address, address})}}
+	input, output := bytes.Buffer{}, bytes.Buffer{}
+	encoder := json.NewEncoder(&input)
+	c.Assert(encoder.Encode(parts), qt.IsNil)
+	for _, ask := range []Ask{{Deed: "read"}, {Deed: "nothing"}, {Deed: "state", Index: 7}, {Deed: "weigh"}} {
+		c.Assert(encoder.Encode(ask), qt.IsNil)
+	}
+	c.Assert(Serve(&input, &output), qt.IsNil)
+	decoder, answers := json.NewDecoder(&output), make([]Answer, 5)
+	for index := range answers {
+		c.Assert(decoder.Decode(&answers[index]), qt.IsNil)
+	}
+	c.Assert(answers[0].Fault, qt.Equals, "")
+	c.Assert(answers[1].Reading.Processor > 0, qt.IsTrue)
+	c.Assert(answers[2].Fault, qt.Contains, "nothing")
+	c.Assert(answers[3].Fault, qt.Contains, "no part 7")
+	c.Assert(answers[4].Reading.Live > 0, qt.IsTrue)
+}
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -37,6 +37,7 @@
 	wires     map[string]*Wire
 	inWires   map[net.Conn]bool
 	broke     func(address string)
+	tally     tally
 }
 
 // OnBroke is told of control wires that ended.
@@ -79,6 +80,7 @@
 				return
 			}
 			if message, err := script.Decode(buffer[:size]); err == nil {
+				w.tally.add(wayUDP, inward, buffer[0], size)
 				w.inbound(from.String(), message, nil)
 			}
 		}
@@ -131,6 +133,7 @@
 	if _, err := w.packets.WriteTo(frame, target); err != nil {
 		return notice.Wrap("wings.datagram", notice.WireLost, err)
 	}
+	w.tally.add(wayUDP, outward, frame[0], len(frame))
 	return nil
 }
 
@@ -268,6 +271,7 @@
 			if _, err := writer.Write(frame); err != nil {
 				return
 			}
+			wire.wings.tally.add(wayTCP, outward, frame[0], len(head)+len(frame))
 			if len(wire.pending) == 0 {
 				if err := writer.Flush(); err != nil {
 					return
@@ -300,6 +304,7 @@
 		if err != nil {
 			return
 		}
+		wire.wings.tally.add(wayTCP, inward, frame[0], len(head)+len(frame))
 		heard(message)
 	}
 }
