--- a/cmd/walkon/main.go
+++ b/cmd/walkon/main.go
@@ -28,8 +28,8 @@
 }
 
 func measure() *cobra.Command {
-	plan := walkon.Plan{Districts: 26, Services: 840, Tenants: 8, Fanout: 2, InForce: 6 * time.Second}
-	course := walkon.Course{Sizes: []int{16, 32, 64, 128, 256}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Settle: 2 * time.Second,
+	plan := walkon.Plan{Districts: 26, Services: 840, Tenants: 8, Fanout: 128, InForce: 6 * time.Second}
+	course := walkon.Course{Sizes: []int{16, 32, 64, 96, 128}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Settle: 2 * time.Second,
 		Limit: time.Minute, Phases: []string{walkon.Steady, walkon.Layouts, walkon.Restarts}}
 	target, share, asJSON, plots := 12000, 0, "", ""
 	command := &cobra.Command{Use: "measure", Short: "run each size and print the table", Args: cobra.NoArgs,
