A query that would miss its aim behind others is turned away at once

Cause: when upstreams are fewer or cold, homes answered everything late: all queries waited past their aim, and none was in time. After a restart asks went to peers not known yet, and a view did not follow when news became known current. Ruled out: longer queues; refusing by length (a short queue of slow queries is as bad). Change: a home knows how long each route takes and turns away what would be answered after its aim (AimLeft goes with the carry), and drops what has waited too long while others wait; a candidate waits until a majority is known; a view follows at once when a topic becomes known current; a regrant compares the identity within the stamp.

--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -207,6 +207,10 @@
 			}
 			continue
 		}
+		if (len(t.host.Peers())+1)*2 <= len(t.config.Seats) {
+			// Too few are known to be granted by; a trial now would only cost time.
+			continue
+		}
 		t.campaign(s, tag, state)
 	}
 }
@@ -214,7 +218,7 @@
 // promisedTo: what this disk promised last was to that very holder, so whatever was
 // forgotten in a restart bars it from nothing.
 func (t *Tenures) promisedTo(state *tagState, seat, identity string) bool {
-	return t.written && state.synced && state.vote.Holder == seat && state.vote.Identity == identity
+	return t.written && state.synced && state.vote.Holder == seat && state.vote.Identity == bare(identity)
 }
 
 func (t *Tenures) preferred(tag string) bool { return t.config.Active[tag] == t.seating.Seat }
--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -666,6 +666,9 @@
 		held.known, moved = true, true
 	}
 	if isAnswer && item.Age >= 0 && held.known && !held.at().Before(item.Mark) {
+		if held.freshAt == never && !moved {
+			c.changed(s, topic)
+		}
 		held.freshAt = max(held.freshAt, askedAt-time.Duration(item.Age))
 	}
 	if moved {
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -86,7 +86,7 @@
 	case final.Code == notice.BusyNotReady || final.Code == notice.BusyStale:
 		final.RetryAfter = f.config.NewsEvery() * 2
 	default:
-		final.RetryAfter = f.config.NewsEvery()
+		final.RetryAfter = f.config.NewsEvery() * 3 / 2
 	}
 	return final
 }
@@ -528,6 +528,9 @@
 		RawQuery: query.RawQuery, Headers: []script.HeaderLine{}, Body: query.Body, AnswerCap: f.config.Limits.Answer,
 		Host: query.Host, Name: query.Name, Priority: query.Priority, Once: query.Route.Once}
 	remaining := query.Deadline - now
+	if query.Route.Aim > 0 {
+		carry.Aim = max(int64(query.Came+query.Route.Aim-now), 1)
+	}
 	carry.Remaining = int64(remaining - min(remaining/20, f.config.NewsEvery()/10))
 	names := make([]string, 0, len(query.Header))
 	for name := range query.Header {
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -65,6 +65,7 @@
 type waiting struct {
 	carry script.Carry
 	until time.Duration
+	aim   time.Duration // until when its answer has its full worth; 0: not told
 }
 
 type upstream struct {
@@ -76,6 +77,8 @@
 	running      map[string]bool
 	ghosts       []time.Duration
 	pending      []waiting
+	usual        map[string]time.Duration // by route: how long a query takes here
+	whole        time.Duration            // and one of any route
 }
 
 type kept struct {
@@ -172,7 +175,7 @@
 	}
 	held, known = g.upstreams[key]
 	if !known {
-		held = &upstream{running: map[string]bool{}}
+		held = &upstream{running: map[string]bool{}, usual: map[string]time.Duration{}}
 		g.upstreams[key] = held
 	}
 	if held.announcement.Leaving {
@@ -273,7 +276,15 @@
 	}
 	until := now + time.Duration(carry.Remaining)
 	g.remember(carry.ID, &kept{at: until, pending: true})
-	held.push(waiting{carry, until})
+	item := waiting{carry: carry, until: until}
+	if carry.Aim > 0 {
+		item.aim = now + time.Duration(carry.Aim)
+	}
+	if held.hopeless(now, item) {
+		delete(g.verdicts, carry.ID)
+		return []Order{g.refuse(carry, notice.BusySlotsFull)}
+	}
+	held.push(item)
 	orders := g.fill(now, held)
 	if len(held.pending) > int(held.announcement.Slots) {
 		last := held.pending[len(held.pending)-1]
@@ -293,6 +304,40 @@
 	u.pending = slices.Insert(u.pending, at, item)
 }
 
+// hopeless: behind those that go before it, a query would be answered after its aim,
+// and a slot that it took would be wasted on it while others can still be in time.
+func (u *upstream) hopeless(now time.Duration, item waiting) bool {
+	usual := u.usual[item.carry.Route]
+	if item.aim == 0 || usual == 0 || int64(len(u.running)) < u.announcement.Slots {
+		return false
+	}
+	ahead := 1
+	for _, other := range u.pending {
+		if other.carry.Priority <= item.carry.Priority {
+			ahead++
+		}
+	}
+	wait := u.whole * time.Duration(ahead) / time.Duration(max(1, u.announcement.Slots))
+	return now+wait+usual > item.aim
+}
+
+// late: it has waited so long that even a quick answer would miss its aim.
+func (u *upstream) late(now time.Duration, item waiting) bool {
+	return item.aim > 0 && now+u.usual[item.carry.Route]/2 > item.aim
+}
+
+// learn takes how long a query took.
+func (u *upstream) learn(route string, took time.Duration) {
+	if u.usual[route] == 0 {
+		u.usual[route] = took
+	}
+	if u.whole == 0 {
+		u.whole = took
+	}
+	u.usual[route] += (took - u.usual[route]) / 16
+	u.whole += (took - u.whole) / 16
+}
+
 // admits: whether this upstream may be given this query now.
 func (g *Greenroom) admits(now time.Duration, held *upstream, known bool, carry script.Carry) notice.Code {
 	switch {
@@ -339,6 +384,10 @@
 			orders = append(orders, g.refuse(next.carry, notice.BusyDeadline))
 			continue
 		}
+		if len(held.pending) > 0 && held.late(now, next) {
+			orders = append(orders, g.refuse(next.carry, notice.BusySlotsFull))
+			continue
+		}
 		if code := g.admits(now, held, true, next.carry); code != notice.OK {
 			orders = append(orders, g.refuse(next.carry, code))
 			continue
@@ -491,6 +540,9 @@
 	}
 	if old, seen := g.verdicts[verdict.ID]; order.Start && seen {
 		verdict.Took = int64(now - old.began)
+		if known && verdict.Kind == script.StartedWhole {
+			held.learn(order.Carry.Route, now-old.began)
+		}
 	}
 	if order.Start {
 		light := verdict
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -505,6 +505,7 @@
 		Host        string
 		Name        string // the caller's own name of this try
 		Priority    int64  // 0 goes first
+		Aim         int64  // what is left of the time within which an answer has its full worth; 0: not told
 		Once        bool
 	}
 	Verdict struct {
