Priority is the tenant's, and among one tenant's queries the route's

Ruled out: the choice of upstreams (their use was even). Change: priorities are ordered by tenant, then route; a running query's further calls have no tenant and go first.

--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -81,10 +81,15 @@
 // Keyless says that no tenants are told at all: then no query wants a key.
 func (l *Layout) Keyless() bool { return len(l.keys) == 0 }
 
-// Rank is a tenant's own priority, which goes before its route's.
-func (l *Layout) Rank(tenant string) (int64, bool) {
+// Priority orders the queries of a layout: by their tenants' priorities, and among
+// those of one by their routes'. A tenant that names none goes behind those that do; a
+// query without a tenant is a running one's, whose work would be lost with it.
+func (l *Layout) Priority(tenant string, route Route) int64 {
 	rank, told := l.ranks[tenant]
-	return rank, told
+	if !told && tenant != "" {
+		rank = LeastPriority
+	}
+	return rank*(LeastPriority+1) + min(route.Priority, LeastPriority)
 }
 
 // Service gives what the sheet says of a service.
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -283,10 +283,7 @@
 			return Refusal(notice.QueryTooLarge)
 		}
 		query.Layout, query.Route, query.Tenant, query.Caller, query.Name = layout, route, tenant, claimed, claims.Name
-		query.Priority = route.Priority
-		if rank, told := layout.Rank(tenant); told {
-			query.Priority = rank
-		}
+		query.Priority = layout.Priority(tenant, route)
 		query.Deadline = min(query.Deadline, now+route.Limit)
 		if claims.Wait > 0 {
 			query.Deadline = min(query.Deadline, query.Came+claims.Wait)
