--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -9,6 +9,8 @@
 package company
 
 import (
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"math/bits"
 	"slices"
@@ -273,11 +275,33 @@
 	for _, target := range targets {
 		if !sent[target] {
 			sent[target] = true
-			s.Datagram(target, script.JoinAsk{From: c.self})
+			s.Datagram(target, script.JoinAsk{From: c.self, Known: c.known()})
 		}
 	}
 }
 
+// known is the sum of what is known of every node, this one included. Suspicions come
+// and go and are no reason to tell everything.
+func (c *Company) known() int64 {
+	sum := int64(0)
+	add := func(member script.Member) {
+		hash := fnv.New64a()
+		state := member.State
+		if state == script.Suspect {
+			state = script.Alive
+		}
+		fmt.Fprintf(hash, "%s|%s|%d|%d|%s", member.Name, member.Address, member.Birth, state, member.Seat)
+		sum += int64(hash.Sum64())
+	}
+	for _, known := range c.members {
+		if known.member.State <= script.Suspect {
+			add(known.member)
+		}
+	}
+	add(c.self)
+	return sum
+}
+
 func (c *Company) probeNext(s *cue.Stage) {
 	c.current = nil
 	for range len(c.members) + 1 {
@@ -368,6 +392,10 @@
 		s.Datagram(heard.Address, script.Ping{Number: c.number, Target: heard.Target, From: c.self})
 	case script.JoinAsk:
 		c.meet(s, heard.From)
+		if heard.Known == c.known() {
+			s.Datagram(heard.From.Address, script.JoinTold{From: c.self, Members: []script.Member{}})
+			return true
+		}
 		batch := []script.Member{}
 		flush := func() {
 			s.Datagram(heard.From.Address, script.JoinTold{From: c.self, Members: batch})
--- a/internal/script/messages.go
+++ b/internal/script/messages.go
@@ -61,7 +61,8 @@
 		Gossip  []Member
 	}
 	JoinAsk struct {
-		From Member
+		From  Member
+		Known int64 // sum of what is known here: the list is told only where it differs
 	}
 	JoinTold struct {
 		From    Member
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -298,7 +298,7 @@
 		if !reflect.DeepEqual(told, m.told) || s.Now >= m.toldAt {
 			told.Number++
 			m.told, m.toldAt = told, s.Now+m.config.BeatEvery()
-			for _, callboard := range m.company.Lately(script.RoleCallboard, s.Now) {
+			for _, callboard := range m.counters(s.Now) {
 				s.Send(callboard.Address, told)
 			}
 		}
@@ -318,6 +318,20 @@
 	m.settle(s)
 }
 
+// counters are the callboards that are told the usage: one more than may be lost, so
+// that any majority that a new keeper reads has one of them.
+func (m *Machine) counters(now time.Duration) []script.Member {
+	callboards := m.company.Lately(script.RoleCallboard, now)
+	if seats := len(m.config.Seats); m.config.CountsBegun() && seats > 0 && len(callboards) > seats/2+1 {
+		alive := m.company.Alive(script.RoleCallboard)
+		if len(alive) > seats/2+1 {
+			return alive[:seats/2+1]
+		}
+		return alive
+	}
+	return callboards
+}
+
 // SealedBelow is the lowest window that some callboard still has to seal.
 func (m *Machine) SealedBelow() int64 {
 	highest := int64(0)
