--- a/internal/marquee/marquee.go
+++ b/internal/marquee/marquee.go
@@ -77,6 +77,8 @@
 				load = func() (playbill.Config, error) { return program.Platform.Load(program.Role) }
 				manners = Manners{Callers: program.Platform.Callers(), Upstreams: program.Platform.Upstreams(), Report: program.Platform.DressReport}
 			}
+			hangups := listen()
+			defer signal.Stop(hangups)
 			config, err := load()
 			if err != nil {
 				return err
@@ -85,7 +87,7 @@
 				fmt.Println("settings are good")
 				return nil
 			}
-			return serve(program, config, manners, load)
+			return serve(program, config, manners, load, hangups)
 		}}
 	root.Flags().StringVar(&configPath, "config", "", "settings file (JSON)")
 	if program.Platform != nil {
@@ -107,7 +109,7 @@
 }
 
 // serve runs the fx app until a signal; a second signal ends at once.
-func serve(program Program, config playbill.Config, manners Manners, load func() (playbill.Config, error)) error {
+func serve(program Program, config playbill.Config, manners Manners, load func() (playbill.Config, error), hangups <-chan os.Signal) error {
 	thrift(config)
 	members := crew.New()
 	tower := house.New(config, program.Role, members)
@@ -123,7 +125,7 @@
 	if err := app.Start(started); err != nil {
 		return notice.Wrap("marquee.start", notice.Internal, err)
 	}
-	members.Go("marquee.reload", func(ctx context.Context) { reload(ctx, config, tower, load) })
+	members.Go("marquee.reload", func(ctx context.Context) { reload(ctx, config, tower, load, hangups) })
 	tower.Log.Info("started", "address", config.Address, "outside", config.Outside, "version", Version)
 	<-signals
 	tower.Log.Info("stopping")
@@ -139,13 +141,18 @@
 	return nil
 }
 
+// listen takes SIGHUP from the first moment on: unheard, it ends a process, also one
+// that is still reading its disk.
+func listen() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // reload reads the settings again, on SIGHUP and now and then, since the file may change
 // without it. Seeds are taken at once; whatever else has changed is said, and taken at
 // the next start.
-func reload(ctx context.Context, config playbill.Config, tower *house.House, load func() (playbill.Config, error)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reload(ctx context.Context, config playbill.Config, tower *house.House, load func() (playbill.Config, error), hangups <-chan os.Signal) {
 	ticker := time.NewTicker(config.LookAgain())
 	defer ticker.Stop()
 	for {
