--- a/internal/foyer/desk.go
+++ b/internal/foyer/desk.go
@@ -425,7 +425,10 @@
 	for _, ending := range endings {
 		d.back.Tell(usher.SignedOff{Service: ending.Service, Instance: ending.Instance, Incarnation: ending.Incarnation})
 	}
-	d.back.Tell(usher.Announced{Registration: told.Registration()})
+	// What the home holds now, which a late announcement has not altered.
+	if held, known := d.room.Held(told.Service, told.Instance); known {
+		d.back.Tell(usher.Announced{Registration: held.Registration()})
+	}
 	d.CarryOut(orders)
 	return true
 }
--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -216,6 +216,17 @@
 	return Announcement{}, false, nil
 }
 
+// Held gives an upstream's announcement as it counts here.
+func (g *Greenroom) Held(service, instance string) (Announcement, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	held, known := g.upstreams[service+"/"+instance]
+	if !known {
+		return Announcement{}, false
+	}
+	return held.announcement, true
+}
+
 // Holds says that an instance is registered here.
 func (g *Greenroom) Holds(instance string) bool {
 	g.lock.Lock()
