--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -214,7 +214,7 @@
 // promisedTo: what this disk promised last was to that very holder, so whatever was
 // forgotten in a restart bars it from nothing.
 func (t *Tenures) promisedTo(state *tagState, seat, identity string) bool {
-	return t.written && state.synced && state.vote.Holder == seat && state.vote.Identity == identity
+	return t.written && state.synced && state.vote.Holder == seat && state.vote.Identity == bare(identity)
 }
 
 func (t *Tenures) preferred(tag string) bool { return t.config.Active[tag] == t.seating.Seat }
@@ -465,7 +465,7 @@
 		t.drop(s, tag, "the seat is another's")
 		t.tags[tag] = &tagState{vote: script.Vote{Tag: tag}, synced: true}
 	}
-	t.votesAt = -1
+	t.votesAt, t.written = -1, false
 }
 
 // Forsake leaps over whatever epochs the lost disks may have given out.
