--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -207,6 +207,10 @@
 			}
 			continue
 		}
+		if (len(t.host.Peers())+1)*2 <= len(t.config.Seats) {
+			// Too few are known to be granted by; a trial now would only cost time.
+			continue
+		}
 		t.campaign(s, tag, state)
 	}
 }
--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -585,7 +585,8 @@
 	}
 	if isAnswer {
 		for _, name := range told.Path {
-			if _, avoided := c.avoid[name]; avoided && !c.resort {
+			// One that was merely full is a good way to its own children.
+			if _, shunned := c.failed[name]; shunned && !c.resort {
 				c.leaveQuietly(s, c.config.Reparent()*2)
 				c.askAt = s.Now
 				return
@@ -665,6 +666,9 @@
 		held.known, moved = true, true
 	}
 	if isAnswer && item.Age >= 0 && held.known && !held.at().Before(item.Mark) {
+		if held.freshAt == never && !moved {
+			c.changed(s, topic)
+		}
 		held.freshAt = max(held.freshAt, askedAt-time.Duration(item.Age))
 	}
 	if moved {
