--- a/internal/greenroom/calling_test.go
+++ b/internal/greenroom/calling_test.go
@@ -66,6 +66,7 @@
 	caller  *Caller
 	members *crew.Crew
 	address string
+	carried int
 }
 
 func newBench(c *qt.C, members *crew.Crew, address string) *bench {
