--- a/internal/casting/tenures.go
+++ b/internal/casting/tenures.go
@@ -469,7 +469,7 @@
 		t.drop(s, tag, "the seat is another's")
 		t.tags[tag] = &tagState{vote: script.Vote{Tag: tag}, synced: true}
 	}
-	t.votesAt = -1
+	t.votesAt, t.written = -1, false
 }
 
 // Forsake leaps over whatever epochs the lost disks may have given out.
