A view that is on its way to a child is not sent again at each ask

Cause: on a 2.3 Mbit/s link a sheet takes a tenth of a second and more, and every ask meanwhile was answered with the whole sheet again; asks of a start come every 50 ms. Change: a parent remembers what it sent a child and when, and sends the same view again only after four askings' time; another life of the child clears it.

--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -53,6 +53,29 @@
 	name    string
 	heardAt time.Duration
 	marks   map[string]script.Mark
+	round   int64                // of its last ask; a lower one is another life's
+	sent    map[string]sentWhole // views on their way to it
+}
+
+// sentWhole is a view that was sent: a child on a narrow link asks again before it is
+// there, and must not be sent it anew each time.
+type sentWhole struct {
+	mark script.Mark
+	at   time.Duration
+}
+
+// underway notes a view that goes to a child, and says that the same one went a short
+// while ago.
+func (c *Chorus) underway(now time.Duration, known *child, item script.NewsItem) bool {
+	if !item.View || item.Offset > 0 {
+		return false
+	}
+	last, sent := known.sent[item.Mark.Topic]
+	if sent && last.mark.Same(item.Mark) && now-last.at < c.config.NewsEvery()*4 {
+		return true
+	}
+	known.sent[item.Mark.Topic] = sentWhole{item.Mark, now}
+	return false
 }
 
 type collecting struct {
@@ -478,12 +501,20 @@
 		known = &child{name: ask.Child}
 		c.children[ask.Child] = known
 	}
+	if known.sent == nil || ask.Round < known.round || known.address != from {
+		known.sent = map[string]sentWhole{}
+	}
+	known.round = ask.Round
 	known.address, known.heardAt = from, s.Now
 	known.marks = map[string]script.Mark{}
 	told := script.NewsTold{Round: ask.Round, Parent: self.Name, Path: path, Try: []string{}, Items: []script.NewsItem{}}
 	for _, mark := range ask.Marks {
 		known.marks[mark.Topic] = mark
-		told.Items = append(told.Items, c.itemFor(s, mark))
+		item := c.itemFor(s, mark)
+		if c.underway(s.Now, known, item) {
+			item.View, item.Body = false, []byte{}
+		}
+		told.Items = append(told.Items, item)
 	}
 	s.Send(from, told)
 }
@@ -540,6 +571,9 @@
 		}
 		item := c.itemFor(s, mark)
 		item.Age = -1
+		if c.underway(s.Now, known, item) {
+			continue
+		}
 		path := append(append([]string{}, c.path...), c.company.Self().Name)
 		s.Send(known.address, script.NewsTold{Round: 0, Parent: c.company.Self().Name, Path: path, Try: []string{}, Items: []script.NewsItem{item}})
 		if !item.View || item.Total == int64(len(item.Body)) {
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -255,7 +255,10 @@
 	wait := c.config.JoinEvery()
 	early := wait / 8 << min(c.joins, 8)
 	targets := append([]string{}, c.config.Seeds...)
-	if alive := c.Alive(""); len(alive) > 0 && early >= wait {
+	if alive := c.Alive(""); len(alive) > 0 && early < wait && c.self.Role == script.RoleUsher {
+		// Lists cost its link more than they tell it now.
+		targets = []string{c.config.Seeds[s.Dice.IntN(len(c.config.Seeds))]}
+	} else if len(alive) > 0 && early >= wait {
 		wait *= 2
 		targets = []string{c.config.Seeds[s.Dice.IntN(len(c.config.Seeds))], alive[s.Dice.IntN(len(alive))].Address}
 		if names := c.names(); len(names) > 0 {
--- a/internal/usher/usher.go
+++ b/internal/usher/usher.go
@@ -319,10 +319,10 @@
 }
 
 // counters are the callboards that are told the usage: one more than may be lost, so
-// that any majority that a new keeper reads has one of them.
+// that any majority that a new keeper reads has one of them; of three all are told.
 func (m *Machine) counters(now time.Duration) []script.Member {
 	callboards := m.company.Lately(script.RoleCallboard, now)
-	if seats := len(m.config.Seats); m.config.CountsBegun() && seats > 0 && len(callboards) > seats/2+1 {
+	if seats := len(m.config.Seats); m.config.CountsBegun() && seats > 3 && len(callboards) > seats/2+1 {
 		alive := m.company.Alive(script.RoleCallboard)
 		if len(alive) > seats/2+1 {
 			return alive[:seats/2+1]
