--- a/internal/playbill/playbill_test.go
+++ b/internal/playbill/playbill_test.go
@@ -15,7 +15,7 @@
 	c := qt.New(t)
 	paths, err := filepath.Glob("../../docs/settings/*.json")
 	c.Assert(err, qt.IsNil)
-	c.Assert(paths, qt.HasLen, 6)
+	c.Assert(paths, qt.HasLen, 8)
 	for _, path := range paths {
 		role := strings.TrimSuffix(path[strings.LastIndex(path, "-")+1:], ".json")
 		_, err := Load(role, path, nil)
