--- a/internal/marquee/operator.go
+++ b/internal/marquee/operator.go
@@ -4,17 +4,22 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"beaconvane/internal/callboard"
 	"beaconvane/internal/crew"
+	"beaconvane/internal/foyer"
 	"beaconvane/internal/house"
 	"beaconvane/internal/notice"
 	"beaconvane/internal/playbill"
@@ -71,38 +76,100 @@
 	return nil
 }
 
-// Operator adds the operators' commands to callboard.
-func Operator(root *cobra.Command) {
-	Seat(script.RoleCallboard)(root)
-	at := ""
-	call := func(method, path string, body []byte) error {
-		request, err := http.NewRequest(method, "http://"+at+path, bytes.NewReader(body))
-		if err != nil {
-			return notice.Wrap("operator.call", notice.Internal, err)
-		}
-		client := &http.Client{Timeout: time.Minute, Transport: &http.Transport{Proxy: nil}}
-		response, err := client.Do(request)
-		if err != nil {
-			return notice.Wrap("operator.call", notice.WireLost, err)
+// outcome is an answer to an operator's call.
+type outcome struct {
+	status int
+	code   string
+	body   []byte
+	err    error
+}
+
+// asked makes one call.
+func asked(at, method, path string, body []byte) outcome {
+	request, err := http.NewRequest(method, "http://"+at+path, bytes.NewReader(body))
+	if err != nil {
+		return outcome{err: notice.Wrap("operator.call", notice.Internal, err)}
+	}
+	client := &http.Client{Timeout: time.Minute, Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return outcome{err: notice.Wrap("operator.call", notice.WireLost, err)}
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return outcome{err: notice.Wrap("operator.call", notice.WireLost, err)}
+	}
+	return outcome{status: response.StatusCode, code: response.Header.Get(foyer.CodeHeader), body: answer}
+}
+
+// show prints the answer; an error unless it is 200.
+func (o outcome) show(out io.Writer) error {
+	if o.err != nil {
+		return o.err
+	}
+	out.Write(o.body)
+	if len(o.body) == 0 || o.body[len(o.body)-1] != '\n' {
+		fmt.Fprintln(out)
+	}
+	if o.status != http.StatusOK {
+		return fmt.Errorf("status %d, code %s", o.status, o.code)
+	}
+	return nil
+}
+
+// early: nothing was changed, and the cause is over once the seats have their group:
+// nobody listens yet, nobody holds the book, or the holder is still reading.
+func (o outcome) early() (cause string, early bool) {
+	if o.err != nil {
+		return "nobody listens yet", errors.Is(o.err, syscall.ECONNREFUSED)
+	}
+	for _, code := range []notice.Code{notice.LayoutNoHolder, notice.LayoutBehind} {
+		if o.code == strconv.Itoa(int(code)) {
+			return fmt.Sprintf("%s (%d)", code, int(code)), true
 		}
-		defer response.Body.Close()
-		answer, err := io.ReadAll(response.Body)
-		if err != nil {
-			return notice.Wrap("operator.call", notice.WireLost, err)
+	}
+	return "", false
+}
+
+// pausePut is between two puts of the same.
+const pausePut = 250 * time.Millisecond
+
+// persist tries again for as long as it is too early, within a bound, and says so once
+// for each cause.
+func persist(try func() outcome, patience, pause time.Duration, says io.Writer) outcome {
+	limited, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for said := ""; ; {
+		told := try()
+		cause, early := told.early()
+		if !early || limited.Err() != nil {
+			return told
 		}
-		os.Stdout.Write(answer)
-		if len(answer) == 0 || answer[len(answer)-1] != '\n' {
-			fmt.Println()
+		if cause != said {
+			fmt.Fprintf(says, "waiting up to %v for the group of seats: %s\n", patience, cause)
+			said = cause
 		}
-		if response.StatusCode != http.StatusOK {
-			return fmt.Errorf("status %d, code %s", response.StatusCode, response.Header.Get("X-Beacon-Code"))
+		select {
+		case <-limited.Done():
+			return told
+		case <-ticker.C:
 		}
-		return nil
 	}
-	add := func(parent *cobra.Command, use, short string, args int, run func(args []string) error) {
+}
+
+// Operator adds the operators' commands to callboard.
+func Operator(root *cobra.Command) {
+	Seat(script.RoleCallboard)(root)
+	at := ""
+	call := func(method, path string, body []byte) error { return asked(at, method, path, body).show(os.Stdout) }
+	add := func(parent *cobra.Command, use, short string, args int, run func(args []string) error) *cobra.Command {
 		command := &cobra.Command{Use: use, Short: short, Args: cobra.RangeArgs(args, args+1), RunE: func(_ *cobra.Command, given []string) error { return run(given) }}
 		command.Flags().StringVar(&at, "at", "127.0.0.1:7480", "ip:port of a callboard")
 		parent.AddCommand(command)
+		return command
 	}
 	read := func(path string) ([]byte, error) {
 		body, err := os.ReadFile(path)
@@ -112,13 +179,16 @@
 		return body, nil
 	}
 	layout := &cobra.Command{Use: "layout", Short: "put, get, check layouts; see where they are in force"}
-	add(layout, "put SHEET VERSION FILE", "put a whole new version", 3, func(args []string) error {
+	patience := time.Duration(0)
+	put := add(layout, "put SHEET VERSION FILE", "put a whole new version", 3, func(args []string) error {
 		body, err := read(args[2])
 		if err != nil {
 			return err
 		}
-		return call(http.MethodPut, "/v1/layouts/"+args[0]+"/"+args[1], body)
+		try := func() outcome { return asked(at, http.MethodPut, "/v1/layouts/"+args[0]+"/"+args[1], body) }
+		return persist(try, patience, pausePut, os.Stderr).show(os.Stdout)
 	})
+	put.Flags().DurationVar(&patience, "wait", 15*time.Second, "how long to put again while no group takes it; 0: not at all")
 	add(layout, "get SHEET [VERSION]", "the very bytes of the current or a kept version", 1, func(args []string) error {
 		path := "/v1/layouts/" + args[0]
 		if len(args) == 2 {
