--- a/internal/greenroom/greenroom.go
+++ b/internal/greenroom/greenroom.go
@@ -109,6 +109,7 @@
 	upstreams map[string]*upstream
 	verdicts  map[string]*kept
 	order     []string
+	heavy     []string // ids whose kept verdicts still have their answers
 	passes    map[string]Pass
 	leaving   bool
 	sweptAt   time.Duration
@@ -562,6 +563,9 @@
 			light = script.Verdict{ID: verdict.ID, Kind: script.StartedNoWhole, Code: int64(notice.UnknownOutcome)}
 		}
 		g.remember(verdict.ID, &kept{verdict: light, at: now, done: true})
+		if len(light.Body) > 0 {
+			g.heavy = append(g.heavy, verdict.ID)
+		}
 	} else if old, seen := g.verdicts[verdict.ID]; !seen || !old.barred {
 		// A refused id may be carried here again by a retry with a new id only.
 		g.remember(verdict.ID, &kept{verdict: verdict, at: now, done: true, barred: true})
@@ -571,6 +575,17 @@
 }
 
 func (g *Greenroom) forget(now time.Duration) {
+	for len(g.heavy) > 0 {
+		held, known := g.verdicts[g.heavy[0]]
+		if known && now-held.at < g.config.AnswerKept() {
+			break
+		}
+		if known {
+			// Nobody asks for the answer itself so late; that it ran stays known.
+			held.verdict = script.Verdict{ID: held.verdict.ID, Kind: script.StartedNoWhole, Code: int64(notice.UnknownOutcome)}
+		}
+		g.heavy = g.heavy[1:]
+	}
 	for len(g.order) > 0 {
 		oldest, known := g.verdicts[g.order[0]]
 		if known && (!oldest.done && !oldest.barred || now-oldest.at < g.config.VerdictKept()) {
--- a/internal/greenroom/greenroom_test.go
+++ b/internal/greenroom/greenroom_test.go
@@ -165,3 +165,23 @@
 	room.Roster(map[string][]script.Registration{"pay": {left}})
 	c.Assert(codes(room.Carried(3*time.Second, carryOf("c", "one", 5))), qt.DeepEquals, []notice.Code{notice.BusyLeaving})
 }
+
+// What is kept of an answer for a usher that lost its wire goes soon, and that it ran
+// is known long after.
+func TestAnswersAreNotKeptForLong(t *testing.T) {
+	c := qt.New(t)
+	config := playbill.Default()
+	g := New(config, func(script.Carry) notice.Code { return notice.OK })
+	told := Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "a:1", Slots: 2}
+	g.Announce(time.Second, told)
+	orders := g.Carried(time.Second, script.Carry{ID: "q", Service: "pay", Instance: "one", Incarnation: 1, Remaining: int64(time.Second)})
+	c.Assert(orders, qt.HasLen, 1)
+	g.Finish(time.Second, orders[0], script.Verdict{Kind: script.StartedWhole, Status: 200, Body: []byte("answer")})
+	c.Check(string(g.Verdict(time.Second, "q").Body), qt.Equals, "answer")
+	later := time.Second + config.AnswerKept() + time.Millisecond
+	g.Announce(later, told)
+	g.Expire(later)
+	late := g.Verdict(later, "q")
+	c.Check(late.Body, qt.HasLen, 0)
+	c.Check(late.Kind, qt.Equals, script.StartedNoWhole)
+}
--- a/internal/playbill/playbill.go
+++ b/internal/playbill/playbill.go
@@ -33,6 +33,7 @@
 	UsageLate      int64   `json:"usage_late_ms"`
 	UsageWindow    int64   `json:"usage_window_ms"`
 	KeeperRest     int64   `json:"keeper_rest_ms"`
+	Tenure         int64   `json:"tenure_ms"` // 0: half of keeper_rest_ms
 	Restore        int64   `json:"restore_ms"`
 	Beat           int64   `json:"beat_ms"`
 	Sync           int64   `json:"sync_ms"`
@@ -339,6 +340,9 @@
 			add(notice.ConfigBadValue, "bounds."+path, "want more than 0")
 		}
 	}
+	if b.Tenure < 0 || b.Tenure > b.KeeperRest/2 {
+		add(notice.ConfigBadValue, "bounds.tenure_ms", "want at most half of keeper_rest_ms, or 0")
+	}
 	if b.KeyWithdrawal < 0 || b.RetryAllowance < 0 || b.RetryShare < 0 || b.RetryShare >= 1 {
 		add(notice.ConfigBadValue, "bounds", "key_withdrawal_ms and retry_allowance want 0 or more, retry_share 0 to below 1")
 	}
@@ -415,7 +419,12 @@
 	return ms(c.Bounds.KeyWithdrawal) * 9 / 10
 }
 
-func (c Config) Tenure() time.Duration     { return ms(c.Bounds.KeeperRest) / 2 }
+func (c Config) Tenure() time.Duration {
+	if c.Bounds.Tenure > 0 {
+		return ms(c.Bounds.Tenure)
+	}
+	return ms(c.Bounds.KeeperRest) / 2
+}
 func (c Config) TenureHeld() time.Duration { return c.Tenure() * 9 / 10 }
 func (c Config) RenewEvery() time.Duration { return c.Tenure() / 5 }
 func (c Config) KeeperRest() time.Duration { return ms(c.Bounds.KeeperRest) }
@@ -443,6 +452,7 @@
 func (c Config) ForgetAfter() time.Duration { return ms(c.Bounds.Restore) * 4 }
 func (c Config) JoinEvery() time.Duration   { return ms(c.Bounds.Restore) / 30 }
 func (c Config) SealAfter() time.Duration   { return ms(c.Bounds.UsageLate) * 6 / 10 }
+func (c Config) UsageLate() time.Duration   { return ms(c.Bounds.UsageLate) }
 func (c Config) UsageWindow() time.Duration { return ms(c.Bounds.UsageWindow) }
 func (c Config) SaveEvery() time.Duration   { return ms(c.Bounds.Sync) / 5 }
 func (c Config) SlowSync() time.Duration    { return ms(c.Bounds.Sync) }
@@ -459,7 +469,14 @@
 func (c Config) DigestEvery() time.Duration { return ms(c.Bounds.LayoutInForce) / 10 }
 func (c Config) PutLimit() time.Duration    { return ms(c.Bounds.LayoutInForce) * 2 }
 func (c Config) WireDial() time.Duration    { return ms(c.Bounds.Restore) / 60 }
-func (c Config) VerdictKept() time.Duration { return ms(c.Limits.Query) * 2 }
+func (c Config) VerdictKept() time.Duration {
+	return min(ms(c.Limits.Query)*2, ms(c.Bounds.Restore)*8)
+}
+
+// AnswerKept is how long a home keeps whole answers for ushers that lost their wire and
+// ask again.
+func (c Config) AnswerKept() time.Duration { return min(c.VerdictKept(), c.NewsEvery()*10) }
+
 func (c Config) QueryLimit() time.Duration  { return ms(c.Limits.Query) }
 func (c Config) WarmSpan() time.Duration    { return ms(c.Bounds.Beat) * 2 / 3 }
 func (c Config) Linger() time.Duration      { return ms(c.Limits.Linger) }
