The test of the newer sheet has as many parents as the loop needs

With 41 parents it was green without its guard too, since the clock of the test steps faster than a process's; with 201 it is red without it and green with it.

--- a/internal/chorus/chorus_test.go
+++ b/internal/chorus/chorus_test.go
@@ -184,7 +184,7 @@
 func TestANewerSheetIsTakenFromAStaleParent(t *testing.T) {
 	c := qt.New(t)
 	roots := []string{"near"}
-	for number := range 40 {
+	for number := range 200 {
 		roots = append(roots, fmt.Sprintf("far-%d", number))
 	}
 	for seed := range uint64(10) {
