News comes round a cut, and wires that a cut has stopped are given up

Change: only stale knowledge spoils a way, silence does not; wires between processes bear a user timeout of six dials' time.

--- a/internal/chorus/chorus.go
+++ b/internal/chorus/chorus.go
@@ -103,6 +103,7 @@
 	askAt     time.Duration
 	avoid     map[string]time.Duration
 	failed    map[string]time.Duration // those avoided for what they are, not for being full
+	spoilt    map[string]time.Duration // those whose knowledge is old, so that every way from them is
 	moves     int64
 	dwell     time.Duration
 	lastRoot  string
@@ -116,7 +117,7 @@
 // New makes the machine; changed is called when a topic's content moved on.
 func New(config playbill.Config, members *company.Company, changed func(s *cue.Stage, topic string)) *Chorus {
 	return &Chorus{config: config, company: members, shelves: map[string]*shelf{}, own: map[string]bool{}, children: map[string]*child{},
-		asks: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, failed: map[string]time.Duration{}, dwell: config.NewsEvery() * 2, collects: map[string]*collecting{},
+		asks: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, failed: map[string]time.Duration{}, spoilt: map[string]time.Duration{}, dwell: config.NewsEvery() * 2, collects: map[string]*collecting{},
 		partBytes: int(config.Limits.Frame / 64), changed: changed}
 }
 
@@ -260,7 +261,7 @@
 	if c.company.Self().Role == script.RolePromptbook {
 		return
 	}
-	for _, shunned := range []map[string]time.Duration{c.avoid, c.failed} {
+	for _, shunned := range []map[string]time.Duration{c.avoid, c.failed, c.spoilt} {
 		for name, until := range shunned {
 			if s.Now > until {
 				delete(shunned, name)
@@ -288,7 +289,7 @@
 			// the next one slower, for the fault may lie with the source itself.
 			for _, name := range c.path {
 				c.avoid[name] = s.Now + c.config.Reparent()*2
-				c.failed[name] = c.avoid[name]
+				c.failed[name], c.spoilt[name] = c.avoid[name], c.avoid[name]
 			}
 			c.dwell = min(c.dwell*2, c.config.Reparent()*4)
 		case !late:
@@ -625,8 +626,8 @@
 	}
 	if isAnswer {
 		for _, name := range told.Path {
-			// One that was merely full is a good way to its own children.
-			if _, shunned := c.failed[name]; shunned && !c.resort {
+			// One that was full, or can't be reached from here, is a good way to others.
+			if _, shunned := c.spoilt[name]; shunned && !c.resort {
 				c.leaveQuietly(s, c.config.Reparent()*2)
 				c.askAt = s.Now
 				return
@@ -640,6 +641,7 @@
 		if !c.resort && len(c.path) == 0 && c.noFresher(s.Now, askedAt, told.Items) {
 			// As stale as what was left: the next one is asked at once.
 			c.failed[c.parent] = s.Now + c.config.Reparent()*2
+			c.spoilt[c.parent] = c.failed[c.parent]
 			c.leaveQuietly(s, c.config.Reparent()*2)
 			c.askAt = s.Now
 			return
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -9,10 +9,12 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"beaconvane/internal/crew"
@@ -159,7 +161,7 @@
 	wire := newWire(w, nil, to)
 	_ = wire.Post(script.Hello{Address: w.address})
 	w.crew.Go("wings.dial", func(ctx context.Context) {
-		dialer := net.Dialer{Timeout: w.dialLimit}
+		dialer := net.Dialer{Timeout: w.dialLimit, Control: w.impatient}
 		conn, err := dialer.DialContext(ctx, "tcp", to)
 		defer func() {
 			if broke != nil && ctx.Err() == nil {
@@ -183,6 +185,24 @@
 	return wire
 }
 
+// impatient bounds how long what was sent may stay unanswered by the other kernel: after
+// a cut the kernel would go on with a wire that it tries seldom, long after a new one
+// would do.
+func (w *Wings) impatient(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(w.dialLimit*unheardDials/time.Millisecond))
+	})
+	return errors.Join(err, failure)
+}
+
+// tcpUserTimeout is the option's number in the kernel; unheardDials its value, in times
+// that a dial may take.
+const (
+	tcpUserTimeout = 18
+	unheardDials   = 6
+)
+
 // Wire is one TCP stream of frames with a bounded pending queue.
 type Wire struct {
 	wings   *Wings
