--- a/cmd/stagehand/main.go
+++ b/cmd/fleet/main.go
@@ -1,4 +1,4 @@
-// Command stagehand runs a whole deployment on this machine, loads it, causes faults,
+// Command fleet runs a whole deployment on this machine, loads it, causes faults,
 // and holds the records of both ends against the brief's list.
 package main
 
@@ -10,17 +10,17 @@
 
 	"github.com/spf13/cobra"
 
-	"beaconvane/internal/repertoire"
-	"beaconvane/internal/stagehand"
+	"beaconvane/internal/fleet"
+	"beaconvane/internal/workload"
 )
 
 func main() {
 	name, bin, folder, scenario := "", "", "", ""
 	rate, length, keep, slack := 0.0, 10*time.Second, false, 1.0
 	seed := uint64(1)
-	root := &cobra.Command{Use: "stagehand", Short: "run a fleet on this machine, with faults, and check it", SilenceUsage: true,
+	root := &cobra.Command{Use: "fleet", Short: "run a fleet on this machine, with faults, and check it", SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
-			deployment, known := repertoire.Named(name)
+			deployment, known := workload.Named(name)
 			if !known {
 				return fmt.Errorf("no deployment %q", name)
 			}
@@ -37,7 +37,7 @@
 					defer os.RemoveAll(made)
 				}
 			}
-			outcome, err := stagehand.Play(deployment, bin, folder, scenario, length, seed, slack)
+			outcome, err := fleet.Play(deployment, bin, folder, scenario, length, seed, slack)
 			if err != nil {
 				return err
 			}
@@ -52,8 +52,8 @@
 	root.Flags().StringVar(&name, "deployment", "small", "small, umuyoboro or jendela")
 	root.Flags().StringVar(&bin, "bin", "bin", "folder of the programs")
 	root.Flags().StringVar(&folder, "folder", "", "folder for settings, logs and data (default: a new one)")
-	root.Flags().StringVar(&scenario, "scenario", "calm", "one of: "+stagehand.ScenarioNames())
-	root.Flags().Float64Var(&rate, "rate", 0, "queries a second (default: the deployment's)")
+	root.Flags().StringVar(&scenario, "scenario", "calm", "one of: "+fleet.ScenarioNames())
+	root.Flags().Float64Var(&rate, "rate", 0, "requests a second (default: the deployment's)")
 	root.Flags().DurationVar(&length, "length", length, "length of the load")
 	root.Flags().Uint64Var(&seed, "seed", seed, "seed of the load")
 	root.Flags().Float64Var(&slack, "slack", 1, "stretch the bounds in time, for busy machines")
@@ -67,27 +67,27 @@
 // lay writes the settings of a fleet and says how to start it by hand.
 func lay() *cobra.Command {
 	name, folder := "small", "run"
-	command := &cobra.Command{Use: "lay", Short: "write the settings and a sheet of a fleet, to be started by hand", Args: cobra.NoArgs,
+	command := &cobra.Command{Use: "lay", Short: "write the settings and a configuration of a fleet, to be started by hand", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			deployment, known := repertoire.Named(name)
+			deployment, known := workload.Named(name)
 			if !known {
 				return fmt.Errorf("no deployment %q", name)
 			}
 			if err := os.MkdirAll(folder, 0o700); err != nil {
 				return err
 			}
-			fleet, err := stagehand.New(deployment, "bin", folder)
+			fleetRun, err := fleet.New(deployment, "bin", folder)
 			if err != nil {
 				return err
 			}
-			defer fleet.StopAll()
-			if err := os.WriteFile(folder+"/sheet.json", deployment.Sheet(deployment.Tenants(), 0), 0o600); err != nil {
+			defer fleetRun.StopAll()
+			if err := os.WriteFile(folder+"/configuration.json", deployment.ConfigName(deployment.Tenants(), 0), 0o600); err != nil {
 				return err
 			}
-			for _, process := range fleet.Processes {
-				fmt.Printf("./bin/%s --config %s 2>> %s/%s-%s.log &\n", process.Role, process.Config(), folder, process.Role, process.Node)
+			for _, process := range fleetRun.Processes {
+				fmt.Printf("./bin/%s --config %s 2>> %s/%s-%s.log &\n", process.Role, process.Settings(), folder, process.Role, process.Node)
 			}
-			fmt.Printf("CALLBOARD=%s USHER=%s OTHER=%s\n", fleet.Of("callboard")[0].Outside, fleet.Of("usher")[0].Outside, fleet.Of("usher")[1].Outside)
+			fmt.Printf("REGISTRY=%s PROXY=%s OTHER=%s\n", fleetRun.Of("registry")[0].Outside, fleetRun.Of("proxy")[0].Outside, fleetRun.Of("proxy")[1].Outside)
 			return nil
 		}}
 	command.Flags().StringVar(&name, "deployment", name, "small, umuyoboro or jendela")
--- a/cmd/claque/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Command claque is the load generator: an open loop at a set rate by a plan file.
+// Command loadgen is the load generator: an open loop at a set rate by a plan file.
 package main
 
 import (
@@ -9,29 +9,29 @@
 
 	"github.com/spf13/cobra"
 
-	"beaconvane/internal/claque"
-	"beaconvane/internal/crew"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/loadgen"
 )
 
 func main() {
 	path, record := "", ""
 	length, limit := 10*time.Second, 8*time.Second
-	root := &cobra.Command{Use: "claque", Short: "ask ushers at a set rate and count what they say", SilenceUsage: true,
+	root := &cobra.Command{Use: "loadgen", Short: "ask proxies at a set rate and count what they say", SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
 			body, err := os.ReadFile(path)
 			if err != nil {
 				return err
 			}
-			plan := claque.Plan{Rate: 10, Seed: 1}
+			plan := loadgen.Plan{Rate: 10, Seed: 1}
 			if err := json.Unmarshal(body, &plan); err != nil {
 				return err
 			}
-			if len(plan.Ushers) == 0 || len(plan.Kinds) == 0 || len(plan.Tenants) == 0 || plan.Rate <= 0 {
-				return fmt.Errorf("a plan wants ushers, kinds, tenants and a rate above 0")
+			if len(plan.Proxies) == 0 || len(plan.Kinds) == 0 || len(plan.Tenants) == 0 || plan.Rate <= 0 {
+				return fmt.Errorf("a plan wants proxies, kinds, tenants and a rate above 0")
 			}
 			plan.Length, plan.Limit, plan.Base = length, limit, time.Now()
-			members := crew.New()
-			asked := claque.Run(members.Context, members, plan)
+			members := goroutine.New()
+			asked := loadgen.Run(members.Context, members, plan)
 			if record != "" {
 				file, err := os.Create(record)
 				if err != nil {
@@ -39,16 +39,16 @@
 				}
 				defer file.Close()
 				encoder := json.NewEncoder(file)
-				for _, query := range asked {
-					encoder.Encode(query)
+				for _, request := range asked {
+					encoder.Encode(request)
 				}
 			}
 			encoder := json.NewEncoder(os.Stdout)
 			encoder.SetIndent("", "  ")
-			return encoder.Encode(claque.Summarise(asked))
+			return encoder.Encode(loadgen.Summarise(asked))
 		}}
-	root.Flags().StringVar(&path, "plan", "", "plan file (JSON): ushers, kinds, tenants, rate")
-	root.Flags().StringVar(&record, "record", "", "file for one JSON line a query")
+	root.Flags().StringVar(&path, "plan", "", "plan file (JSON): proxies, kinds, tenants, rate")
+	root.Flags().StringVar(&record, "record", "", "file for one JSON line a request")
 	root.Flags().DurationVar(&length, "length", length, "how long to ask")
 	root.Flags().DurationVar(&limit, "limit", limit, "how long to wait for an answer")
 	root.MarkFlagRequired("plan")
--- a/cmd/rehearse/main.go
+++ b/cmd/simulate/main.go
@@ -1,4 +1,4 @@
-// Command rehearse plays scenarios in the simulator over many seeds and reports what
+// Command simulate plays scenarios in the simulator over many seeds and reports what
 // broke, the worst figures, and how to replay a failure.
 package main
 
@@ -13,29 +13,29 @@
 
 	"github.com/spf13/cobra"
 
-	"beaconvane/internal/crew"
-	"beaconvane/internal/rehearsal"
-	"beaconvane/internal/repertoire"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/simulation"
+	"beaconvane/internal/workload"
 )
 
 func main() {
 	name, scenarios := "umuyoboro", "all"
 	first, count, workers := uint64(1), 20, 8
 	rate, log, shrink := 60.0, false, false
-	root := &cobra.Command{Use: "rehearse", Short: "play scenarios over seeds in the simulator", SilenceUsage: true,
+	root := &cobra.Command{Use: "simulate", Short: "play scenarios over seeds in the simulator", SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
-			d, known := repertoire.Named(name)
+			d, known := workload.Named(name)
 			if !known {
 				return fmt.Errorf("no deployment %q", name)
 			}
 			names := strings.Split(scenarios, ",")
 			if scenarios == "all" {
-				names = rehearsal.Names()
+				names = simulation.Names()
 			}
 			broken := 0
 			for _, scenario := range names {
-				if _, known := rehearsal.Scenarios[scenario]; !known {
-					return fmt.Errorf("no scenario %q; there are %s", scenario, strings.Join(rehearsal.Names(), ", "))
+				if _, known := simulation.Scenarios[scenario]; !known {
+					return fmt.Errorf("no scenario %q; there are %s", scenario, strings.Join(simulation.Names(), ", "))
 				}
 				broken += sweep(d, scenario, first, count, workers, rate, log, shrink)
 			}
@@ -45,12 +45,12 @@
 			return nil
 		}}
 	flags := root.Flags()
-	flags.StringVar(&name, "deployment", name, "small, umuyoboro, jendela, seats-3, seats-5 or seats-3-4")
-	flags.StringVar(&scenarios, "scenario", scenarios, "all, or some of: "+strings.Join(rehearsal.Names(), ", "))
+	flags.StringVar(&name, "deployment", name, "small, umuyoboro, jendela, voters-3, voters-5 or voters-3-4")
+	flags.StringVar(&scenarios, "scenario", scenarios, "all, or some of: "+strings.Join(simulation.Names(), ", "))
 	flags.Uint64Var(&first, "seed", first, "first seed")
 	flags.IntVar(&count, "count", count, "how many seeds")
 	flags.IntVar(&workers, "workers", workers, "runs at one time")
-	flags.Float64Var(&rate, "rate", rate, "queries a second")
+	flags.Float64Var(&rate, "rate", rate, "requests a second")
 	flags.BoolVar(&log, "log", false, "print every happening (one seed only)")
 	flags.BoolVar(&shrink, "shrink", false, "shrink the first failing plan")
 	if root.Execute() != nil {
@@ -58,9 +58,9 @@
 	}
 }
 
-func sweep(d repertoire.Deployment, scenario string, first uint64, count, workers int, rate float64, log, shrink bool) int {
-	results := make([]rehearsal.Result, count)
-	members := crew.New()
+func sweep(d workload.Deployment, scenario string, first uint64, count, workers int, rate float64, log, shrink bool) int {
+	results := make([]simulation.Result, count)
+	members := goroutine.New()
 	seeds := make(chan int, count)
 	for index := range count {
 		seeds <- index
@@ -69,21 +69,21 @@
 	var waiting sync.WaitGroup
 	for range min(workers, count) {
 		waiting.Add(1)
-		members.Go("rehearse.run", func(context.Context) {
+		members.Go("simulate.run", func(context.Context) {
 			defer waiting.Done()
 			for index := range seeds {
 				var print func(string)
 				if log && count == 1 {
 					print = func(line string) { fmt.Println(line) }
 				}
-				results[index] = rehearsal.Run(d, scenario, first+uint64(index), rate, print)
+				results[index] = simulation.Run(d, scenario, first+uint64(index), rate, print)
 			}
 		})
 	}
 	waiting.Wait()
 	worst, seen, rules := map[string]float64{}, map[string]int{}, map[string]int{}
 	broken, good, lowest := 0, 0.0, 1.0
-	var failed *rehearsal.Result
+	var failed *simulation.Result
 	for index, result := range results {
 		for name, value := range result.Review.Worst {
 			worst[name] = max(worst[name], value)
@@ -112,10 +112,10 @@
 	fmt.Printf("%s %s: %d of %d seeds broke a promise; answered %.4f in the mean, %.4f at the least; %s\n", d.Name, scenario, broken, count, good/float64(count), lowest, line)
 	if failed != nil {
 		if shrink {
-			smaller := rehearsal.Shrink(d, *failed, rate)
+			smaller := simulation.Shrink(d, *failed, rate)
 			failed = &smaller
 		}
-		fmt.Printf("  seed %d (replay: rehearse --deployment %s --scenario %s --rate %g --count 1 --seed %d --log)\n", failed.Seed, d.Name, scenario, rate, failed.Seed)
+		fmt.Printf("  seed %d (replay: simulate --deployment %s --scenario %s --rate %g --count 1 --seed %d --log)\n", failed.Seed, d.Name, scenario, rate, failed.Seed)
 		sort.SliceStable(failed.Plan, func(i, j int) bool { return failed.Plan[i].At < failed.Plan[j].At })
 		for _, step := range failed.Plan {
 			fmt.Println("   ", step)
--- /dev/null
+++ b/internal/backend/calling.go
@@ -0,0 +1,466 @@
+// This file calls upstreams: one HTTP/1.1 exchange on a connection of its own keeping, read
+// and written by net/http's own functions. The standard Transport is not used, since
+// it sends some requests a second time by itself; here a request goes out at most
+// once, by construction. An idle connection belongs to one incarnation at one address, is
+// looked at before it is used again, and is closed long before the heartbeat bound. An
+// answer counts only when it is whole: a length or chunks that end, a head that
+// parses, no bytes behind it.
+//
+// A request goes out only on a connection that is proven: made within a moment (a thirtieth of
+// heartbeat_ms) of a sign of life of that very incarnation, an announcement or an answer.
+// No other machine can have taken the address over so fast, be it that the old one
+// ended or that it vanished without a word; and a connection to a vanished machine is reset
+// by the new owner of its address, it lands nowhere. Some proven connections are kept ready
+// after each announcement, for the time in which no sign comes. Each announcement also
+// renews a guard, a connection that carries nothing: when it breaks, nothing is dialled until
+// a newer heartbeat, at once.
+//
+// Where the settings say that upstreams prove themselves (proof "target"), each request
+// names its upstream, and any other at that address refuses it; then no connection needs
+// proof, no guard is kept, and connections are made when they are wanted. An answer is then
+// known by the request's name: one that belongs to another is passed over.
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+const headCap = 64 << 10
+
+// Headers that the mesh sets itself towards an upstream.
+const (
+	TenantHeader  = "X-Tenant"
+	CallerHeader  = "X-Calling-Service"
+	PassHeader    = "X-Beacon-Pass"
+	RequestHeader = "X-Request-Id"
+)
+
+type heldConnection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	limit  *io.LimitedReader
+	idleAt time.Duration
+
+	idleFor time.Duration // as the upstream told; 0: it did not
+}
+
+// Caller carries out start orders.
+type Caller struct {
+	settings   settings.Settings
+	protocol   Protocol
+	room       *Backend
+	goroutines *goroutine.Group
+	lock       sync.Mutex
+	idle       map[Target][]*heldConnection
+	guards     map[Target]*heldConnection
+}
+
+// NewCaller makes a caller for a backend.
+func NewCaller(cfg settings.Settings, room *Backend, members *goroutine.Group) *Caller {
+	return &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}}
+}
+
+// Speak sets the upstreams' manner; before it is used.
+func (c *Caller) Speak(protocol Protocol) { c.protocol = protocol }
+
+func bare(target Target) Target {
+	target.Pass = ""
+	return target
+}
+
+// Call starts the request at the upstream and gives the outcome.
+func (c *Caller) Call(order Order) message.Outcome {
+	limit := time.Duration(order.Forward.Remaining)
+	limit -= min(limit/20, 20*time.Millisecond)
+	until := time.Now().Add(limit)
+	connection, outcome := c.take(order.Target, until)
+	if connection == nil {
+		return outcome
+	}
+	answer, keep, err := c.exchange(connection, order, until)
+	if err == nil {
+		// Bytes on a proven connection: for a moment nobody else can be at that address.
+		c.room.Alive(c.goroutines.Now(), order.Target)
+	}
+	if err == nil && keep {
+		c.give(order.Target, connection)
+	} else {
+		connection.conn.Close()
+	}
+	if err == nil {
+		if !keep && !c.settings.ByTarget() {
+			c.goroutines.Go("backend.refill", func(context.Context) { c.fill(bare(order.Target)) })
+		}
+		return answer
+	}
+	code := errcode.CodeOf(err)
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		code = errcode.UnknownTimeout
+	case code == errcode.UnknownOutcome:
+		c.room.Doubt(order.Target)
+	}
+	return message.Outcome{Kind: message.StartedNoWhole, Code: int64(code)}
+}
+
+func (c *Caller) take(target Target, until time.Time) (*heldConnection, message.Outcome) {
+	if connection := c.takeIdle(bare(target)); connection != nil {
+		return connection, message.Outcome{}
+	}
+	gone := message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusyUpstreamGone)}
+	if c.settings.ByTarget() {
+		connection, err := c.dial(target, until)
+		if err != nil {
+			c.room.Broke(c.goroutines.Now(), target)
+			return nil, gone
+		}
+		return connection, message.Outcome{}
+	}
+	if !c.room.Usable(c.goroutines.Now(), target) || !c.guarded(target) {
+		return nil, gone
+	}
+	connection, code := c.dialProven(target, until)
+	if code == errcode.BusyUpstreamGone {
+		c.room.Broke(c.goroutines.Now(), target)
+	}
+	return connection, message.Outcome{Kind: message.NotStarted, Code: int64(code)}
+}
+
+// dialProven makes a connection between two looks at its proof; without that there is none.
+func (c *Caller) dialProven(target Target, until time.Time) (*heldConnection, errcode.Code) {
+	if !c.room.Dialable(c.goroutines.Now(), target) {
+		return nil, errcode.BusyUnproven
+	}
+	connection, err := c.dial(target, until)
+	if err != nil {
+		return nil, errcode.BusyUpstreamGone
+	}
+	if !c.room.Dialable(c.goroutines.Now(), target) || !c.guarded(target) {
+		// Ended, moved or no longer proven while the connection was being made: nothing is
+		// sent on it.
+		connection.conn.Close()
+		return nil, errcode.BusyUnproven
+	}
+	return connection, errcode.OK
+}
+
+func (c *Caller) dial(target Target, until time.Time) (*heldConnection, error) {
+	dialer := net.Dialer{Deadline: until, Timeout: c.settings.ConnectionDial()}
+	conn, err := dialer.DialContext(c.goroutines.Context, "tcp", target.Address)
+	if err != nil {
+		return nil, errcode.Wrap("backend.dial", errcode.BusyUpstreamGone, err)
+	}
+	limit := &io.LimitedReader{R: conn}
+	return &heldConnection{conn: conn, limit: limit, reader: bufio.NewReader(limit)}, nil
+}
+
+// Guard renews the guard of an upstream that has just announced itself.
+func (c *Caller) Guard(response Announcement) {
+	target := Target{Key: response.key(), Address: response.Address, Incarnation: response.Incarnation}
+	connection, err := c.dial(target, time.Now().Add(c.settings.ConnectionDial()))
+	if err != nil {
+		c.room.Broke(c.goroutines.Now(), target)
+		return
+	}
+	c.lock.Lock()
+	old := c.guards[target]
+	c.guards[target] = connection
+	c.lock.Unlock()
+	if old != nil {
+		old.conn.Close()
+	}
+	c.fill(target)
+}
+
+// fill keeps proven connections ready, made while a sign of life is fresh.
+func (c *Caller) fill(target Target) {
+	ready := c.room.ConnectionsReady(target)
+	for range ready {
+		c.lock.Lock()
+		enough := len(c.idle[target]) >= ready
+		c.lock.Unlock()
+		if enough {
+			return
+		}
+		connection, code := c.dialProven(target, time.Now().Add(c.settings.DialFresh()))
+		if code != errcode.OK {
+			return
+		}
+		c.give(target, connection)
+	}
+}
+
+// guarded looks at the guard; a broken one bars dials until a newer heartbeat.
+func (c *Caller) guarded(target Target) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	key := bare(target)
+	guard, known := c.guards[key]
+	if !known || quiet(guard) {
+		return known
+	}
+	guard.conn.Close()
+	delete(c.guards, key)
+	c.room.Broke(c.goroutines.Now(), target)
+	return false
+}
+
+func (c *Caller) takeIdle(target Target) *heldConnection {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for list := c.idle[target]; len(list) > 0; list = c.idle[target] {
+		connection := list[len(list)-1]
+		c.idle[target] = list[:len(list)-1]
+		if c.goroutines.Now()-connection.idleAt < c.idleLimit(connection) && quiet(connection) {
+			return connection
+		}
+		connection.conn.Close()
+	}
+	delete(c.idle, target)
+	return nil
+}
+
+// idleLimit is how long a connection may idle: less than the upstream allows.
+func (c *Caller) idleLimit(connection *heldConnection) time.Duration {
+	if connection.idleFor > 0 {
+		return min(c.settings.ConnectionIdle(), connection.idleFor/2)
+	}
+	return c.settings.ConnectionIdle()
+}
+
+// quiet: nothing to read and not closed by the other side.
+func quiet(connection *heldConnection) bool {
+	if connection.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := connection.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		size, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = size < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && still
+}
+
+func (c *Caller) give(target Target, connection *heldConnection) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	connection.idleAt = c.goroutines.Now()
+	key := bare(target)
+	if len(c.idle[key]) >= 32 || !c.room.Usable(connection.idleAt, target) && !c.settings.ByTarget() {
+		connection.conn.Close()
+		return
+	}
+	c.idle[key] = append(c.idle[key], connection)
+}
+
+// Sweep closes connections that idled too long or whose target has ended, and looks at
+// every guard.
+func (c *Caller) Sweep() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	now := c.goroutines.Now()
+	for target, guard := range c.guards {
+		if stands := quiet(guard); !stands || !c.room.Here(target) {
+			guard.conn.Close()
+			delete(c.guards, target)
+			if !stands {
+				c.room.Broke(now, target)
+			}
+		}
+	}
+	for target, list := range c.idle {
+		kept := list[:0]
+		for _, connection := range list {
+			if now-connection.idleAt < c.idleLimit(connection) && (c.room.Usable(now, target) || c.settings.ByTarget() && c.room.Here(target)) {
+				kept = append(kept, connection)
+			} else {
+				connection.conn.Close()
+			}
+		}
+		c.idle[target] = kept
+		if len(kept) == 0 {
+			delete(c.idle, target)
+		}
+	}
+}
+
+// exchange sends once and reads one whole answer.
+func (c *Caller) exchange(connection *heldConnection, order Order, until time.Time) (message.Outcome, bool, error) {
+	forward := order.Forward
+	request, err := c.requestOf(forward, order.Target, until)
+	if err != nil {
+		return message.Outcome{Kind: message.NotStarted, Code: int64(errcode.RequestBadPath)}, false, nil
+	}
+	connection.conn.SetDeadline(until)
+	// The whole request is built first, so that what fails here never went out.
+	text := bytes.Buffer{}
+	if err := request.Write(&text); err != nil {
+		return message.Outcome{Kind: message.NotStarted, Code: int64(errcode.RequestUnreadable)}, false, nil
+	}
+	if _, err := connection.conn.Write(text.Bytes()); err != nil {
+		return message.Outcome{}, false, errcode.Wrap("backend.write", errcode.UnknownOutcome, err)
+	}
+	for range othersPassed {
+		connection.limit.N = forward.AnswerCap + headCap
+		outcome, received, keep, err := c.answer(connection, request, order)
+		if err != nil || !received.Other {
+			return outcome, keep, err
+		}
+	}
+	return message.Outcome{}, false, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("answers to other requests only"))
+}
+
+// othersPassed is how many answers to other requests are passed over on a connection.
+const othersPassed = 3
+
+// answer reads one whole answer.
+func (c *Caller) answer(connection *heldConnection, request *http.Request, order Order) (message.Outcome, Received, bool, error) {
+	forward := order.Forward
+	fail := func(step string, code errcode.Code, cause error) (message.Outcome, Received, bool, error) {
+		return message.Outcome{}, Received{}, false, errcode.Wrap(step, code, cause)
+	}
+	response, err := readHead(connection.reader, request)
+	if err != nil {
+		if broken(err) {
+			return fail("backend.head", errcode.UnknownOutcome, err)
+		}
+		return fail("backend.head", errcode.AnswerMalformed, err)
+	}
+	defer response.Body.Close()
+	if !framed(response, forward.Method) {
+		return fail("backend.body", errcode.AnswerMalformed, errors.New("neither length nor chunks"))
+	}
+	if response.ContentLength > forward.AnswerCap {
+		return fail("backend.body", errcode.AnswerTooLarge, nil)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, forward.AnswerCap+1))
+	if err != nil {
+		return fail("backend.body", errcode.AnswerMalformed, err)
+	}
+	if int64(len(body)) > forward.AnswerCap {
+		return fail("backend.body", errcode.AnswerTooLarge, nil)
+	}
+	received := c.protocol.Heed(response, forward, order.Target)
+	if received.Other {
+		return message.Outcome{}, received, false, nil
+	}
+	behind := connection.reader.Buffered() > 0
+	if behind && !c.settings.ByTarget() {
+		// Without a name in the answer nobody can say which of the two is this one's.
+		return fail("backend.body", errcode.AnswerMalformed, errors.New("bytes behind the answer"))
+	}
+	keep := !response.Close && !behind
+	connection.idleFor = received.Idle
+	switch {
+	case received.Refuse != errcode.OK:
+		return message.Outcome{Kind: message.NotStarted, Code: int64(received.Refuse), Sent: true}, received, keep, nil
+	case received.Spoilt || received.Hides:
+		return fail("backend.head", errcode.AnswerMalformed, errors.New("not the upstream's own whole answer"))
+	}
+	outcome := message.Outcome{Kind: message.StartedWhole, Status: int64(response.StatusCode), Headers: []message.HeaderLine{}, Body: body}
+	if received.Loaded && received.Load[2] > 0 {
+		outcome.Load = float64(received.Load[0]+received.Load[1]) / float64(received.Load[2])
+	}
+	dropped := HopHeaders(response.Header)
+	for name, values := range response.Header {
+		if dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			outcome.Headers = append(outcome.Headers, message.HeaderLine{Name: name, Value: value})
+		}
+	}
+	return outcome, received, keep, nil
+}
+
+func broken(err error) bool {
+	var operation *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &operation)
+}
+
+func readHead(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for range 8 {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols || response.StatusCode < 100 || response.StatusCode > 599:
+			return nil, fmt.Errorf("status %d", response.StatusCode)
+		case response.StatusCode >= 200:
+			return response, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// framed: the end of the body can be told from a broken connection.
+func framed(response *http.Response, method string) bool {
+	bodiless := method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	chunked := len(response.TransferEncoding) == 1 && response.TransferEncoding[0] == "chunked"
+	return bodiless || chunked || response.ContentLength >= 0
+}
+
+func (c *Caller) requestOf(forward message.Forward, target Target, until time.Time) (*http.Request, error) {
+	path, err := url.PathUnescape(forward.Path)
+	if err != nil {
+		return nil, err
+	}
+	request := &http.Request{Method: forward.Method, Host: target.Address, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{Scheme: "http", Host: target.Address, Path: path, RawPath: forward.Path, RawQuery: forward.RawQuery}}
+	for _, line := range forward.Headers {
+		request.Header.Add(line.Name, line.Value)
+	}
+	if _, given := request.Header["User-Agent"]; !given {
+		request.Header.Set("User-Agent", "")
+	}
+	if forward.Host != "" {
+		request.Host = forward.Host
+	}
+	if c.settings.ByTarget() && len(forward.Path) > 1 && forward.Path[1] != '/' {
+		// As it came, to the byte.
+		request.URL.Opaque = forward.Path
+	}
+	c.protocol.Dress(request.Header, forward, target, time.Until(until))
+	request.ContentLength = int64(len(forward.Body))
+	request.Body = http.NoBody
+	if len(forward.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(forward.Body))
+	}
+	return request.WithContext(context.Background()), nil
+}
+
+// HopHeaders lists the headers that end at this hop.
+func HopHeaders(header http.Header) map[string]bool {
+	dropped := map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+		"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true}
+	for _, value := range header["Connection"] {
+		for _, name := range bytes.Split([]byte(value), []byte(",")) {
+			dropped[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
+		}
+	}
+	return dropped
+}
--- a/internal/greenroom/calling_test.go
+++ b/internal/backend/calling_test.go
@@ -1,5 +1,5 @@
-// Real sockets: what an upstream may do to its home, and what must not come of it.
-package greenroom
+// Real sockets: what an upstream may do to its serving proxy, and what must not come of it.
+package backend
 
 import (
 	"bufio"
@@ -15,20 +15,20 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/atomic"
 
-	"beaconvane/internal/crew"
-	"beaconvane/internal/notice"
-	"beaconvane/internal/playbill"
-	"beaconvane/internal/script"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
 )
 
-// scripted is an upstream that reads one request a wire and answers as told.
+// scripted is an upstream that reads one request a connection and answers as told.
 type scripted struct {
 	listener net.Listener
 	reads    atomic.Int64
 	seen     chan *http.Request
 }
 
-func newScripted(c *qt.C, members *crew.Crew, address string, answer func(number int64) string) *scripted {
+func newScripted(c *qt.C, members *goroutine.Group, address string, answer func(number int64) string) *scripted {
 	listener, err := net.Listen("tcp", address)
 	c.Assert(err, qt.IsNil)
 	s := &scripted{listener: listener, seen: make(chan *http.Request, 100)}
@@ -39,7 +39,7 @@
 			if err != nil {
 				return
 			}
-			members.Go("scripted.wire", func(context.Context) {
+			members.Go("scripted.connection", func(context.Context) {
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
 				for {
@@ -62,51 +62,51 @@
 }
 
 type bench struct {
-	room    *Greenroom
-	caller  *Caller
-	members *crew.Crew
-	address string
-	carried int
+	room      *Backend
+	caller    *Caller
+	members   *goroutine.Group
+	address   string
+	forwarded int
 }
 
-func newBench(c *qt.C, members *crew.Crew, address string) *bench {
-	room := New(playbill.Default(), func(script.Carry) notice.Code { return notice.OK })
-	b := &bench{room: room, caller: NewCaller(playbill.Default(), room, members), members: members, address: address}
+func newBench(c *qt.C, members *goroutine.Group, address string) *bench {
+	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	b := &bench{room: room, caller: NewCaller(settings.Default(), room, members), members: members, address: address}
 	b.announce(c, "pay", "one", 1)
 	return b
 }
 
 func (b *bench) announce(c *qt.C, service, instance string, incarnation int64) {
-	told := Announcement{Service: service, Instance: instance, Incarnation: incarnation, Address: b.address, District: "d", Slots: 4}
-	accepted, _, _ := b.room.Announce(b.members.Now(), told)
+	response := Announcement{Service: service, Instance: instance, Incarnation: incarnation, Address: b.address, Zone: "d", Slots: 4}
+	accepted, _, _ := b.room.Announce(b.members.Now(), response)
 	c.Assert(accepted, qt.IsTrue)
-	b.caller.Guard(told)
+	b.caller.Guard(response)
 }
 
-// ask carries one query and gives its verdict, with the greenroom told of the end.
-func (b *bench) ask(c *qt.C, id, method string, headers ...script.HeaderLine) script.Verdict {
-	carry := script.Carry{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Method: method, Path: "/pay", Headers: headers, Body: []byte{},
+// ask carries one request and gives its outcome, with the backend told of the end.
+func (b *bench) request(c *qt.C, id, method string, headers ...message.HeaderLine) message.Outcome {
+	forward := message.Forward{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Method: method, Path: "/pay", Headers: headers, Body: []byte{},
 		Remaining: int64(2 * time.Second), AnswerCap: 1000, Tenant: "t", Caller: "shop"}
 	if method == http.MethodPost {
-		carry.Body = []byte("body")
+		forward.Body = []byte("body")
 	}
-	orders := b.room.Carried(b.members.Now(), carry)
+	orders := b.room.Forwarded(b.members.Now(), forward)
 	c.Assert(orders, qt.HasLen, 1)
-	verdict := script.Verdict{Kind: script.NotStarted, Code: int64(orders[0].Code)}
+	outcome := message.Outcome{Kind: message.NotStarted, Code: int64(orders[0].Code)}
 	if orders[0].Start {
-		verdict = b.caller.Call(orders[0])
+		outcome = b.caller.Call(orders[0])
 	}
-	verdict, _ = b.room.Finish(b.members.Now(), orders[0], verdict)
-	return verdict
+	outcome, _ = b.room.Finish(b.members.Now(), orders[0], outcome)
+	return outcome
 }
 
 const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// A request that was read is never sent a second time, reused wire or not, whatever
+// A request that was read is never sent a second time, reused connection or not, whatever
 // its method or headers.
 func TestNothingIsSentTwice(t *testing.T) {
 	c := qt.New(t)
-	members := crew.New()
+	members := goroutine.New()
 	defer members.Stop(0)
 	upstream := newScripted(c, members, "127.0.0.1:0", func(number int64) string {
 		if number == 1 {
@@ -115,18 +115,18 @@
 		return ""
 	})
 	b := newBench(c, members, upstream.listener.Addr().String())
-	c.Assert(b.ask(c, "a", http.MethodGet).Kind, qt.Equals, script.StartedWhole)
-	verdict := b.ask(c, "b", http.MethodGet, script.HeaderLine{Name: "Idempotency-Key", Value: "x"})
-	c.Assert(verdict.Kind, qt.Equals, script.StartedNoWhole)
-	c.Assert(notice.Code(verdict.Code), qt.Equals, notice.UnknownOutcome)
+	c.Assert(b.request(c, "a", http.MethodGet).Kind, qt.Equals, message.StartedWhole)
+	outcome := b.request(c, "b", http.MethodGet, message.HeaderLine{Name: "Idempotency-Key", Value: "x"})
+	c.Assert(outcome.Kind, qt.Equals, message.StartedNoWhole)
+	c.Assert(errcode.Code(outcome.Code), qt.Equals, errcode.UnknownOutcome)
 	c.Assert(upstream.reads.Load(), qt.Equals, int64(2))
-	// One more wire was kept, and broke; then no dial until a newer sign of life.
-	c.Assert(notice.Code(b.ask(c, "c", http.MethodPost).Code), qt.Equals, notice.UnknownOutcome)
+	// One more connection was kept, and broke; then no dial until a newer sign of life.
+	c.Assert(errcode.Code(b.request(c, "c", http.MethodPost).Code), qt.Equals, errcode.UnknownOutcome)
 	c.Assert(upstream.reads.Load(), qt.Equals, int64(3))
-	c.Assert(notice.Code(b.ask(c, "d", http.MethodPost).Code), qt.Equals, notice.BusyUnproven)
+	c.Assert(errcode.Code(b.request(c, "d", http.MethodPost).Code), qt.Equals, errcode.BusyUnproven)
 	c.Assert(upstream.reads.Load(), qt.Equals, int64(3))
 	b.announce(c, "pay", "one", 1)
-	c.Assert(b.ask(c, "e", http.MethodPost).Kind, qt.Equals, script.StartedNoWhole)
+	c.Assert(b.request(c, "e", http.MethodPost).Kind, qt.Equals, message.StartedNoWhole)
 	c.Assert(upstream.reads.Load(), qt.Equals, int64(4))
 }
 
@@ -134,32 +134,32 @@
 func TestAnswersMustBeWhole(t *testing.T) {
 	for name, wanted := range map[string]struct {
 		answer string
-		code   notice.Code
+		code   errcode.Code
 	}{
-		"garbage":        {"\x00\x01\x02 nothing\r\n\r\n", notice.AnswerMalformed},
-		"truncated":      {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort", notice.AnswerMalformed},
-		"chunks cut off": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", notice.AnswerMalformed},
-		"no framing":     {"HTTP/1.1 200 OK\r\n\r\nhello", notice.AnswerMalformed},
-		"excess":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more", notice.AnswerMalformed},
-		"too large":      {"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), notice.AnswerTooLarge},
-		"two lengths":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", notice.AnswerMalformed},
-		"switching":      {"HTTP/1.1 101 Switching Protocols\r\n\r\n", notice.AnswerMalformed},
-		"nothing":        {"", notice.UnknownOutcome},
+		"garbage":        {"\x00\x01\x02 nothing\r\n\r\n", errcode.AnswerMalformed},
+		"truncated":      {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort", errcode.AnswerMalformed},
+		"chunks cut off": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", errcode.AnswerMalformed},
+		"no framing":     {"HTTP/1.1 200 OK\r\n\r\nhello", errcode.AnswerMalformed},
+		"excess":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more", errcode.AnswerMalformed},
+		"too large":      {"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), errcode.AnswerTooLarge},
+		"two lengths":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", errcode.AnswerMalformed},
+		"switching":      {"HTTP/1.1 101 Switching Protocols\r\n\r\n", errcode.AnswerMalformed},
+		"nothing":        {"", errcode.UnknownOutcome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			members := crew.New()
+			members := goroutine.New()
 			defer members.Stop(0)
 			upstream := newScripted(c, members, "127.0.0.1:0", func(int64) string { return wanted.answer })
 			b := newBench(c, members, upstream.listener.Addr().String())
-			verdict := b.ask(c, "q", http.MethodPost)
-			c.Assert(verdict.Kind, qt.Equals, script.StartedNoWhole)
-			c.Assert(notice.Code(verdict.Code), qt.Equals, wanted.code)
+			outcome := b.request(c, "q", http.MethodPost)
+			c.Assert(outcome.Kind, qt.Equals, message.StartedNoWhole)
+			c.Assert(errcode.Code(outcome.Code), qt.Equals, wanted.code)
 		})
 	}
 }
 
-// Answers at the edges of HTTP come through as they are, and the wire behind them is
+// Answers at the edges of HTTP come through as they are, and the connection behind them is
 // used again only where it is clean.
 func TestEdgesOfHTTP(t *testing.T) {
 	for name, tried := range map[string]struct {
@@ -178,17 +178,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			members := crew.New()
+			members := goroutine.New()
 			defer members.Stop(0)
 			upstream := newScripted(c, members, "127.0.0.1:0", func(int64) string { return tried.answer })
 			b := newBench(c, members, upstream.listener.Addr().String())
-			// Each of these wires is closed by the upstream behind its one answer: the
-			// next query must not be lost on it, nor sent twice.
+			// Each of these connections is closed by the upstream behind its one answer: the
+			// next request must not be lost on it, nor sent twice.
 			for number := range int64(2) {
-				verdict := b.ask(c, fmt.Sprint("q", number), tried.method)
-				c.Assert(verdict.Kind, qt.Equals, script.StartedWhole, qt.Commentf("%s", notice.Code(verdict.Code)))
-				c.Assert(verdict.Status, qt.Equals, tried.status)
-				c.Assert(string(verdict.Body), qt.Equals, tried.body)
+				outcome := b.request(c, fmt.Sprint("q", number), tried.method)
+				c.Assert(outcome.Kind, qt.Equals, message.StartedWhole, qt.Commentf("%s", errcode.Code(outcome.Code)))
+				c.Assert(outcome.Status, qt.Equals, tried.status)
+				c.Assert(string(outcome.Body), qt.Equals, tried.body)
 				c.Assert(upstream.reads.Load(), qt.Equals, number+1)
 				b.announce(c, "pay", "one", 1)
 				b.caller.lock.Lock()
@@ -202,7 +202,7 @@
 // An upstream that answers before it has read the body has given its whole answer.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
 	c := qt.New(t)
-	members := crew.New()
+	members := goroutine.New()
 	defer members.Stop(0)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -213,7 +213,7 @@
 			if err != nil {
 				return
 			}
-			members.Go("early.wire", func(context.Context) {
+			members.Go("early.connection", func(context.Context) {
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
 				if _, err := reader.ReadString('\n'); err == nil {
@@ -224,28 +224,28 @@
 		}
 	})
 	b := newBench(c, members, listener.Addr().String())
-	verdict := b.ask(c, "q", http.MethodPost)
-	c.Assert(verdict.Kind, qt.Equals, script.StartedWhole)
-	c.Assert(verdict.Status, qt.Equals, int64(413))
+	outcome := b.request(c, "q", http.MethodPost)
+	c.Assert(outcome.Kind, qt.Equals, message.StartedWhole)
+	c.Assert(outcome.Status, qt.Equals, int64(413))
 }
 
 // Interim answers are passed over; the head is the mesh's own.
 func TestHeadTowardsUpstream(t *testing.T) {
 	c := qt.New(t)
-	members := crew.New()
+	members := goroutine.New()
 	defer members.Stop(0)
 	upstream := newScripted(c, members, "127.0.0.1:0", func(int64) string { return "HTTP/1.1 103 Early Hints\r\n\r\n" + good })
 	b := newBench(c, members, upstream.listener.Addr().String())
-	verdict := b.ask(c, "q", http.MethodPost, script.HeaderLine{Name: "X-Color", Value: "red"})
-	c.Assert(verdict.Kind, qt.Equals, script.StartedWhole)
-	c.Assert(string(verdict.Body), qt.Equals, "ok")
+	outcome := b.request(c, "q", http.MethodPost, message.HeaderLine{Name: "X-Color", Value: "red"})
+	c.Assert(outcome.Kind, qt.Equals, message.StartedWhole)
+	c.Assert(string(outcome.Body), qt.Equals, "ok")
 	request := <-upstream.seen
 	c.Assert(request.Header.Get(TenantHeader), qt.Equals, "t")
 	c.Assert(request.Header.Get(CallerHeader), qt.Equals, "shop")
 	c.Assert(request.Header.Get("X-Color"), qt.Equals, "red")
 	c.Assert(request.Header.Get(PassHeader), qt.Not(qt.Equals), "")
 	c.Assert(request.Header.Get("User-Agent"), qt.Equals, "")
-	// The pass ends with the query.
+	// The pass ends with the request.
 	_, known := b.room.PassOf(request.Header.Get(PassHeader))
 	c.Assert(known, qt.IsFalse)
 }
@@ -253,18 +253,18 @@
 // An address taken over by a process that has not announced itself gets nothing.
 func TestTakenOverAddressGetsNothing(t *testing.T) {
 	c := qt.New(t)
-	members, elders := crew.New(), crew.New()
+	members, elders := goroutine.New(), goroutine.New()
 	defer members.Stop(0)
 	old := newScripted(c, elders, "127.0.0.1:0", func(int64) string { return good })
 	address := old.listener.Addr().String()
 	b := newBench(c, members, address)
-	c.Assert(b.ask(c, "a", http.MethodPost).Kind, qt.Equals, script.StartedWhole)
-	// The old process ends: its listener and every wire of it close.
+	c.Assert(b.request(c, "a", http.MethodPost).Kind, qt.Equals, message.StartedWhole)
+	// The old process ends: its listener and every connection of it close.
 	old.listener.Close()
 	b.caller.lock.Lock()
 	for _, list := range b.caller.idle {
-		for _, wire := range list {
-			wire.conn.Close()
+		for _, connection := range list {
+			connection.conn.Close()
 		}
 	}
 	for _, guard := range b.caller.guards {
@@ -272,7 +272,7 @@
 	}
 	b.caller.lock.Unlock()
 	heir := newScripted(c, members, address, func(int64) string { return good })
-	verdict := b.ask(c, "b", http.MethodPost)
-	c.Assert(verdict.Kind, qt.Equals, script.NotStarted)
+	outcome := b.request(c, "b", http.MethodPost)
+	c.Assert(outcome.Kind, qt.Equals, message.NotStarted)
 	c.Assert(heir.reads.Load(), qt.Equals, int64(0))
 }
--- /dev/null
+++ b/internal/backend/protocol.go
@@ -0,0 +1,43 @@
+// This file is the port towards upstreams' ways of speaking: what a request tells its
+// upstream, and what an answer's head says besides its status. House is the product's
+// own manner; adapters bring others.
+package backend
+
+import (
+	"net/http"
+	"time"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+)
+
+// Received is what an answer's head says.
+type Received struct {
+	Other  bool          // it answers another request; this one's comes behind it
+	Refuse errcode.Code  // not OK: the upstream did not begin, and why
+	Spoilt bool          // it is not the upstream's own whole answer
+	Hides  bool          // its status promises that nothing ran, which was not said
+	Loaded bool          // the upstream told its load
+	Load   [3]int64      // running, waiting, slots
+	Idle   time.Duration // how long the connection may idle; 0: not told
+}
+
+// Protocol is how upstreams speak.
+type Protocol interface {
+	Dress(header http.Header, forward message.Forward, target Target, left time.Duration)
+	Heed(answer *http.Response, forward message.Forward, target Target) Received
+}
+
+// Node is the product's own manner.
+type Node struct{}
+
+// Dress names tenant, caller, pass and request.
+func (Node) Dress(header http.Header, forward message.Forward, target Target, _ time.Duration) {
+	header.Set(TenantHeader, forward.Tenant)
+	header.Set(CallerHeader, forward.Caller)
+	header.Set(PassHeader, target.Pass)
+	header.Set(RequestHeader, forward.ID)
+}
+
+// Heed finds nothing more in the head.
+func (Node) Heed(*http.Response, message.Forward, Target) Received { return Received{} }
--- a/internal/critic/critic.go
+++ b/internal/checker/checker.go
@@ -1,9 +1,9 @@
-// Package critic checks the brief's list from the records of both ends: what callers
+// Package checker checks the brief's list from the records of both ends: what callers
 // asked and were told, what upstreams ran, what nodes had in force, what the platform
 // was reported. It serves the real fleet and the simulator alike. Each check gives
 // its violations and the worst figure seen; a run that never exercised what it was
 // for is reported as empty.
-package critic
+package checker
 
 import (
 	"fmt"
@@ -12,54 +12,54 @@
 	"time"
 )
 
-// Asked is one query as its caller saw it.
+// Asked is one request as its caller saw it.
 type Asked struct {
-	ID       string        `json:"id"`
-	Usher    string        `json:"usher"`
-	Route    string        `json:"route"`
-	Service  string        `json:"service"`
-	Tenant   string        `json:"tenant"`
-	Caller   string        `json:"caller"`
-	Key      string        `json:"-"`
-	Once     bool          `json:"once"`
-	Intended time.Duration `json:"intended"`
-	Sent     time.Duration `json:"sent"`
-	Done     time.Duration `json:"done"`
-	Status   int           `json:"status"`
-	Code     int           `json:"code"`
-	Retry    bool          `json:"retry_after"`
-	Wire     bool          `json:"wire_error"` // no answer at all
-	Body     string        `json:"body"`
-	Mark     string        `json:"mark"` // the header by which an upstream marks its answer
+	ID         string        `json:"id"`
+	Proxy      string        `json:"proxy"`
+	Route      string        `json:"route"`
+	Service    string        `json:"service"`
+	Tenant     string        `json:"tenant"`
+	Caller     string        `json:"caller"`
+	Key        string        `json:"-"`
+	Once       bool          `json:"once"`
+	Intended   time.Duration `json:"intended"`
+	Sent       time.Duration `json:"sent"`
+	Done       time.Duration `json:"done"`
+	Status     int           `json:"status"`
+	Code       int           `json:"code"`
+	Retry      bool          `json:"retry_after"`
+	Connection bool          `json:"connection_error"` // no answer at all
+	Body       string        `json:"body"`
+	Mark       string        `json:"mark"` // the header by which an upstream marks its answer
 }
 
 // Ran is one run at an upstream.
 type Ran struct {
-	ID       string        `json:"id"`
-	Service  string        `json:"service"`
-	Instance string        `json:"instance"`
-	Address  string        `json:"address"`
-	Path     string        `json:"path"`
-	Tenant   string        `json:"tenant"`
-	Caller   string        `json:"caller"`
-	KeySeen  bool          `json:"key_seen"`
-	At       time.Duration `json:"at"`
-	Whole    time.Duration `json:"whole"` // when the answer was sent whole; 0: never
-	Answer   string        `json:"answer"`
-	Status   int           `json:"status"`
-	Mark     string        `json:"mark"`
-	Life     int64         `json:"incarnation"`
-	Home     string        `json:"home"` // machine of the home usher, where known
-}
-
-// Put is an acknowledged layout: who it allows from then on.
-type Put struct {
-	Sheet    string
-	Version  int64
-	At       time.Duration
-	Services map[string]string // route to service
-	Keys     map[string]string // key to tenant
-	Digest   string            // of its bytes
+	ID           string        `json:"id"`
+	Service      string        `json:"service"`
+	Instance     string        `json:"instance"`
+	Address      string        `json:"address"`
+	Path         string        `json:"path"`
+	Tenant       string        `json:"tenant"`
+	Caller       string        `json:"caller"`
+	KeySeen      bool          `json:"key_seen"`
+	At           time.Duration `json:"at"`
+	Whole        time.Duration `json:"whole"` // when the answer was sent whole; 0: never
+	Answer       string        `json:"answer"`
+	Status       int           `json:"status"`
+	Mark         string        `json:"mark"`
+	Life         int64         `json:"incarnation"`
+	ServingProxy string        `json:"serving_proxy"` // machine of the serving proxy proxy, where known
+}
+
+// Put is an acknowledged configuration: who it allows from then on.
+type Write struct {
+	ConfigName string
+	Version    int64
+	At         time.Duration
+	Services   map[string]string // route to service
+	Keys       map[string]string // key to tenant
+	Digest     string            // of its bytes
 }
 
 // Digest names bytes in the record.
@@ -69,16 +69,16 @@
 	return fmt.Sprintf("%x", hash.Sum64())
 }
 
-// Kept is a version as a seat gives it back at the end of the day.
+// Kept is a version as a voter gives it back at the end of the day.
 type Kept struct {
-	Seat    string
-	Sheet   string
-	Version int64
-	Digest  string
+	Voter      string
+	ConfigName string
+	Version    int64
+	Digest     string
 }
 
-// Attempt is one try of a query that left an usher towards a home; Again says that
-// it was not the query's first.
+// Attempt is one try of a request that left a proxy towards a serving proxy; Again says that
+// it was not the request's first.
 type Attempt struct {
 	Service string
 	At      time.Duration
@@ -87,10 +87,10 @@
 
 // Force is a node taking a version into force.
 type Force struct {
-	Node    string
-	Sheet   string
-	Version int64
-	At      time.Duration
+	Node       string
+	ConfigName string
+	Version    int64
+	At         time.Duration
 }
 
 // Span is a stretch of time on a node or upstream.
@@ -125,10 +125,10 @@
 	End    time.Duration // end of the window on the same clock
 }
 
-// Keeping is one seat acting for a tag.
+// Keeping is one voter acting for a tag.
 type Keeping struct {
 	Tag   string
-	Seat  string
+	Voter string
 	Epoch int64
 	At    time.Duration
 }
@@ -137,24 +137,24 @@
 type Record struct {
 	Asked      []Asked
 	Ran        []Ran
-	Puts       []Put
+	Writes     []Write
 	Forced     []Force
 	Up         []Span // nodes alive and connected to the core, by name
 	Held       []Span // machines frozen or cut off, by name
 	Peaks      []Peak // the most that ran at one time, by upstream
 	Hurt       []Span // hard ends of machines and upstreams, by name
-	Stopped    []Span // polite stops of ushers, from the signal to the exit
-	Untold     []Span // stretches whose counts died with an usher that was cut off
+	Stopped    []Span // polite stops of proxies, from the signal to the exit
+	Untold     []Span // stretches whose counts died with a proxy that was cut off
 	Leaving    []Leaving
 	Reported   []Reported
-	Reread     []Reported // windows as the seats give them back
+	Reread     []Reported // windows as the voters give them back
 	Attempts   []Attempt
 	Kept       []Kept
 	ReadyAsked int // how often the platform asked a node whether it is ready
-	KeptMost   int // how many versions a seat must keep
+	KeptMost   int // how many versions a voter must keep
 	End        time.Duration
 	Keeping    []Keeping
-	Acts       []Keeping     // changes made by a keeper, with the epoch
+	Acts       []Keeping     // changes made by a holder, with the epoch
 	Window     time.Duration // length of a usage window; 0: counts are not checked
 	Epoch      time.Duration // time of day at time 0
 	Bounds     Bounds
@@ -162,23 +162,23 @@
 
 // Bounds are the promises to hold the record against.
 type Bounds struct {
-	LayoutInForce time.Duration
-	SlipBack      time.Duration
-	KeyWithdrawal time.Duration
-	Drain         time.Duration
-	AnswerHold    time.Duration
-	KeeperRest    time.Duration
-	UsageLate     time.Duration
-	UsageOff      float64
-	RetryShare    float64
-	RetryWindow   time.Duration
-	RetryMore     int
+	ConfigurationInForce time.Duration
+	SlipBack             time.Duration
+	KeyWithdrawal        time.Duration
+	Drain                time.Duration
+	AnswerHold           time.Duration
+	HolderRest           time.Duration
+	UsageLate            time.Duration
+	UsageOff             float64
+	RetryShare           float64
+	RetryWindow          time.Duration
+	RetryMore            int
 }
 
 // BriefBounds are the brief's numbers.
 func BriefBounds(withdrawal bool) Bounds {
-	bounds := Bounds{LayoutInForce: 2 * time.Second, SlipBack: 250 * time.Millisecond, Drain: 2 * time.Second, AnswerHold: 200 * time.Millisecond,
-		KeeperRest: 3 * time.Second, UsageLate: 10 * time.Second, UsageOff: 0.05, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryMore: 10}
+	bounds := Bounds{ConfigurationInForce: 2 * time.Second, SlipBack: 250 * time.Millisecond, Drain: 2 * time.Second, AnswerHold: 200 * time.Millisecond,
+		HolderRest: 3 * time.Second, UsageLate: 10 * time.Second, UsageOff: 0.05, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryMore: 10}
 	if withdrawal {
 		bounds.KeyWithdrawal = 5 * time.Second
 	}
@@ -191,7 +191,7 @@
 // Stretch loosens the bounds in time, for a smoke on a machine of unknown speed; what
 // must never happen at all stays as it is.
 func (b Bounds) Stretch(by float64) Bounds {
-	for _, bound := range []*time.Duration{&b.LayoutInForce, &b.SlipBack, &b.KeyWithdrawal, &b.Drain, &b.AnswerHold, &b.UsageLate} {
+	for _, bound := range []*time.Duration{&b.ConfigurationInForce, &b.SlipBack, &b.KeyWithdrawal, &b.Drain, &b.AnswerHold, &b.UsageLate} {
 		*bound = time.Duration(float64(*bound) * by)
 	}
 	b.UsageOff *= by
@@ -204,7 +204,7 @@
 	Detail string
 }
 
-// Review is the verdict on a run.
+// Review is the outcome on a run.
 type Review struct {
 	Violations []Violation
 	Worst      map[string]float64
@@ -229,12 +229,12 @@
 		runs[ran.ID] = append(runs[ran.ID], ran)
 	}
 	asked := map[string]Asked{}
-	for _, query := range record.Asked {
-		asked[query.ID] = query
+	for _, request := range record.Asked {
+		asked[request.ID] = request
 	}
-	review.queries(record, runs)
+	review.requests(record, runs)
 	review.runs(record, asked)
-	review.layouts(record)
+	review.configurations(record)
 	review.keys(record)
 	review.drains(record)
 	review.retries(record, runs)
@@ -242,7 +242,7 @@
 	review.kept(record)
 	review.Seen["asked whether ready"] = record.ReadyAsked
 	review.usage(record)
-	review.keepers(record)
+	review.holders(record)
 	review.stops(record)
 	for _, peak := range record.Peaks {
 		review.worst("slots-used", float64(peak.Most)/float64(peak.Slots))
@@ -254,37 +254,37 @@
 	return review
 }
 
-func (r *Review) queries(record Record, runs map[string][]Ran) {
-	for _, query := range record.Asked {
-		mine := runs[query.ID]
+func (r *Review) requests(record Record, runs map[string][]Ran) {
+	for _, request := range record.Asked {
+		mine := runs[request.ID]
 		r.Seen["asked"]++
-		if query.Once && len(mine) > 1 {
-			r.add("once", "%s (%s) ran %d times", query.ID, query.Route, len(mine))
+		if request.Once && len(mine) > 1 {
+			r.add("once", "%s (%s) ran %d times", request.ID, request.Route, len(mine))
 		}
 		switch {
-		case query.Wire:
+		case request.Connection:
 			r.Seen["no answer"]++
-		case query.Code != 0 && query.Status == 503:
+		case request.Code != 0 && request.Status == 503:
 			r.Seen["busy"]++
 			if len(mine) > 0 {
-				r.add("busy-ran", "%s was told busy (%d) and ran at %s", query.ID, query.Code, mine[0].Instance)
+				r.add("busy-ran", "%s was told busy (%d) and ran at %s", request.ID, request.Code, mine[0].Instance)
 			}
-			if !query.Retry {
-				r.add("retry-after", "%s was told busy (%d) without Retry-After", query.ID, query.Code)
+			if !request.Retry {
+				r.add("retry-after", "%s was told busy (%d) without Retry-After", request.ID, request.Code)
 			}
-		case query.Code == 0:
+		case request.Code == 0:
 			r.Seen["answered"]++
 			own := false
 			held, excused := time.Duration(1<<62), false
 			for _, ran := range mine {
-				if ran.Answer == query.Body && ran.Status == query.Status && ran.Mark == query.Mark && ran.Whole > 0 {
+				if ran.Answer == request.Body && ran.Status == request.Status && ran.Mark == request.Mark && ran.Whole > 0 {
 					own = true
-					held = min(held, query.Done-ran.Whole)
-					excused = Within(record.Held, query.Usher, ran.Whole, query.Done) || Within(record.Held, ran.Home, ran.Whole, query.Done)
+					held = min(held, request.Done-ran.Whole)
+					excused = Within(record.Held, request.Proxy, ran.Whole, request.Done) || Within(record.Held, ran.ServingProxy, ran.Whole, request.Done)
 				}
 			}
 			if !own {
-				r.add("own-answer", "%s got status %d, mark %q and a body of %d bytes that no run of it sent", query.ID, query.Status, query.Mark, len(query.Body))
+				r.add("own-answer", "%s got status %d, mark %q and a body of %d bytes that no run of it sent", request.ID, request.Status, request.Mark, len(request.Body))
 				continue
 			}
 			if excused {
@@ -293,11 +293,11 @@
 			}
 			r.worst("answer-hold-ms", float64(held.Milliseconds()))
 			if held > record.Bounds.AnswerHold {
-				r.add("answer-hold", "%s was held for %s", query.ID, held)
+				r.add("answer-hold", "%s was held for %s", request.ID, held)
 			}
 		default:
 			r.Seen["refused or unknown"]++
-			if query.Status >= 502 {
+			if request.Status >= 502 {
 				r.Seen["unknown"]++
 			}
 		}
@@ -316,111 +316,111 @@
 
 func (r *Review) runs(record Record, asked map[string]Asked) {
 	allowed := map[string]bool{}
-	for _, put := range record.Puts {
-		for route, service := range put.Services {
+	for _, write := range record.Writes {
+		for route, service := range write.Services {
 			allowed[route+">"+service] = true
 		}
 	}
 	for _, ran := range record.Ran {
 		r.Seen["ran"]++
-		query, known := asked[ran.ID]
+		request, known := asked[ran.ID]
 		if !known {
-			r.add("stray", "%s ran unknown query %q", ran.Instance, ran.ID)
+			r.add("stray", "%s ran unknown request %q", ran.Instance, ran.ID)
 			continue
 		}
-		if ran.Tenant != query.Tenant || ran.Caller != query.Caller {
-			r.add("identity", "%s ran as tenant %q caller %q, want %q %q", ran.ID, ran.Tenant, ran.Caller, query.Tenant, query.Caller)
+		if ran.Tenant != request.Tenant || ran.Caller != request.Caller {
+			r.add("identity", "%s ran as tenant %q caller %q, want %q %q", ran.ID, ran.Tenant, ran.Caller, request.Tenant, request.Caller)
 		}
 		if ran.KeySeen {
 			r.add("key-seen", "%s showed the key to %s", ran.ID, ran.Instance)
 		}
-		if ran.Service != query.Service || len(allowed) > 0 && !allowed[query.Route+">"+ran.Service] {
-			r.add("landing", "%s for %s landed at %s %s", ran.ID, query.Service, ran.Service, ran.Address)
+		if ran.Service != request.Service || len(allowed) > 0 && !allowed[request.Route+">"+ran.Service] {
+			r.add("landing", "%s for %s landed at %s %s", ran.ID, request.Service, ran.Service, ran.Address)
 		}
 	}
 }
 
-// layouts: in force in time on every node that was up and connected all the while,
+// configurations: in force in time on every node that was up and connected all the while,
 // and never back to an older one.
-func (r *Review) layouts(record Record) {
-	for _, put := range record.Puts {
+func (r *Review) configurations(record Record) {
+	for _, write := range record.Writes {
 		for _, span := range record.Up {
-			if span.From > put.At || span.To < put.At+record.Bounds.LayoutInForce {
+			if span.From > write.At || span.To < write.At+record.Bounds.ConfigurationInForce {
 				continue
 			}
 			at := time.Duration(-1)
 			for _, force := range record.Forced {
-				if force.Node == span.Name && force.Sheet == put.Sheet && force.Version >= put.Version && force.At >= span.Born && (at < 0 || force.At < at) {
+				if force.Node == span.Name && force.ConfigName == write.ConfigName && force.Version >= write.Version && force.At >= span.Born && (at < 0 || force.At < at) {
 					at = force.At
 				}
 			}
-			r.Seen["layout arrivals"]++
-			if at < 0 || at > put.At+record.Bounds.LayoutInForce {
-				r.add("layout-late", "version %d acknowledged at %s is in force on %s at %s", put.Version, put.At, span.Name, at)
+			r.Seen["configuration arrivals"]++
+			if at < 0 || at > write.At+record.Bounds.ConfigurationInForce {
+				r.add("configuration-late", "version %d acknowledged at %s is in force on %s at %s", write.Version, write.At, span.Name, at)
 				continue
 			}
-			r.worst("layout-in-force-ms", float64(max(0, at-put.At).Milliseconds()))
+			r.worst("configuration-in-force-ms", float64(max(0, at-write.At).Milliseconds()))
 		}
 	}
 	newest := map[string]Force{}
 	for _, force := range record.Forced {
-		key := force.Node + "|" + force.Sheet
+		key := force.Node + "|" + force.ConfigName
 		if last, known := newest[key]; known && force.Version < last.Version && force.At > last.At+record.Bounds.SlipBack {
-			r.add("layout-slip", "%s went from %d to %d", force.Node, last.Version, force.Version)
+			r.add("configuration-slip", "%s went from %d to %d", force.Node, last.Version, force.Version)
 		} else if !known || force.Version >= last.Version {
 			newest[key] = force
 		}
 	}
 }
 
-// kept: at the end of the day each seat gives back the very bytes of every version
+// kept: at the end of the day each voter gives back the very bytes of every version
 // that was acknowledged, as far as it must keep them.
 func (r *Review) kept(record Record) {
-	type shelf struct{ seat, sheet string }
-	shelves, lowest := map[shelf]map[int64]string{}, map[shelf]int64{}
+	type topicState struct{ voter, configName string }
+	topicStates, lowest := map[topicState]map[int64]string{}, map[topicState]int64{}
 	for _, kept := range record.Kept {
 		r.Seen["versions read back"]++
-		at := shelf{kept.Seat, kept.Sheet}
-		if shelves[at] == nil {
-			shelves[at], lowest[at] = map[int64]string{}, kept.Version
+		at := topicState{kept.Voter, kept.ConfigName}
+		if topicStates[at] == nil {
+			topicStates[at], lowest[at] = map[int64]string{}, kept.Version
 		}
-		shelves[at][kept.Version], lowest[at] = kept.Digest, min(lowest[at], kept.Version)
+		topicStates[at][kept.Version], lowest[at] = kept.Digest, min(lowest[at], kept.Version)
 	}
-	for at, versions := range shelves {
-		for _, put := range record.Puts {
-			digest, held := versions[put.Version]
+	for at, versions := range topicStates {
+		for _, write := range record.Writes {
+			digest, held := versions[write.Version]
 			switch {
-			case put.Sheet != at.sheet || !held && len(versions) >= record.KeptMost && put.Version < lowest[at]:
+			case write.ConfigName != at.configName || !held && len(versions) >= record.KeptMost && write.Version < lowest[at]:
 			case !held:
-				r.add("layout-lost", "%s %d was acknowledged, %s does not give it back", at.sheet, put.Version, at.seat)
-			case digest != put.Digest:
-				r.add("layout-lost", "%s %d comes back from %s with other bytes", at.sheet, put.Version, at.seat)
+				r.add("configuration-lost", "%s %d was acknowledged, %s does not give it back", at.configName, write.Version, at.voter)
+			case digest != write.Digest:
+				r.add("configuration-lost", "%s %d comes back from %s with other bytes", at.configName, write.Version, at.voter)
 			}
 		}
 	}
 }
 
-// dropped: whoever's query was answered whole by an upstream gets that answer, unless
-// its usher, its home or the upstream was ended hard, frozen or cut off meanwhile.
+// dropped: whoever's request was answered whole by an upstream gets that answer, unless
+// its proxy, its serving proxy or the upstream was ended hard, frozen or cut off meanwhile.
 func (r *Review) dropped(record Record, runs map[string][]Ran) {
-	for _, query := range record.Asked {
-		if query.Code == 0 && !query.Wire {
+	for _, request := range record.Asked {
+		if request.Code == 0 && !request.Connection {
 			continue
 		}
-		for _, ran := range runs[query.ID] {
-			if ran.Whole == 0 || query.Done > 0 && ran.Whole > query.Done-record.Bounds.AnswerHold/4 {
+		for _, ran := range runs[request.ID] {
+			if ran.Whole == 0 || request.Done > 0 && ran.Whole > request.Done-record.Bounds.AnswerHold/4 {
 				continue
 			}
 			excused := false
-			for _, name := range []string{query.Usher, ran.Home, ran.Instance} {
-				excused = excused || Within(record.Hurt, name, query.Sent, ran.Whole+record.Bounds.AnswerHold) ||
-					Within(record.Held, name, query.Sent, ran.Whole+record.Bounds.AnswerHold)
+			for _, name := range []string{request.Proxy, ran.ServingProxy, ran.Instance} {
+				excused = excused || Within(record.Hurt, name, request.Sent, ran.Whole+record.Bounds.AnswerHold) ||
+					Within(record.Held, name, request.Sent, ran.Whole+record.Bounds.AnswerHold)
 			}
 			if excused {
 				r.Seen["answers lost with a machine"]++
 				continue
 			}
-			r.add("dropped", "%s was answered whole by %s at %s and its caller got %d (%d), wire %t, at %s", query.ID, ran.Instance, ran.Whole, query.Status, query.Code, query.Wire, query.Done)
+			r.add("dropped", "%s was answered whole by %s at %s and its caller got %d (%d), connection %t, at %s", request.ID, ran.Instance, ran.Whole, request.Status, request.Code, request.Connection, request.Done)
 		}
 	}
 }
@@ -431,30 +431,30 @@
 		return
 	}
 	withdrawn := map[string]time.Duration{}
-	puts := append([]Put{}, record.Puts...)
-	sort.Slice(puts, func(i, j int) bool { return puts[i].Version < puts[j].Version })
-	for index := 1; index < len(puts); index++ {
-		for key := range puts[index-1].Keys {
-			if _, still := puts[index].Keys[key]; !still {
-				withdrawn[key] = puts[index].At
+	writes := append([]Write{}, record.Writes...)
+	sort.Slice(writes, func(i, j int) bool { return writes[i].Version < writes[j].Version })
+	for index := 1; index < len(writes); index++ {
+		for key := range writes[index-1].Keys {
+			if _, still := writes[index].Keys[key]; !still {
+				withdrawn[key] = writes[index].At
 			}
 		}
-		for key := range puts[index].Keys {
+		for key := range writes[index].Keys {
 			delete(withdrawn, key)
 		}
 	}
 	asked := map[string]Asked{}
-	for _, query := range record.Asked {
-		asked[query.ID] = query
+	for _, request := range record.Asked {
+		asked[request.ID] = request
 	}
 	for _, ran := range record.Ran {
-		query := asked[ran.ID]
-		at, gone := withdrawn[query.Key]
-		if !gone || query.Key == "" {
+		request := asked[ran.ID]
+		at, gone := withdrawn[request.Key]
+		if !gone || request.Key == "" {
 			continue
 		}
 		r.Seen["withdrawn key runs"]++
-		if late := query.Sent - at; late > record.Bounds.KeyWithdrawal {
+		if late := request.Sent - at; late > record.Bounds.KeyWithdrawal {
 			r.add("key-late", "%s ran with a key withdrawn %s before it was sent", ran.ID, late)
 		} else if late > 0 {
 			r.worst("key-withdrawal-ms", float64(late.Milliseconds()))
@@ -478,8 +478,8 @@
 	}
 }
 
-// retries: tries past the first of a query, against the traffic of its service, in
-// any span of the window: those that left an usher, and those that ran.
+// retries: tries past the first of a request, against the traffic of its service, in
+// any span of the window: those that left a proxy, and those that ran.
 func (r *Review) retries(record Record, runs map[string][]Ran) {
 	type event struct {
 		at    time.Duration
@@ -564,20 +564,20 @@
 		}
 		counts[window][tenant]++
 	}
-	for _, query := range record.Asked {
-		if query.Code != 0 || query.Wire {
+	for _, request := range record.Asked {
+		if request.Code != 0 || request.Connection {
 			continue
 		}
-		early := int64((record.Epoch + query.Done - edge) / record.Window)
-		late := int64((record.Epoch + query.Done + edge) / record.Window)
-		add(most, early, query.Tenant)
-		if Within(record.Untold, query.Usher, query.Done, query.Done) {
+		early := int64((record.Epoch + request.Done - edge) / record.Window)
+		late := int64((record.Epoch + request.Done + edge) / record.Window)
+		add(most, early, request.Tenant)
+		if Within(record.Untold, request.Proxy, request.Done, request.Done) {
 			continue
 		}
 		if early == late {
-			add(least, early, query.Tenant)
+			add(least, early, request.Tenant)
 		} else {
-			add(most, late, query.Tenant)
+			add(most, late, request.Tenant)
 		}
 	}
 	first, last := int64(1<<62), int64(0)
@@ -601,7 +601,7 @@
 }
 
 // tenantLeast is how many answers a tenant has in a window before its own share of
-// error is looked at; below it one query would be too much.
+// error is looked at; below it one request would be too much.
 const tenantLeast = 100
 
 // usageOff sums what is off tenant by tenant, so that counts under a wrong tenant
@@ -631,32 +631,32 @@
 	}
 }
 
-// stops: a polite stop drops no query that was sent before the signal.
+// stops: a polite stop drops no request that was sent before the signal.
 func (r *Review) stops(record Record) {
 	for _, stop := range record.Stopped {
 		r.Seen["polite stops"]++
-		for _, query := range record.Asked {
-			if query.Usher == stop.Name && query.Wire && query.Sent < stop.From && stop.From-query.Sent < 10*time.Second && query.Done == 0 {
-				r.add("dropped", "%s, sent %s before %s was stopped, was never answered", query.ID, stop.From-query.Sent, stop.Name)
+		for _, request := range record.Asked {
+			if request.Proxy == stop.Name && request.Connection && request.Sent < stop.From && stop.From-request.Sent < 10*time.Second && request.Done == 0 {
+				r.add("dropped", "%s, sent %s before %s was stopped, was never answered", request.ID, stop.From-request.Sent, stop.Name)
 			}
 		}
 	}
 }
 
-// acts: once a keeper of a higher epoch has acted, no lower one does.
+// acts: once a holder of a higher epoch has acted, no lower one does.
 func (r *Review) acts(record Record) {
 	highest := map[string]int64{}
 	for _, act := range record.Acts {
-		r.Seen["keeper acts"]++
+		r.Seen["holder acts"]++
 		if act.Epoch < highest[act.Tag] {
-			r.add("stale-act", "%s: %s acted in epoch %d after %d", act.Tag, act.Seat, act.Epoch, highest[act.Tag])
+			r.add("stale-act", "%s: %s acted in epoch %d after %d", act.Tag, act.Voter, act.Epoch, highest[act.Tag])
 		}
 		highest[act.Tag] = max(highest[act.Tag], act.Epoch)
 	}
 }
 
-// keepers: no seat gets a tag back from another within the rest, and no epoch has two.
-func (r *Review) keepers(record Record) {
+// holders: no voter gets a tag back from another within the rest, and no epoch has two.
+func (r *Review) holders(record Record) {
 	byTag := map[string][]Keeping{}
 	for _, keeping := range record.Keeping {
 		byTag[keeping.Tag] = append(byTag[keeping.Tag], keeping)
@@ -665,20 +665,20 @@
 		sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 		owner := map[int64]string{}
 		for index, keeping := range list {
-			r.Seen["tenures"]++
-			if seat, known := owner[keeping.Epoch]; known && seat != keeping.Seat {
-				r.add("two-keepers", "%s epoch %d: %s and %s", tag, keeping.Epoch, seat, keeping.Seat)
+			r.Seen["leases"]++
+			if voter, known := owner[keeping.Epoch]; known && voter != keeping.Voter {
+				r.add("two-holders", "%s epoch %d: %s and %s", tag, keeping.Epoch, voter, keeping.Voter)
 			}
-			owner[keeping.Epoch] = keeping.Seat
-			if index == 0 || list[index-1].Seat == keeping.Seat {
+			owner[keeping.Epoch] = keeping.Voter
+			if index == 0 || list[index-1].Voter == keeping.Voter {
 				continue
 			}
 			r.Seen["takeovers"]++
 			for back := index - 2; back >= 0; back-- {
-				if list[back].Seat == keeping.Seat && keeping.At-list[back+1].At < record.Bounds.KeeperRest {
-					r.add("back-and-forth", "%s: %s, %s, %s within %s", tag, keeping.Seat, list[back+1].Seat, keeping.Seat, keeping.At-list[back+1].At)
+				if list[back].Voter == keeping.Voter && keeping.At-list[back+1].At < record.Bounds.HolderRest {
+					r.add("back-and-forth", "%s: %s, %s, %s within %s", tag, keeping.Voter, list[back+1].Voter, keeping.Voter, keeping.At-list[back+1].At)
 				}
-				if list[back].Seat != list[back+1].Seat {
+				if list[back].Voter != list[back+1].Voter {
 					break
 				}
 			}
--- a/internal/marquee/marquee.go
+++ b/internal/cli/cli.go
@@ -1,6 +1,6 @@
-// Package marquee is the front of the programs: command line, fx modules, the HTTP
+// Package cli is the front of the programs: command line, fx modules, the HTTP
 // faces towards operators, platforms, upstreams and callers, and the polite stop.
-package marquee
+package cli
 
 import (
 	"context"
@@ -20,13 +20,13 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
-	"beaconvane/internal/crew"
-	"beaconvane/internal/cue"
-	"beaconvane/internal/foyer"
-	"beaconvane/internal/greenroom"
-	"beaconvane/internal/house"
-	"beaconvane/internal/notice"
-	"beaconvane/internal/playbill"
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/node"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
 )
 
 // Version is the product's number.
@@ -45,17 +45,17 @@
 // Platform is the port to the machines' own platform: where the settings are, and how
 // callers, upstreams and the collector of usage speak there.
 type Platform interface {
-	Load(role string) (playbill.Config, error)
-	Callers() foyer.Manner
-	Upstreams() greenroom.Manner
-	DressReport(header http.Header, node string, epoch int64)
+	Load(role string) (settings.Settings, error)
+	Callers() frontend.Protocol
+	Upstreams() backend.Protocol
+	DressReport(header http.Header, nodeName string, epoch int64)
 }
 
 // Manners are the ways of speaking that a process was started with.
 type Manners struct {
-	Callers   foyer.Manner
-	Upstreams greenroom.Manner
-	Report    func(header http.Header, node string, epoch int64)
+	Callers   frontend.Protocol
+	Upstreams backend.Protocol
+	Report    func(header http.Header, nodeName string, epoch int64)
 }
 
 // Main runs a program's command line.
@@ -71,15 +71,15 @@
 					given[name] = *value
 				}
 			}
-			manners := Manners{Callers: foyer.House{}, Upstreams: greenroom.House{}}
-			load := func() (playbill.Config, error) { return playbill.Load(program.Role, configPath, given) }
+			manners := Manners{Callers: frontend.Node{}, Upstreams: backend.Node{}}
+			load := func() (settings.Settings, error) { return settings.Load(program.Role, configPath, given) }
 			if onPlatform {
-				load = func() (playbill.Config, error) { return program.Platform.Load(program.Role) }
+				load = func() (settings.Settings, error) { return program.Platform.Load(program.Role) }
 				manners = Manners{Callers: program.Platform.Callers(), Upstreams: program.Platform.Upstreams(), Report: program.Platform.DressReport}
 			}
 			hangups := listen()
 			defer signal.Stop(hangups)
-			config, err := load()
+			cfg, err := load()
 			if err != nil {
 				return err
 			}
@@ -87,14 +87,14 @@
 				fmt.Println("settings are good")
 				return nil
 			}
-			return serve(program, config, manners, load, hangups)
+			return serve(program, cfg, manners, load, hangups)
 		}}
 	root.Flags().StringVar(&configPath, "config", "", "settings file (JSON)")
 	if program.Platform != nil {
 		root.Flags().BoolVar(&onPlatform, "platform", false, "run on the users' platform, with the settings that it gives")
 	}
 	root.Flags().BoolVar(&checkOnly, "check", false, "check the settings and end")
-	for name, help := range map[string]string{"node": "name of this node", "seat": "seat of this core node", "district": "district of this machine",
+	for name, help := range map[string]string{"node": "name of this node", "voter": "voter of this core node", "zone": "zone of this machine",
 		"address": "ip:port for the other processes", "outside": "ip:port for HTTP", "data": "data folder", "seeds": "three ip:port, comma between",
 		"collector": "URL that takes usage reports", "found": "true: this start, on an empty disk, may found the core group"} {
 		flags[name] = root.Flags().String(name, "", help+" (over the file)")
@@ -109,34 +109,34 @@
 }
 
 // serve runs the fx app until a signal; a second signal ends at once.
-func serve(program Program, config playbill.Config, manners Manners, load func() (playbill.Config, error), hangups <-chan os.Signal) error {
-	thrift(config)
-	members := crew.New()
-	tower := house.New(config, program.Role, members)
-	tower.DressReports(manners.Report)
-	app := fx.New(fx.NopLogger, fx.Supply(config, members, tower, manners), program.Module)
+func serve(program Program, cfg settings.Settings, manners Manners, load func() (settings.Settings, error), hangups <-chan os.Signal) error {
+	thrift(cfg)
+	members := goroutine.New()
+	process := node.New(cfg, program.Role, members)
+	process.DressReports(manners.Report)
+	app := fx.New(fx.NopLogger, fx.Supply(cfg, members, process, manners), program.Module)
 	if err := app.Err(); err != nil {
-		return notice.Wrap("marquee.build", notice.Internal, err)
+		return errcode.Wrap("cli.build", errcode.Internal, err)
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	started, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	if err := app.Start(started); err != nil {
-		return notice.Wrap("marquee.start", notice.Internal, err)
+		return errcode.Wrap("cli.start", errcode.Internal, err)
 	}
-	members.Go("marquee.reload", func(ctx context.Context) { reload(ctx, config, tower, load, hangups) })
-	tower.Log.Info("started", "address", config.Address, "outside", config.Outside, "version", Version)
+	members.Go("cli.reload", func(ctx context.Context) { reload(ctx, cfg, process, load, hangups) })
+	process.Log.Info("started", "address", cfg.Address, "outside", cfg.Outside, "version", Version)
 	<-signals
-	tower.Log.Info("stopping")
-	members.Go("marquee.impatience", func(context.Context) {
+	process.Log.Info("stopping")
+	members.Go("cli.impatience", func(context.Context) {
 		<-signals
 		os.Exit(1)
 	})
-	stopping, cancelStop := context.WithTimeout(context.Background(), config.Grace()+time.Second*2)
+	stopping, cancelStop := context.WithTimeout(context.Background(), cfg.Grace()+time.Second*2)
 	defer cancelStop()
 	if err := app.Stop(stopping); err != nil {
-		tower.Log.Info("stopped late", "cause", err.Error())
+		process.Log.Info("stopped late", "cause", err.Error())
 	}
 	return nil
 }
@@ -152,8 +152,8 @@
 // reload reads the settings again, on SIGHUP and now and then, since the file may change
 // without it. Seeds are taken at once; whatever else has changed is said, and taken at
 // the next start.
-func reload(ctx context.Context, config playbill.Config, tower *house.House, load func() (playbill.Config, error), hangups <-chan os.Signal) {
-	ticker := time.NewTicker(config.LookAgain())
+func reload(ctx context.Context, cfg settings.Settings, process *node.Node, load func() (settings.Settings, error), hangups <-chan os.Signal) {
+	ticker := time.NewTicker(cfg.LookAgain())
 	defer ticker.Stop()
 	for {
 		select {
@@ -162,20 +162,20 @@
 		case <-hangups:
 		case <-ticker.C:
 		}
-		told, err := load()
+		response, err := load()
 		if err != nil {
-			tower.Log.Info("settings not read again", "cause", err.Error())
+			process.Log.Info("settings not read again", "cause", err.Error())
 			continue
 		}
-		if !slices.Equal(told.Seeds, config.Seeds) {
-			tower.Log.Info("seeds changed", "seeds", told.Seeds)
-			tower.Tell(cue.Reseeded{Seeds: told.Seeds})
+		if !slices.Equal(response.Seeds, cfg.Seeds) {
+			process.Log.Info("seeds changed", "seeds", response.Seeds)
+			process.Tell(statemachine.Reseeded{Seeds: response.Seeds})
 		}
-		config.Seeds = told.Seeds
-		if !reflect.DeepEqual(told, config) {
-			tower.Log.Info("settings changed: taken at the next start")
+		cfg.Seeds = response.Seeds
+		if !reflect.DeepEqual(response, cfg) {
+			process.Log.Info("settings changed: taken at the next start")
 		}
-		config = told
+		cfg = response
 	}
 }
 
@@ -184,9 +184,9 @@
 const collectAt = 30
 
 // thrift keeps the process well below the memory it was given.
-func thrift(config playbill.Config) {
-	if config.Limits.Memory > 0 {
-		debug.SetMemoryLimit(config.Limits.Memory << 20 * 6 / 10)
+func thrift(cfg settings.Settings) {
+	if cfg.Limits.Memory > 0 {
+		debug.SetMemoryLimit(cfg.Limits.Memory << 20 * 6 / 10)
 		debug.SetGCPercent(collectAt)
 	}
 }
@@ -211,18 +211,18 @@
 }
 
 // Serve binds and serves, at each of some addresses.
-func (f *Face) Serve(members *crew.Crew, addresses ...string) error {
+func (f *Face) Serve(members *goroutine.Group, addresses ...string) error {
 	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return notice.Wrap("marquee.listen", notice.WireLost, err)
+			return errcode.Wrap("cli.listen", errcode.ConnectionLost, err)
 		}
-		members.Go("marquee.serve", func(context.Context) { f.server.Serve(listener) })
+		members.Go("cli.serve", func(context.Context) { f.server.Serve(listener) })
 	}
 	return nil
 }
 
-// Shutdown waits for queries inside.
+// Shutdown waits for requests inside.
 func (f *Face) Shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
 func writeJSON(out http.ResponseWriter, status int, body any) {
@@ -232,25 +232,25 @@
 }
 
 // headOf sets what the mesh says of its own refusals in the head.
-func headOf(out http.ResponseWriter, code notice.Code) {
-	if code != notice.OK {
-		out.Header().Set(foyer.CodeHeader, fmt.Sprint(int(code)))
+func headOf(out http.ResponseWriter, code errcode.Code) {
+	if code != errcode.OK {
+		out.Header().Set(frontend.CodeHeader, fmt.Sprint(int(code)))
 		if code.Status() == http.StatusServiceUnavailable {
 			out.Header().Set("Retry-After", "1")
 		}
 	}
 }
 
-func writeCode(out http.ResponseWriter, code notice.Code, detail string) {
+func writeCode(out http.ResponseWriter, code errcode.Code, detail string) {
 	headOf(out, code)
 	writeJSON(out, code.Status(), map[string]any{"code": int(code), "result": code.String(), "detail": detail})
 }
 
 // common adds the endpoints that every program has.
-func common(router *mux.Router, prefix string, tower *house.House, more func() map[string]any) {
-	router.HandleFunc(prefix+"/live", func(out http.ResponseWriter, _ *http.Request) { writeCode(out, notice.OK, "live") }).Methods(http.MethodGet)
+func common(router *mux.Router, prefix string, process *node.Node, more func() map[string]any) {
+	router.HandleFunc(prefix+"/live", func(out http.ResponseWriter, _ *http.Request) { writeCode(out, errcode.OK, "live") }).Methods(http.MethodGet)
 	router.HandleFunc(prefix+"/counters", func(out http.ResponseWriter, _ *http.Request) {
-		body := map[string]any{"process": tower.Counters()}
+		body := map[string]any{"process": process.Counters()}
 		if more != nil {
 			for name, value := range more() {
 				body[name] = value
@@ -259,6 +259,6 @@
 		writeJSON(out, http.StatusOK, body)
 	}).Methods(http.MethodGet)
 	router.HandleFunc(prefix+"/journal", func(out http.ResponseWriter, _ *http.Request) {
-		writeJSON(out, http.StatusOK, map[string]any{"entries": tower.Journal()})
+		writeJSON(out, http.StatusOK, map[string]any{"entries": process.Journal()})
 	}).Methods(http.MethodGet)
 }
--- /dev/null
+++ b/internal/configstore/configstore_test.go
@@ -0,0 +1,37 @@
+// What the configuration log keeps must fit a frame, or a replaced voter could never read it.
+package configstore
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+func TestTheConfigLogFitsAFrame(t *testing.T) {
+	c := qt.New(t)
+	cfg := settings.Default()
+	cfg.Voter, cfg.Voters, cfg.ConfigNames = "a", []string{"a", "b", "c"}, []string{"main", "other"}
+	m, err := New(cfg, message.Member{Name: "a"}, nil, nil)
+	c.Assert(err, qt.IsNil)
+	body := make([]byte, cfg.Limits.Configuration)
+	for version := int64(1); version <= cfg.Limits.KeptConfigurations*2; version++ {
+		for _, configName := range cfg.ConfigNames {
+			m.keep(message.StoredConfiguration{ConfigName: configName, Version: version, Body: body})
+		}
+		frame, err := message.Encode(message.VoterGrant{MemberList: map[string]string{}, State: m.snapshot()})
+		c.Assert(err, qt.IsNil)
+		c.Assert(int64(len(frame)) <= cfg.Limits.Frame, qt.IsTrue, qt.Commentf("%d bytes after version %d", len(frame), version))
+		for _, configName := range cfg.ConfigNames {
+			current, known := m.current(configName)
+			c.Assert(known, qt.IsTrue)
+			c.Assert(current.Version, qt.Equals, version)
+		}
+	}
+	for version := int64(100); version <= 200; version++ {
+		m.keep(message.StoredConfiguration{ConfigName: "main", Version: version, Body: []byte("small")})
+	}
+	c.Assert(int64(len(m.configurations["main"])), qt.Equals, cfg.Limits.KeptConfigurations)
+}
--- /dev/null
+++ b/internal/configstore/writes_test.go
@@ -0,0 +1,137 @@
+// How puts are taken, by a configuration log of one voter that founds itself.
+package configstore
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
+)
+
+type configLog struct {
+	m        *Machine
+	env      *statemachine.Env
+	writes   []int64
+	response []message.StoreResponse
+}
+
+func newConfigLog(c *qt.C, writes string) *configLog {
+	cfg := settings.Default()
+	cfg.Node, cfg.VoterCount, cfg.Voters, cfg.Found, cfg.Writes = "one", 1, settings.VoterNames(1), true, writes
+	cfg.Seeds = []string{"10.0.0.1:1"}
+	m, err := New(cfg, message.Member{Name: "configstore/one", Address: "10.0.0.1:2"}, nil, nil)
+	c.Assert(err, qt.IsNil)
+	b := &configLog{m: m, env: statemachine.NewEnv(1)}
+	for range 200 {
+		b.env.Now += 25 * time.Millisecond
+		m.Tick(b.env)
+		b.drain()
+		b.sync()
+	}
+	c.Assert(m.Serving(), qt.IsTrue)
+	return b
+}
+
+func (b *configLog) drain() {
+	for _, effect := range b.env.Drain() {
+		switch done := effect.(type) {
+		case statemachine.Write:
+			b.writes = append(b.writes, done.RequestID)
+		case statemachine.Send:
+			if response, isResponse := done.Message.(message.StoreResponse); isResponse {
+				b.response = append(b.response, response)
+			}
+		}
+	}
+}
+
+func (b *configLog) sync() {
+	for len(b.writes) > 0 {
+		requestID := b.writes[0]
+		b.writes = b.writes[1:]
+		b.m.Synced(b.env, requestID, nil)
+		b.drain()
+	}
+}
+
+// put gives what has been answered before the disk has moved, and all that was answered.
+func (b *configLog) write(version int64, body string) (early, all []message.StoreResponse) {
+	b.response = nil
+	b.m.Handle(b.env, "10.0.0.9:1", message.WriteRequest{RequestID: version, ConfigName: "main", Version: version, Body: []byte(body)})
+	b.drain()
+	early = b.response
+	b.sync()
+	return early, b.response
+}
+
+func configName(head string) string {
+	return `{` + head + `"services":["x"],"tenants":[],"routes":[]}`
+}
+
+func (b *configLog) code(c *qt.C, version int64, body string) errcode.Code {
+	_, all := b.write(version, body)
+	c.Assert(all, qt.HasLen, 1)
+	return errcode.Code(all[0].Code)
+}
+
+func TestWritesRising(t *testing.T) {
+	c := qt.New(t)
+	b := newConfigLog(c, settings.WritesRising)
+	c.Assert(b.code(c, 5, configName("")), qt.Equals, errcode.OK)
+	c.Assert(b.code(c, 5, configName("")), qt.Equals, errcode.OK)
+	c.Assert(b.code(c, 5, configName(`"note":"other",`)), qt.Equals, errcode.ConfigurationConflict)
+	c.Assert(b.code(c, 4, `{`), qt.Equals, errcode.ConfigurationConflict)
+	c.Assert(b.code(c, 6, configName(`"version":7,`)), qt.Equals, errcode.ConfigurationBad)
+	c.Assert(b.code(c, 6, configName(`"version":6,`)), qt.Equals, errcode.OK)
+	c.Assert(b.code(c, 0, configName(`"version":8,`)), qt.Equals, errcode.OK)
+	c.Assert(b.code(c, 0, configName("")), qt.Equals, errcode.ConfigurationBad)
+	current, _ := b.m.current("main")
+	c.Assert(current.Version, qt.Equals, int64(8))
+}
+
+func TestWritesHighest(t *testing.T) {
+	c := qt.New(t)
+	b := newConfigLog(c, settings.WritesHighest)
+	c.Assert(b.code(c, 5, configName("")), qt.Equals, errcode.OK)
+	_, all := b.write(4, configName(`"note":"older",`))
+	c.Assert(all, qt.HasLen, 1)
+	c.Assert(errcode.Code(all[0].Code), qt.Equals, errcode.OK)
+	c.Assert(all[0].Version, qt.Equals, int64(5))
+	c.Assert(string(all[0].Body), qt.Equals, configName(""))
+	c.Assert(b.code(c, 5, configName(`"note":"other bytes",`)), qt.Equals, errcode.OK)
+	_, all = b.write(3, configName(`"colour":1,`))
+	c.Assert(errcode.Code(all[0].Code), qt.Equals, errcode.ConfigurationBad)
+	c.Assert(all[0].Faults, qt.DeepEquals, []string{"colour: unknown field"})
+	_, all = b.write(3, configName(`"version":2,`))
+	c.Assert(all[0].Faults, qt.DeepEquals, []string{"version: differs from the number put"})
+	c.Assert(b.code(c, 3, configName(`"version":0,`)), qt.Equals, errcode.ConfigurationBad)
+	c.Assert(b.code(c, 0, configName(`"version":4,`)), qt.Equals, errcode.OK)
+	current, _ := b.m.current("main")
+	c.Assert(current.Version, qt.Equals, int64(5))
+	c.Assert(string(current.Body), qt.Equals, configName(""))
+	c.Assert(b.m.configurations["main"], qt.HasLen, 1)
+}
+
+// An older number is acknowledged only behind what is in flight.
+func TestOlderNumberWaitsForTheWriteInFlight(t *testing.T) {
+	c := qt.New(t)
+	b := newConfigLog(c, settings.WritesHighest)
+	c.Assert(b.code(c, 1, configName("")), qt.Equals, errcode.OK)
+	b.response = nil
+	for _, version := range []int64{9, 9, 3} {
+		b.m.Handle(b.env, "10.0.0.9:1", message.WriteRequest{RequestID: version, ConfigName: "main", Version: version, Body: []byte(configName(""))})
+	}
+	b.drain()
+	c.Assert(b.response, qt.HasLen, 0)
+	b.sync()
+	c.Assert(b.response, qt.HasLen, 3)
+	for _, response := range b.response {
+		c.Assert(errcode.Code(response.Code), qt.Equals, errcode.OK)
+		c.Assert(response.Version, qt.Equals, int64(9))
+	}
+}
--- /dev/null
+++ b/internal/distribution/cutoff_test.go
@@ -0,0 +1,40 @@
+// A child that is cut off from every registry, and not from the other proxies.
+package distribution
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/message"
+	"beaconvane/internal/statemachine"
+)
+
+// What can't be reached from here is a good way to others: the updates comes by a proxy
+// whose own parent is one of the registries that are silent here.
+func TestUpdatesComeRoundACut(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		l := newLobby(c, seed, "near", "far")
+		l.committed("near")
+		l.members.Handle(l.s, "", message.JoinResponse{From: message.Member{Name: "proxy/other", Role: message.RoleProxy, Zone: "e", Address: "proxy/other", Birth: 1}})
+		cutAt := l.s.Now
+		joined := false
+		for end := l.s.Now + l.settings.Reparent()*4; l.s.Now < end && !joined; l.s.Now += l.settings.TickEvery() {
+			l.distribution.Tick(l.s)
+			for _, effect := range l.s.Drain() {
+				sent, _ := effect.(statemachine.Send)
+				request, isRequest := sent.Message.(message.UpdatesRequest)
+				if !isRequest || sent.To != "proxy/other" {
+					continue
+				}
+				body := []byte("a configuration")
+				l.distribution.Handle(l.s, sent.To, message.UpdatesResponse{Round: request.Round, Parent: sent.To, Path: []string{"near", sent.To}, Try: []string{},
+					Items: []message.UpdateItem{{Mark: configurationMark(ConfigurationTopic("main"), 2, body), Known: true, Snapshot: true, Body: body, Total: int64(len(body))}}})
+			}
+			version, _, _ := l.distribution.ConfigName("main")
+			joined = version == 2
+		}
+		c.Assert(joined, qt.IsTrue, qt.Commentf("seed %d: nothing heard for %v", seed, l.s.Now-cutAt))
+	}
+}
--- a/internal/chorus/slice.go
+++ b/internal/distribution/slice.go
@@ -1,49 +1,49 @@
-// This file is the content of one district's slice of the roster: the registrations,
+// This file is the content of one zone's slice of the roster: the registrations,
 // their position, and the last changes, so that a follower that is a little behind
-// gets changes and one that is far behind gets the view. The digest is a sum over
+// gets changes and one that is far behind gets the snapshot. The digest is a sum over
 // the registrations, so it can be kept up to date change by change.
-package chorus
+package distribution
 
 import (
 	"hash/fnv"
 	"sort"
 
-	"beaconvane/internal/script"
+	"beaconvane/internal/message"
 )
 
 const changesKept = 256
 
-// Slice is one district's registrations.
+// Slice is one zone's registrations.
 type Slice struct {
-	Mark          script.Mark
-	Registrations map[string]script.Registration
-	changes       []script.RosterChange
+	Mark          message.Mark
+	Registrations map[string]message.Registration
+	changes       []message.RosterChange
 }
 
 // NewSlice makes an empty slice.
 func NewSlice(topic string) *Slice {
-	return &Slice{Mark: script.Mark{Topic: topic}, Registrations: map[string]script.Registration{}}
+	return &Slice{Mark: message.Mark{Topic: topic}, Registrations: map[string]message.Registration{}}
 }
 
-func digest(registration script.Registration) int64 {
+func digest(registration message.Registration) int64 {
 	hash := fnv.New64a()
-	body, err := script.Encode(registration)
+	body, err := message.Encode(registration)
 	if err != nil {
-		panic("chorus: digest: " + err.Error())
+		panic("distribution: digest: " + err.Error())
 	}
 	hash.Write(body)
 	return int64(hash.Sum64())
 }
 
 // Change makes the next change under an epoch, applies and returns it.
-func (l *Slice) Change(epoch int64, registration script.Registration, gone bool, cause string) script.RosterChange {
+func (l *Slice) Change(epoch int64, registration message.Registration, gone bool, cause string) message.RosterChange {
 	if epoch != l.Mark.Epoch {
 		l.Mark.Epoch, l.Mark.Seq = epoch, 0
 		l.changes = nil
 	}
-	l.put(registration, gone)
+	l.write(registration, gone)
 	l.Mark.Seq++
-	change := script.RosterChange{Mark: l.Mark, Registration: registration, Gone: gone, Cause: cause}
+	change := message.RosterChange{Mark: l.Mark, Registration: registration, Gone: gone, Cause: cause}
 	l.keep(change)
 	return change
 }
@@ -55,30 +55,30 @@
 }
 
 // Follow applies another's change; false when it does not continue this position.
-func (l *Slice) Follow(change script.RosterChange) bool {
+func (l *Slice) Follow(change message.RosterChange) bool {
 	if change.Mark.Epoch != l.Mark.Epoch || change.Mark.Seq != l.Mark.Seq+1 {
 		return false
 	}
-	l.put(change.Registration, change.Gone)
+	l.write(change.Registration, change.Gone)
 	l.Mark.Seq++
 	l.keep(change)
 	return l.Mark.Same(change.Mark)
 }
 
-// Replace takes a whole view.
-func (l *Slice) Replace(mark script.Mark, registrations []script.Registration) {
-	l.Registrations = map[string]script.Registration{}
+// Replace takes a whole snapshot.
+func (l *Slice) Replace(mark message.Mark, registrations []message.Registration) {
+	l.Registrations = map[string]message.Registration{}
 	l.Mark.Count, l.Mark.Hash = 0, 0
 	for _, registration := range registrations {
-		l.put(registration, false)
+		l.write(registration, false)
 	}
 	l.Mark.Epoch, l.Mark.Seq = mark.Epoch, mark.Seq
 	l.changes = nil
 }
 
 // List gives the registrations in the order of their keys.
-func (l *Slice) List() []script.Registration {
-	list := make([]script.Registration, 0, len(l.Registrations))
+func (l *Slice) List() []message.Registration {
+	list := make([]message.Registration, 0, len(l.Registrations))
 	for _, registration := range l.Registrations {
 		list = append(list, registration)
 	}
@@ -86,15 +86,15 @@
 	return list
 }
 
-// Since gives the changes after a position, or false when the view is needed.
-func (l *Slice) Since(mark script.Mark) ([]script.RosterChange, bool) {
+// Since gives the changes after a position, or false when the snapshot is needed.
+func (l *Slice) Since(mark message.Mark) ([]message.RosterChange, bool) {
 	if mark.Epoch != l.Mark.Epoch || mark.Seq > l.Mark.Seq || len(l.changes) == 0 || l.changes[0].Mark.Seq > mark.Seq+1 {
 		return nil, false
 	}
-	return append([]script.RosterChange{}, l.changes[mark.Seq+1-l.changes[0].Mark.Seq:]...), true
+	return append([]message.RosterChange{}, l.changes[mark.Seq+1-l.changes[0].Mark.Seq:]...), true
 }
 
-func (l *Slice) put(registration script.Registration, gone bool) {
+func (l *Slice) write(registration message.Registration, gone bool) {
 	key := registration.Key()
 	if old, held := l.Registrations[key]; held {
 		l.Mark.Hash -= digest(old)
@@ -107,9 +107,9 @@
 	l.Mark.Count = int64(len(l.Registrations))
 }
 
-func (l *Slice) keep(change script.RosterChange) {
+func (l *Slice) keep(change message.RosterChange) {
 	l.changes = append(l.changes, change)
 	if len(l.changes) > changesKept {
-		l.changes = append([]script.RosterChange{}, l.changes[len(l.changes)-changesKept:]...)
+		l.changes = append([]message.RosterChange{}, l.changes[len(l.changes)-changesKept:]...)
 	}
 }
--- /dev/null
+++ b/internal/errcode/errcode.go
@@ -0,0 +1,172 @@
+// Package notice holds the numbered result codes of the whole system and the
+// one helper that wraps and names errors. A code is what a person or a program
+// outside sees; the text behind it is for the log. The table in docs/codes.md is
+// checked against this list by a test, so a code can't be added in one place only.
+package errcode
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Code is a numbered result, stable across versions.
+type Code int
+
+const (
+	OK Code = 0
+
+	ConfigUnknownKey         Code = 1001
+	ConfigBadValue           Code = 1002
+	ConfigMissing            Code = 1003
+	ConfigBoundsClash        Code = 1004
+	ConfigUnreadable         Code = 1005
+	AnnounceBad              Code = 2001
+	AnnounceUnknown          Code = 2002
+	RequestNoKey             Code = 3001
+	RequestKeyUnknown        Code = 3002
+	RequestCallerRefused     Code = 3003
+	RequestNoRoute           Code = 3004
+	RequestTooLarge          Code = 3005
+	RequestBadPath           Code = 3006
+	RequestPassInvalid       Code = 3007
+	RequestUnreadable        Code = 3008
+	RequestRouteClosed       Code = 3009
+	BusyQueueFull            Code = 3101
+	BusyNoUpstream           Code = 3102
+	BusySlotsFull            Code = 3103
+	BusyNotReady             Code = 3104
+	BusyStale                Code = 3105
+	BusyLeaving              Code = 3106
+	BusyServingProxyLost     Code = 3107
+	BusyUpstreamGone         Code = 3108
+	BusyConfigurationDiffers Code = 3109
+	BusyBudget               Code = 3110
+	BusyDeadline             Code = 3111
+	BusyUnproven             Code = 3112
+	UnknownOutcome           Code = 3201
+	UnknownTimeout           Code = 3202
+	AnswerMalformed          Code = 3203
+	AnswerTooLarge           Code = 3204
+	ConfigurationBad         Code = 4001
+	ConfigurationTooLarge    Code = 4002
+	ConfigurationConflict    Code = 4003
+	ConfigurationNotFound    Code = 4004
+	ConfigurationNoHolder    Code = 4005
+	ConfigurationUnsure      Code = 4006
+	ConfigurationLacking     Code = 4008
+	ConfigurationBehind      Code = 4007
+	UsageNotFound            Code = 4101
+	VoterShutOut             Code = 5001
+	VoterRecovering          Code = 5002
+	DiskFault                Code = 5003
+	DiskCorrupt              Code = 5004
+	ConnectionLost           Code = 6001
+	ConnectionFull           Code = 6002
+	FrameBad                 Code = 6003
+	Internal                 Code = 9001
+)
+
+// Entry describes one code for the table and for HTTP.
+type Entry struct {
+	Name   string
+	Status int
+	Text   string
+}
+
+// Entries is the whole table.
+var Entries = map[Code]Entry{
+	OK:                       {"OK", 200, "done"},
+	ConfigUnknownKey:         {"ConfigUnknownKey", 0, "the settings hold a key that no program knows"},
+	ConfigBadValue:           {"ConfigBadValue", 0, "a settings value is of the wrong kind or out of range"},
+	ConfigMissing:            {"ConfigMissing", 0, "a settings value that has no default is absent"},
+	ConfigBoundsClash:        {"ConfigBoundsClash", 0, "two bounds in the settings cannot be kept together"},
+	ConfigUnreadable:         {"ConfigUnreadable", 0, "the settings file cannot be read or is not JSON"},
+	AnnounceBad:              {"AnnounceBad", 400, "an upstream's announcement is malformed"},
+	AnnounceUnknown:          {"AnnounceUnknown", 404, "a sign-off for an upstream that is not registered here"},
+	RequestNoKey:             {"RequestNoKey", 401, "the request carries no tenant key"},
+	RequestKeyUnknown:        {"RequestKeyUnknown", 401, "no configuration honours the key"},
+	RequestCallerRefused:     {"RequestCallerRefused", 403, "the calling service or tenant may not use this route"},
+	RequestNoRoute:           {"RequestNoRoute", 404, "no configuration has a route for this request"},
+	RequestTooLarge:          {"RequestTooLarge", 413, "the request's body is over the route's limit"},
+	RequestBadPath:           {"RequestBadPath", 400, "the path holds dot segments, encoded slashes or control bytes"},
+	RequestPassInvalid:       {"RequestPassInvalid", 403, "the pass is not of a request that runs now"},
+	RequestUnreadable:        {"RequestUnreadable", 400, "the request broke off or is not HTTP/1.1 as the library reads it"},
+	RequestRouteClosed:       {"RequestRouteClosed", 503, "the route's calendar has it closed now; nothing ran"},
+	BusyQueueFull:            {"BusyQueueFull", 503, "a pending queue is full; nothing ran"},
+	BusyNoUpstream:           {"BusyNoUpstream", 503, "no ready upstream is known for the service; nothing ran"},
+	BusySlotsFull:            {"BusySlotsFull", 503, "every slot of the chosen upstream is taken; nothing ran"},
+	BusyNotReady:             {"BusyNotReady", 503, "the upstream is warming up or this node is not ready; nothing ran"},
+	BusyStale:                {"BusyStale", 503, "this node's configurations are older than the bound; nothing ran"},
+	BusyLeaving:              {"BusyLeaving", 503, "the upstream or its serving proxy is leaving; nothing ran"},
+	BusyServingProxyLost:     {"BusyServingProxyLost", 503, "the upstream's serving proxy could not be reached; nothing ran"},
+	BusyUpstreamGone:         {"BusyUpstreamGone", 503, "the upstream refused the connection or stopped its heartbeats; nothing ran"},
+	BusyConfigurationDiffers: {"BusyConfigurationDiffers", 503, "the serving proxy's configuration does not allow the request (yet); nothing ran"},
+	BusyBudget:               {"BusyBudget", 503, "not started, and the service's retry budget is spent; nothing ran"},
+	BusyUnproven:             {"BusyUnproven", 503, "no connection to the upstream that is proven to be its own is free; nothing ran"},
+	BusyDeadline:             {"BusyDeadline", 503, "the time was up before any upstream started; nothing ran"},
+	UnknownOutcome:           {"UnknownOutcome", 502, "the request was started and its answer was lost; it may have run"},
+	UnknownTimeout:           {"UnknownTimeout", 504, "the request was started and the time is up; it may have run"},
+	AnswerMalformed:          {"AnswerMalformed", 502, "the upstream's answer was not whole; the request may have run"},
+	AnswerTooLarge:           {"AnswerTooLarge", 502, "the upstream's answer is over the size cap; the request may have run"},
+	ConfigurationBad:         {"ConfigurationBad", 422, "the configuration has faults; the old one stays in force"},
+	ConfigurationTooLarge:    {"ConfigurationTooLarge", 413, "the configuration is over the size or entry limits"},
+	ConfigurationConflict:    {"ConfigurationConflict", 409, "the number is taken by other bytes, or is not higher than the current one"},
+	ConfigurationNotFound:    {"ConfigurationNotFound", 404, "no such configuration or version is kept"},
+	ConfigurationNoHolder:    {"ConfigurationNoHolder", 503, "no configstore holds the lease now; nothing was changed"},
+	ConfigurationUnsure:      {"ConfigurationUnsure", 504, "the write may or may not have been committed; send the same bytes again to learn"},
+	ConfigurationLacking:     {"ConfigurationLacking", 504, "the version is not in force yet on the proxies named"},
+	ConfigurationBehind:      {"ConfigurationBehind", 503, "the holder has not committed in its own epoch yet; nothing was changed"},
+	UsageNotFound:            {"UsageNotFound", 404, "no sealed usage window of that number"},
+	VoterShutOut:             {"VoterShutOut", 503, "this disk's identity no longer holds its voter"},
+	VoterRecovering:          {"VoterRecovering", 503, "the voter is reading the others and may not vote yet"},
+	DiskFault:                {"DiskFault", 503, "a write or sync failed; the voter has stopped voting"},
+	DiskCorrupt:              {"DiskCorrupt", 0, "committed data on disk fails its checksum; the voter refuses to vote"},
+	ConnectionLost:           {"ConnectionLost", 502, "a connection between processes broke"},
+	ConnectionFull:           {"ConnectionFull", 503, "a connection's pending queue is full"},
+	FrameBad:                 {"FrameBad", 400, "a frame between processes cannot be read"},
+	Internal:                 {"Internal", 500, "a fault of beaconvane's own"},
+}
+
+// Status gives the HTTP status for a code.
+func (c Code) Status() int {
+	if entry, found := Entries[c]; found && entry.Status != 0 {
+		return entry.Status
+	}
+	return http.StatusInternalServerError
+}
+
+func (c Code) String() string { return Entries[c].Name }
+
+// Fault is an error with a code and the operation it came from.
+type Fault struct {
+	Code  Code
+	Where string
+	Cause error
+}
+
+func (f *Fault) Error() string {
+	if f.Cause == nil {
+		return fmt.Sprintf("%s: %s (%d)", f.Where, f.Code, int(f.Code))
+	}
+	return fmt.Sprintf("%s: %s (%d): %v", f.Where, f.Code, int(f.Code), f.Cause)
+}
+
+func (f *Fault) Unwrap() error { return f.Cause }
+
+// Wrap names an error: where it happened and which code it answers to.
+func Wrap(where string, code Code, cause error) error {
+	return &Fault{Code: code, Where: where, Cause: cause}
+}
+
+// CodeOf digs the code out of an error; Internal when it bears none.
+func CodeOf(err error) Code {
+	var fault *Fault
+	if errors.As(err, &fault) {
+		return fault.Code
+	}
+	if err == nil {
+		return OK
+	}
+	return Internal
+}
--- a/internal/notice/notice_test.go
+++ b/internal/errcode/errcode_test.go
@@ -1,5 +1,5 @@
 // The table in docs/codes.md and the code say the same.
-package notice
+package errcode
 
 import (
 	"fmt"
--- a/internal/stagehand/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,7 @@
-// Package stagehand runs a whole fleet on one machine for proof: the three programs
+// Package fleet runs a whole fleet on one machine for proof: the three programs
 // as real processes on loopback addresses of their own, stand-in upstreams, a stand-in
 // collector, the load generator, and faults by signal. It ends only what it started.
-package stagehand
+package fleet
 
 import (
 	"bytes"
@@ -18,57 +18,57 @@
 	"syscall"
 	"time"
 
-	"beaconvane/internal/claque"
-	"beaconvane/internal/crew"
-	"beaconvane/internal/critic"
-	"beaconvane/internal/foyer"
-	"beaconvane/internal/greenroom"
-	"beaconvane/internal/notice"
-	"beaconvane/internal/playbill"
-	"beaconvane/internal/repertoire"
-	"beaconvane/internal/script"
-	"beaconvane/internal/understudy"
+	"beaconvane/internal/backend"
+	"beaconvane/internal/checker"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/loadgen"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/stubserver"
+	"beaconvane/internal/workload"
 )
 
 // Process is one product process of the fleet.
 type Process struct {
-	Role    string
-	Node    string
-	Outside string
-	config  string
-	log     string
-	command *exec.Cmd
-	ended   chan struct{}
+	Role     string
+	Node     string
+	Outside  string
+	settings string
+	log      string
+	command  *exec.Cmd
+	ended    chan struct{}
 
 	frozenAt time.Duration
 }
 
-// Config is the path of its settings.
-func (p *Process) Config() string { return p.config }
+// Settings is the path of its settings.
+func (p *Process) Settings() string { return p.settings }
 
 // Fleet is a running deployment.
 type Fleet struct {
-	Deployment repertoire.Deployment
+	Deployment workload.Deployment
 	Bin        string
 	Folder     string
 	Base       time.Time
-	Crew       *crew.Crew
+	Group      *goroutine.Group
 
 	Processes   []*Process
-	Understudys []*understudy.Understudy
+	Understudys []*stubserver.StubServer
 
 	lock      sync.Mutex
-	reported  []critic.Reported
-	puts      []critic.Put
-	leaving   []critic.Leaving
+	reported  []checker.Reported
+	writes    []checker.Write
+	leaving   []checker.Leaving
 	collector net.Listener
 	seeds     []string
 	watched   map[string]time.Duration
-	spans     []critic.Span
+	spans     []checker.Span
 	answers   map[string]int
-	held      []critic.Span
-	hurt      []critic.Span
-	uploads   []critic.Asked // asked besides the load
+	held      []checker.Span
+	hurt      []checker.Span
+	uploads   []checker.Asked // asked besides the load
 }
 
 // freePorts finds ports for a loopback address by binding and letting go.
@@ -82,57 +82,57 @@
 }
 
 // New lays a fleet out: folders, settings, addresses.
-func New(deployment repertoire.Deployment, bin, folder string) (*Fleet, error) {
-	f := &Fleet{Deployment: deployment, Bin: bin, Folder: folder, Base: time.Now(), Crew: crew.New(), watched: map[string]time.Duration{}, answers: map[string]int{}}
-	type place struct{ role, node, seat, district, host string }
+func New(deployment workload.Deployment, bin, folder string) (*Fleet, error) {
+	f := &Fleet{Deployment: deployment, Bin: bin, Folder: folder, Base: time.Now(), Group: goroutine.New(), watched: map[string]time.Duration{}, answers: map[string]int{}}
+	type place struct{ role, node, voter, zone, host string }
 	places := []place{}
-	for index, seat := range repertoire.Seats {
-		district := deployment.Districts[index%len(deployment.Districts)]
-		places = append(places, place{script.RoleCallboard, seat, seat, district, fmt.Sprintf("127.77.1.%d", index+1)},
-			place{script.RolePromptbook, seat, seat, district, fmt.Sprintf("127.77.1.%d", index+1)})
+	for index, voter := range workload.Voters {
+		zone := deployment.Zones[index%len(deployment.Zones)]
+		places = append(places, place{message.RoleRegistry, voter, voter, zone, fmt.Sprintf("127.77.1.%d", index+1)},
+			place{message.RoleConfigStore, voter, voter, zone, fmt.Sprintf("127.77.1.%d", index+1)})
 	}
-	for number := range deployment.Ushers {
-		places = append(places, place{script.RoleUsher, fmt.Sprintf("edge-%d", number+1), "", deployment.Districts[number%len(deployment.Districts)], fmt.Sprintf("127.77.2.%d", number+1)})
+	for number := range deployment.Proxies {
+		places = append(places, place{message.RoleProxy, fmt.Sprintf("edge-%d", number+1), "", deployment.Zones[number%len(deployment.Zones)], fmt.Sprintf("127.77.2.%d", number+1)})
 	}
 	collector, err := net.Listen("tcp", "127.77.3.1:0")
 	if err != nil {
-		return nil, notice.Wrap("stagehand.collector", notice.WireLost, err)
+		return nil, errcode.Wrap("fleet.collector", errcode.ConnectionLost, err)
 	}
 	f.collector = collector
 	addresses := map[string]string{}
 	for _, at := range places {
 		port, err := freePort(at.host)
 		if err != nil {
-			return nil, notice.Wrap("stagehand.port", notice.WireLost, err)
+			return nil, errcode.Wrap("fleet.port", errcode.ConnectionLost, err)
 		}
 		addresses[at.role+at.node] = fmt.Sprintf("%s:%d", at.host, port)
-		if at.role == script.RoleCallboard {
+		if at.role == message.RoleRegistry {
 			f.seeds = append(f.seeds, addresses[at.role+at.node])
 		}
 	}
 	for _, at := range places {
 		outside := ""
-		if at.role != script.RolePromptbook {
+		if at.role != message.RoleConfigStore {
 			port, err := freePort(at.host)
 			if err != nil {
-				return nil, notice.Wrap("stagehand.port", notice.WireLost, err)
+				return nil, errcode.Wrap("fleet.port", errcode.ConnectionLost, err)
 			}
 			outside = fmt.Sprintf("%s:%d", at.host, port)
 		}
 		data := filepath.Join(folder, at.role+"-"+at.node)
-		config := deployment.Config(at.role, at.node, at.seat, at.district, addresses[at.role+at.node], outside, f.seeds, data)
-		if at.role == script.RoleCallboard {
-			config.Collector = "http://" + collector.Addr().String() + "/usage"
+		cfg := deployment.Settings(at.role, at.node, at.voter, at.zone, addresses[at.role+at.node], outside, f.seeds, data)
+		if at.role == message.RoleRegistry {
+			cfg.Collector = "http://" + collector.Addr().String() + "/usage"
 		}
-		body, _ := json.MarshalIndent(config, "", "  ")
+		body, _ := json.MarshalIndent(cfg, "", "  ")
 		path := filepath.Join(folder, at.role+"-"+at.node+".json")
 		if err := os.WriteFile(path, body, 0o600); err != nil {
-			return nil, notice.Wrap("stagehand.settings", notice.DiskFault, err)
+			return nil, errcode.Wrap("fleet.settings", errcode.DiskFault, err)
 		}
-		f.Processes = append(f.Processes, &Process{Role: at.role, Node: at.node, Outside: outside, config: path, log: filepath.Join(folder, at.role+"-"+at.node+".log")})
+		f.Processes = append(f.Processes, &Process{Role: at.role, Node: at.node, Outside: outside, settings: path, log: filepath.Join(folder, at.role+"-"+at.node+".log")})
 	}
 	server := &http.Server{Handler: http.HandlerFunc(f.collect)}
-	f.Crew.Go("stagehand.collector", func(context.Context) { server.Serve(collector) })
+	f.Group.Go("fleet.collector", func(context.Context) { server.Serve(collector) })
 	return f, nil
 }
 
@@ -148,28 +148,28 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	length := time.Duration(playbill.Default().Bounds.UsageWindow) * time.Millisecond
+	length := time.Duration(settings.Default().Bounds.UsageWindow) * time.Millisecond
 	end := time.Duration(report.Window+1)*length - time.Duration(f.Base.UnixNano())
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.reported = append(f.reported, critic.Reported{Window: report.Window, From: report.From, Counts: report.Counts, At: f.since(), End: end})
+	f.reported = append(f.reported, checker.Reported{Window: report.Window, From: report.From, Counts: report.Counts, At: f.since(), End: end})
 }
 
 // Start starts a process.
 func (f *Fleet) Start(process *Process) error {
 	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return notice.Wrap("stagehand.log", notice.DiskFault, err)
+		return errcode.Wrap("fleet.log", errcode.DiskFault, err)
 	}
-	process.command = exec.Command(filepath.Join(f.Bin, process.Role), "--config", process.config)
+	process.command = exec.Command(filepath.Join(f.Bin, process.Role), "--config", process.settings)
 	process.command.Stdout, process.command.Stderr = log, log
 	if err := process.command.Start(); err != nil {
-		return notice.Wrap("stagehand.start", notice.Internal, err)
+		return errcode.Wrap("fleet.start", errcode.Internal, err)
 	}
 	ended := make(chan struct{})
 	process.ended = ended
 	command := process.command
-	f.Crew.Go("stagehand.wait", func(context.Context) {
+	f.Group.Go("fleet.wait", func(context.Context) {
 		command.Wait()
 		log.Close()
 		close(ended)
@@ -177,9 +177,9 @@
 	return nil
 }
 
-// Watch begins to hold the ushers that run to the bounds for connected nodes.
+// Watch begins to hold the proxies that run to the bounds for connected nodes.
 func (f *Fleet) Watch() {
-	for _, process := range f.Of(script.RoleUsher) {
+	for _, process := range f.Of(message.RoleProxy) {
 		f.watched[process.Node] = f.since()
 	}
 }
@@ -188,9 +188,9 @@
 func (f *Fleet) unwatch(process *Process) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	if from, watched := f.watched[process.Node]; watched && process.Role == script.RoleUsher {
+	if from, watched := f.watched[process.Node]; watched && process.Role == message.RoleProxy {
 		delete(f.watched, process.Node)
-		f.spans = append(f.spans, critic.Span{Name: process.Node, From: from, To: f.since()})
+		f.spans = append(f.spans, checker.Span{Name: process.Node, From: from, To: f.since()})
 	}
 }
 
@@ -200,12 +200,12 @@
 	f.lock.Lock()
 	switch signal {
 	case syscall.SIGKILL:
-		f.hurt = append(f.hurt, critic.Span{Name: process.Outside, From: f.since(), To: f.since()})
+		f.hurt = append(f.hurt, checker.Span{Name: process.Outside, From: f.since(), To: f.since()})
 	case syscall.SIGSTOP:
 		process.frozenAt = f.since()
 	case syscall.SIGCONT:
 		if process.frozenAt > 0 {
-			f.held = append(f.held, critic.Span{Name: process.Outside, From: process.frozenAt, To: f.since()})
+			f.held = append(f.held, checker.Span{Name: process.Outside, From: process.frozenAt, To: f.since()})
 		}
 		process.frozenAt = 0
 	}
@@ -230,7 +230,7 @@
 			return err
 		}
 	}
-	ushers := f.Of(script.RoleUsher)
+	proxies := f.Of(message.RoleProxy)
 	keys := []string{}
 	for _, tenant := range f.Deployment.Tenants() {
 		keys = append(keys, tenant.Key)
@@ -238,20 +238,20 @@
 	number := 0
 	for _, service := range f.Deployment.Services {
 		for index := range service.Count {
-			home := ushers[number%len(ushers)]
-			next := ushers[(number+len(f.Deployment.Districts))%len(ushers)]
-			told := greenroom.Announcement{Service: service.Name, Instance: fmt.Sprintf("%s-%d", service.Name, index+1), Incarnation: time.Now().UnixNano(),
-				Address: fmt.Sprintf("127.77.4.%d:0", number+1), District: f.Deployment.Districts[number%len(ushers)%len(f.Deployment.Districts)], Slots: service.Slots}
+			servingProxy := proxies[number%len(proxies)]
+			next := proxies[(number+len(f.Deployment.Zones))%len(proxies)]
+			response := backend.Announcement{Service: service.Name, Instance: fmt.Sprintf("%s-%d", service.Name, index+1), Incarnation: time.Now().UnixNano(),
+				Address: fmt.Sprintf("127.77.4.%d:0", number+1), Zone: f.Deployment.Zones[number%len(proxies)%len(f.Deployment.Zones)], Slots: service.Slots}
 			if service.Load {
-				told.Load = 0.1
+				response.Load = 0.1
 			}
-			stand := &understudy.Understudy{Told: told, Ushers: []string{home.Outside, next.Outside}, Work: service.Work, Keys: keys, Base: f.Base, Calls: map[string]understudy.Call{}, Share: repertoire.CallShare}
+			stand := &stubserver.StubServer{Response: response, Proxies: []string{servingProxy.Outside, next.Outside}, Work: service.Work, Keys: keys, Base: f.Base, Calls: map[string]stubserver.Call{}, Share: workload.CallShare}
 			for _, kind := range f.Deployment.Kinds {
 				if called, calls := f.Deployment.Kind(kind.Calls); calls && kind.Service == service.Name {
-					stand.Calls[kind.Path] = understudy.Call{Route: called.Route, Service: called.Service, Method: called.Method, Path: called.Path, Once: called.Once}
+					stand.Calls[kind.Path] = stubserver.Call{Route: called.Route, Service: called.Service, Method: called.Method, Path: called.Path, Once: called.Once}
 				}
 			}
-			if err := stand.Start(f.Crew); err != nil {
+			if err := stand.Start(f.Group); err != nil {
 				return err
 			}
 			f.Understudys = append(f.Understudys, stand)
@@ -311,9 +311,9 @@
 	return status
 }
 
-// Ready says that every usher is ready.
+// Ready says that every proxy is ready.
 func (f *Fleet) Ready() bool {
-	for _, process := range f.Of(script.RoleUsher) {
+	for _, process := range f.Of(message.RoleProxy) {
 		if Get("http://"+process.Outside+"/beacon/ready", nil) != http.StatusOK {
 			return false
 		}
@@ -321,13 +321,13 @@
 	return true
 }
 
-// Put puts a sheet at some callboard and remembers the acknowledgement.
-func (f *Fleet) Put(version int64, tenants []claque.Tenant, more int) (int, error) {
-	sheet := f.Deployment.Sheet(tenants, more)
-	for _, process := range f.Of(script.RoleCallboard) {
-		request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/v1/layouts/main/%d", process.Outside, version), bytes.NewReader(sheet))
+// Put puts a configuration at some registry and remembers the acknowledgement.
+func (f *Fleet) Write(version int64, tenants []loadgen.Tenant, more int) (int, error) {
+	configName := f.Deployment.ConfigName(tenants, more)
+	for _, process := range f.Of(message.RoleRegistry) {
+		request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/v1/configurations/main/%d", process.Outside, version), bytes.NewReader(configName))
 		if err != nil {
-			return 0, notice.Wrap("stagehand.put", notice.Internal, err)
+			return 0, errcode.Wrap("fleet.put", errcode.Internal, err)
 		}
 		response, err := httpClient.Do(request)
 		if err != nil {
@@ -336,64 +336,64 @@
 		answer, _ := io.ReadAll(io.LimitReader(response.Body, 300))
 		response.Body.Close()
 		f.lock.Lock()
-		f.answers[fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get(foyer.CodeHeader))]++
+		f.answers[fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get(frontend.CodeHeader))]++
 		f.lock.Unlock()
 		if response.StatusCode != http.StatusOK {
-			return response.StatusCode, notice.Wrap("stagehand.put", notice.LayoutBad, fmt.Errorf("%s", answer))
+			return response.StatusCode, errcode.Wrap("fleet.put", errcode.ConfigurationBad, fmt.Errorf("%s", answer))
 		}
-		put := critic.Put{Sheet: "main", Version: version, At: f.since(), Services: map[string]string{}, Keys: map[string]string{}, Digest: critic.Digest(sheet)}
+		write := checker.Write{ConfigName: "main", Version: version, At: f.since(), Services: map[string]string{}, Keys: map[string]string{}, Digest: checker.Digest(configName)}
 		for _, kind := range f.Deployment.Kinds {
-			put.Services[kind.Route] = kind.Service
+			write.Services[kind.Route] = kind.Service
 		}
 		for _, tenant := range tenants {
-			put.Keys[tenant.Key] = tenant.Name
+			write.Keys[tenant.Key] = tenant.Name
 		}
 		f.lock.Lock()
-		f.puts = append(f.puts, put)
+		f.writes = append(f.writes, write)
 		f.lock.Unlock()
 		return response.StatusCode, nil
 	}
-	return 0, notice.Wrap("stagehand.put", notice.WireLost, fmt.Errorf("no callboard answers"))
+	return 0, errcode.Wrap("fleet.put", errcode.ConnectionLost, fmt.Errorf("no registry answers"))
 }
 
-// Load runs the load generator over all ushers.
-func (f *Fleet) Load(rate float64, length time.Duration, seed uint64) []critic.Asked {
-	ushers := []string{}
-	for _, process := range f.Of(script.RoleUsher) {
-		ushers = append(ushers, process.Outside)
+// Load runs the load generator over all proxies.
+func (f *Fleet) Load(rate float64, length time.Duration, seed uint64) []checker.Asked {
+	proxies := []string{}
+	for _, process := range f.Of(message.RoleProxy) {
+		proxies = append(proxies, process.Outside)
 	}
-	return claque.Run(f.Crew.Context, f.Crew, claque.Plan{Ushers: ushers, Kinds: f.Deployment.Kinds, Tenants: f.Deployment.Tenants(),
+	return loadgen.Run(f.Group.Context, f.Group, loadgen.Plan{Proxies: proxies, Kinds: f.Deployment.Kinds, Tenants: f.Deployment.Tenants(),
 		Rate: rate, Length: length, Limit: 8 * time.Second, Seed: seed, Base: f.Base})
 }
 
 // Leave makes a stand-in say that it leaves, and remembers when.
-func (f *Fleet) Leave(stand *understudy.Understudy) {
-	stand.Change(func(told *greenroom.Announcement) { told.Leaving = true })
+func (f *Fleet) Leave(stand *stubserver.StubServer) {
+	stand.Change(func(response *backend.Announcement) { response.Leaving = true })
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.leaving = append(f.leaving, critic.Leaving{Service: stand.Told.Service, Instance: stand.Told.Instance, Life: stand.Told.Incarnation, At: f.since()})
+	f.leaving = append(f.leaving, checker.Leaving{Service: stand.Response.Service, Instance: stand.Response.Instance, Life: stand.Response.Incarnation, At: f.since()})
 }
 
 // End ends a stand-in hard, and remembers when.
-func (f *Fleet) End(stand *understudy.Understudy) {
+func (f *Fleet) End(stand *stubserver.StubServer) {
 	f.lock.Lock()
-	f.hurt = append(f.hurt, critic.Span{Name: stand.Told.Instance, From: f.since(), To: f.since()})
+	f.hurt = append(f.hurt, checker.Span{Name: stand.Response.Instance, From: f.since(), To: f.since()})
 	f.lock.Unlock()
 	stand.Kill()
 }
 
-// readBack asks each callboard for every version kept and every window reported.
-func (f *Fleet) readBack(record *critic.Record) {
-	record.KeptMost = int(playbill.Default().Limits.KeptLayouts)
-	for _, process := range f.Of(script.RoleCallboard) {
+// readBack asks each registry for every version kept and every window reported.
+func (f *Fleet) readBack(record *checker.Record) {
+	record.KeptMost = int(settings.Default().Limits.KeptConfigurations)
+	for _, process := range f.Of(message.RoleRegistry) {
 		listed := struct {
 			Versions []int64 `json:"versions"`
 		}{}
-		Get("http://"+process.Outside+"/v1/layouts/main/versions", &listed)
+		Get("http://"+process.Outside+"/v1/configurations/main/versions", &listed)
 		for _, version := range listed.Versions {
-			body, status := fetch(fmt.Sprintf("http://%s/v1/layouts/main/%d", process.Outside, version))
+			body, status := fetch(fmt.Sprintf("http://%s/v1/configurations/main/%d", process.Outside, version))
 			if status == http.StatusOK {
-				record.Kept = append(record.Kept, critic.Kept{Seat: process.Node, Sheet: "main", Version: version, Digest: critic.Digest(body)})
+				record.Kept = append(record.Kept, checker.Kept{Voter: process.Node, ConfigName: "main", Version: version, Digest: checker.Digest(body)})
 			}
 		}
 		for _, report := range record.Reported {
@@ -401,21 +401,21 @@
 				Counts map[string]int64 `json:"counts"`
 			}{}
 			if Get(fmt.Sprintf("http://%s/v1/usage/%d", process.Outside, report.Window), &reread) == http.StatusOK {
-				record.Reread = append(record.Reread, critic.Reported{Window: report.Window, From: process.Node, Counts: reread.Counts})
+				record.Reread = append(record.Reread, checker.Reported{Window: report.Window, From: process.Node, Counts: reread.Counts})
 			}
 		}
 	}
 }
 
-// Keeper finds the process that holds a tag, by asking the callboards.
-func (f *Fleet) Keeper(tag string) *Process {
-	for _, process := range f.Of(script.RoleCallboard) {
+// Holder finds the process that holds a tag, by asking the registries.
+func (f *Fleet) Holder(tag string) *Process {
+	for _, process := range f.Of(message.RoleRegistry) {
 		status := struct {
-			Tenures map[string]struct {
+			Leases map[string]struct {
 				Here bool `json:"here"`
-			} `json:"tenures"`
+			} `json:"leases"`
 		}{}
-		if Get("http://"+process.Outside+"/v1/status", &status) == http.StatusOK && status.Tenures[tag].Here {
+		if Get("http://"+process.Outside+"/v1/status", &status) == http.StatusOK && status.Leases[tag].Here {
 			return process
 		}
 	}
@@ -423,37 +423,37 @@
 }
 
 // Record gathers what the run left, with the journals of the processes still there.
-func (f *Fleet) Record(asked []critic.Asked) critic.Record {
-	record := critic.Record{Asked: asked, Bounds: critic.BriefBounds(f.Deployment.Withdrawal)}
+func (f *Fleet) Record(asked []checker.Asked) checker.Record {
+	record := checker.Record{Asked: asked, Bounds: checker.BriefBounds(f.Deployment.Withdrawal)}
 	for _, stand := range f.Understudys {
 		record.Ran = append(record.Ran, stand.Runs()...)
 		record.Asked = append(record.Asked, stand.Asked()...)
-		record.Peaks = append(record.Peaks, critic.Peak{Instance: stand.Told.Instance, Most: stand.Most(), Slots: int(stand.Told.Slots)})
+		record.Peaks = append(record.Peaks, checker.Peak{Instance: stand.Response.Instance, Most: stand.Most(), Slots: int(stand.Response.Slots)})
 	}
 	for _, process := range f.Processes {
 		f.unwatch(process)
 	}
 	f.lock.Lock()
 	record.Up, record.Held, record.Hurt = f.spans, f.held, f.hurt
-	record.Puts, record.Reported, record.Leaving = f.puts, f.reported, f.leaving
+	record.Writes, record.Reported, record.Leaving = f.writes, f.reported, f.leaving
 	f.lock.Unlock()
 	for _, process := range f.Processes {
 		record.Keeping = append(record.Keeping, f.keepings(process)...)
-		if process.Role == script.RoleUsher {
+		if process.Role == message.RoleProxy {
 			record.Forced = append(record.Forced, f.forces(process)...)
 		}
 	}
 	f.readBack(&record)
 	record.End = f.since()
-	record.Window, record.Epoch = time.Duration(playbill.Default().Bounds.UsageWindow)*time.Millisecond, time.Duration(f.Base.UnixNano())
+	record.Window, record.Epoch = time.Duration(settings.Default().Bounds.UsageWindow)*time.Millisecond, time.Duration(f.Base.UnixNano())
 	return record
 }
 
 type logLine struct {
-	Deed  string `json:"msg"`
-	At    string `json:"ts"`
-	Epoch int64  `json:"epoch"`
-	Cause string `json:"cause"`
+	EventName string `json:"msg"`
+	At        string `json:"ts"`
+	Epoch     int64  `json:"epoch"`
+	Cause     string `json:"cause"`
 }
 
 // deeds reads a process's log: JSON lines that outlive the process.
@@ -464,9 +464,9 @@
 	}
 	list := []logLine{}
 	for _, line := range bytes.Split(body, []byte("\n")) {
-		told := logLine{}
-		if json.Unmarshal(line, &told) == nil && told.Deed == wanted {
-			list = append(list, told)
+		response := logLine{}
+		if json.Unmarshal(line, &response) == nil && response.EventName == wanted {
+			list = append(list, response)
 		}
 	}
 	return list
@@ -480,17 +480,17 @@
 	return at.Sub(f.Base)
 }
 
-func (f *Fleet) forces(process *Process) []critic.Force {
-	list := []critic.Force{}
-	for _, line := range f.deeds(process, "layout-in-force") {
-		list = append(list, critic.Force{Node: process.Node, Sheet: line.Cause, Version: line.Epoch, At: f.at(line)})
+func (f *Fleet) forces(process *Process) []checker.Force {
+	list := []checker.Force{}
+	for _, line := range f.deeds(process, "configuration-in-force") {
+		list = append(list, checker.Force{Node: process.Node, ConfigName: line.Cause, Version: line.Epoch, At: f.at(line)})
 	}
 	return list
 }
 
-func (f *Fleet) keepings(process *Process) []critic.Keeping {
-	list := []critic.Keeping{}
-	for _, line := range f.deeds(process, "tenure-taken") {
+func (f *Fleet) keepings(process *Process) []checker.Keeping {
+	list := []checker.Keeping{}
+	for _, line := range f.deeds(process, "lease-taken") {
 		tag := line.Cause
 		for index := range tag {
 			if tag[index] == ' ' {
@@ -498,7 +498,7 @@
 				break
 			}
 		}
-		list = append(list, critic.Keeping{Tag: tag, Seat: process.Node, Epoch: line.Epoch, At: f.at(line)})
+		list = append(list, checker.Keeping{Tag: tag, Voter: process.Node, Epoch: line.Epoch, At: f.at(line)})
 	}
 	return list
 }
@@ -550,5 +550,5 @@
 		timer.Stop()
 	}
 	f.collector.Close()
-	f.Crew.Stop(2 * time.Second)
+	f.Group.Stop(2 * time.Second)
 }
--- a/internal/foyer/choice.go
+++ b/internal/frontend/choice.go
@@ -1,18 +1,18 @@
-// This file chooses the upstream of a query's next attempt. Each upstream has a pace,
+// This file chooses the upstream of a request's next attempt. Each upstream has a pace,
 // how long it takes against the others for the same routes, learned from the times that
-// homes tell with their verdicts: in logarithms, since times of work have long tails,
+// serving proxies tell with their outcomes: in logarithms, since times of work have long tails,
 // and against the usual time of each route, which is learned beside it. The cost of an
 // upstream is its pace, more when its slots fill up, when it failed lately, when it is
-// fresh, and by a margin when it is in another district. Of some candidates drawn at
+// fresh, and by a margin when it is in another zone. Of some candidates drawn at
 // random the cheapest is taken.
-package foyer
+package frontend
 
 import (
 	"math"
 	"math/rand/v2"
 	"time"
 
-	"beaconvane/internal/script"
+	"beaconvane/internal/message"
 )
 
 const (
@@ -26,19 +26,19 @@
 )
 
 // learnPace takes the time that an upstream took for a whole answer.
-func (f *Foyer) learnPace(held *peer, route string, took time.Duration) {
+func (f *Frontend) learnPace(held *peer, route string, took time.Duration) {
 	if took <= 0 {
 		return
 	}
-	told := math.Log(float64(took))
+	response := math.Log(float64(took))
 	usual, known := f.usual[route]
 	if !known {
-		f.usual[route] = told - held.pace
+		f.usual[route] = response - held.pace
 		return
 	}
-	held.pace += (told - usual - held.pace) * paceShare
+	held.pace += (response - usual - held.pace) * paceShare
 	held.pace = min(max(held.pace, -paceMost), paceMost)
-	f.usual[route] = usual + (told-held.pace-usual)*usualShare
+	f.usual[route] = usual + (response-held.pace-usual)*usualShare
 }
 
 // learnFailure takes whether an attempt ended without the upstream's whole answer.
@@ -50,36 +50,36 @@
 	held.failing += (outcome - held.failing) * failShare
 }
 
-// outstanding is the work that an upstream has, as far as this usher can tell: what its
-// home told last, and what was sent from here since.
-func (f *Foyer) outstanding(now time.Duration, held *peer) float64 {
-	if now-held.reportedAt > f.config.NewsEvery()*2 {
+// outstanding is the work that an upstream has, as far as this proxy can tell: what its
+// serving proxy told last, and what was sent from here since.
+func (f *Frontend) outstanding(now time.Duration, held *peer) float64 {
+	if now-held.reportedAt > f.settings.UpdatesEvery()*2 {
 		return float64(held.mine)
 	}
 	return float64(max(held.mine, held.reported+held.mine-held.mineThen))
 }
 
-// cost of giving an upstream one more query.
-func (f *Foyer) cost(now time.Duration, registration script.Registration) float64 {
+// cost of giving an upstream one more request.
+func (f *Frontend) cost(now time.Duration, registration message.Registration) float64 {
 	held := f.peer(peerKey(registration))
 	use := (f.outstanding(now, held) + 1) / float64(max(1, registration.Slots))
 	cost := math.Exp(held.pace) * (1 + fullCost*use*use + max(0, use-1) + min(max(held.load, 0), 1)/4)
-	if since := now - held.readySince; since < f.config.WarmSpan() {
-		cost *= 2 - float64(since)/float64(f.config.WarmSpan())
+	if since := now - held.readySince; since < f.settings.WarmSpan() {
+		cost *= 2 - float64(since)/float64(f.settings.WarmSpan())
 	}
 	cost += failCost * held.failing
-	if registration.District != f.config.District {
-		cost += f.config.Limits.SpillMargin
+	if registration.Zone != f.settings.Zone {
+		cost += f.settings.Limits.SpillMargin
 	}
 	return cost
 }
 
 // cheapest takes some candidates at random and keeps the best.
-func (f *Foyer) cheapest(now time.Duration, list []script.Registration, dice *rand.Rand) (chosen script.Registration, least float64) {
+func (f *Frontend) cheapest(now time.Duration, list []message.Registration, random *rand.Rand) (chosen message.Registration, least float64) {
 	least = math.Inf(1)
 	for number := range min(drawn, len(list)) {
 		// A draw without putting back: the drawn one changes places with the first left.
-		other := number + dice.IntN(len(list)-number)
+		other := number + random.IntN(len(list)-number)
 		list[number], list[other] = list[other], list[number]
 		if cost := f.cost(now, list[number]); cost < least {
 			chosen, least = list[number], cost
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,190 @@
+// The gate, the scrubbing of keys, the budget, and what outcomes mean.
+package frontend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/proxy"
+	"beaconvane/internal/routeconfig"
+	"beaconvane/internal/settings"
+)
+
+const configName = `{"services":["pay"],"tenants":[{"name":"t","keys":["secret"]},{"name":"u","keys":["second"]}],"routes":[
+{"name":"pay","service":"pay","path":"/pay","methods":["POST"],"callers":["shop","pay"]},
+{"name":"look","service":"pay","path":"/look","methods":["GET"],"callers":["shop"],"body_bytes":4}]}`
+
+func ready(c *qt.C, withdrawal int64, upstreams ...message.Registration) *Frontend {
+	cfg := settings.Default()
+	cfg.Zone, cfg.Bounds.KeyWithdrawal = "here", withdrawal
+	faults, _ := routeconfig.Check([]byte(configName), cfg.ConfigurationLimits())
+	c.Assert(faults, qt.HasLen, 0)
+	f := New(cfg, func(pass string) (backend.Pass, bool) {
+		return backend.Pass{Tenant: "t", Service: "pay"}, pass == "good"
+	})
+	f.Show(0, &proxy.Snapshot{Configurations: []*routeconfig.Configuration{routeconfig.Parse("main", 1, []byte(configName), cfg.ConfigurationLimits())}, Known: true, RosterHere: true, Joined: true,
+		Proxies: 10, Upstreams: map[string][]message.Registration{"pay": upstreams}})
+	return f
+}
+
+func request(method, path string, headers ...string) *Request {
+	header := http.Header{}
+	for index := 0; index < len(headers); index += 2 {
+		header.Add(headers[index], headers[index+1])
+	}
+	raw, params, _ := strings.Cut(path, "?")
+	return &Request{ID: "q", Method: method, RawPath: raw, RawQuery: params, Header: header, Deadline: 5 * time.Second}
+}
+
+func code(final *Final) errcode.Code {
+	if final == nil {
+		return errcode.OK
+	}
+	return final.Code
+}
+
+func TestAdmit(t *testing.T) {
+	c := qt.New(t)
+	f := ready(c, 0)
+	for _, tried := range []struct {
+		request *Request
+		code    errcode.Code
+	}{
+		{request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "shop"), errcode.OK},
+		{request("POST", "/pay", "Authorization", "Bearer secret", backend.CallerHeader, "shop"), errcode.OK},
+		{request("POST", "/pay?api_key=secret", backend.CallerHeader, "shop"), errcode.OK},
+		{request("POST", "/pay", backend.PassHeader, "good"), errcode.OK},
+		{request("POST", "/pay", backend.PassHeader, "old", KeyHeader, "secret"), errcode.RequestPassInvalid},
+		{request("GET", "/look", backend.PassHeader, "good"), errcode.RequestCallerRefused},
+		{request("POST", "/pay", backend.CallerHeader, "shop"), errcode.RequestNoKey},
+		{request("POST", "/pay", KeyHeader, "wrong", backend.CallerHeader, "shop"), errcode.RequestKeyUnknown},
+		{request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "thief"), errcode.RequestCallerRefused},
+		{request("POST", "/other", KeyHeader, "secret", backend.CallerHeader, "shop"), errcode.RequestNoRoute},
+		{request("POST", "/pay/%2e%2e/x", KeyHeader, "secret", backend.CallerHeader, "shop"), errcode.RequestBadPath},
+	} {
+		c.Check(code(f.Admit(time.Second, time.Now(), tried.request)), qt.Equals, tried.code, qt.Commentf("%v", tried.request.Header))
+	}
+	large := request("GET", "/look", KeyHeader, "secret", backend.CallerHeader, "shop")
+	large.Body = []byte("12345")
+	c.Assert(code(f.Admit(time.Second, time.Now(), large)), qt.Equals, errcode.RequestTooLarge)
+}
+
+// Where key withdrawal is bound, a node that can't know refuses in time by itself.
+func TestStaleAdmit(t *testing.T) {
+	c := qt.New(t)
+	for withdrawal, wanted := range map[int64]errcode.Code{0: errcode.OK, 5000: errcode.BusyStale} {
+		f := ready(c, withdrawal)
+		asked := func(now time.Duration) errcode.Code {
+			return code(f.Admit(now, time.Now(), request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "shop")))
+		}
+		c.Assert(asked(4400*time.Millisecond), qt.Equals, errcode.OK)
+		c.Assert(asked(4600*time.Millisecond), qt.Equals, wanted)
+	}
+}
+
+func TestKeyAndOwnHeadersAreDropped(t *testing.T) {
+	c := qt.New(t)
+	f := ready(c, 0)
+	asked := request("POST", "/pay?a=1&api_key=secret&b=secret&c=%73ecret&e=%2573ecret&d=2&api_key=extra", KeyHeader, "secret", "Authorization", "bearer other", "Cookie", "x=secret",
+		"Cookie", "y=SECRET", "Referer", "/x?k=%53ecret", "X-Note", "an other one", "X-More", "extra", "X-Second", "a=second",
+		"X-Tenant", "other", "X_tenant", "other", backend.CallerHeader, "shop", "X-Request-Id", "mine", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "yes")
+	c.Assert(f.Admit(time.Second, time.Now(), asked), qt.IsNil)
+	c.Assert(asked.Header, qt.DeepEquals, http.Header{"X-Kept": {"yes"}})
+	c.Assert(asked.RawQuery, qt.Equals, "a=1&d=2")
+	for _, path := range []string{"/pay/secret", "/pay/%73ecret", "/pay/SECRET/x", "/pay/second"} {
+		c.Assert(code(f.Admit(time.Second, time.Now(), request("POST", path, KeyHeader, "secret", backend.CallerHeader, "shop"))), qt.Equals, errcode.RequestBadPath)
+	}
+}
+
+func upstream(name, zone string) message.Registration {
+	return message.Registration{Service: "pay", Instance: name, Incarnation: 1, Address: name, Zone: zone, Slots: 4, State: message.StateReady, ServingProxyAddress: "serving-" + name}
+}
+
+// Own zone first; the other only when that one is full or clearly worse.
+func TestChoiceSpills(t *testing.T) {
+	c := qt.New(t)
+	f := ready(c, 0, upstream("near", "here"), upstream("far", "there"))
+	random := rand.New(rand.NewPCG(1, 2))
+	chosen := map[string]int{}
+	for range 6 {
+		asked := request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "shop")
+		c.Assert(f.Admit(10*time.Second, time.Now(), asked), qt.IsNil)
+		asked.Deadline = 20 * time.Second
+		c.Assert(f.Choose(10*time.Second, asked, random), qt.IsNil)
+		chosen[asked.Target.Instance]++
+	}
+	c.Assert(chosen["near"] > chosen["far"], qt.IsTrue)
+	c.Assert(chosen["far"] > 0, qt.IsTrue)
+}
+
+// Each outcome with each kind of route: who is told what, and who tries again.
+func TestOutcomes(t *testing.T) {
+	c := qt.New(t)
+	for _, tried := range []struct {
+		path    string
+		outcome message.Outcome
+		final   errcode.Code
+		again   bool
+	}{
+		{"/pay", message.Outcome{Kind: message.StartedWhole, Status: 200}, errcode.OK, false},
+		{"/pay", message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusySlotsFull)}, errcode.OK, true},
+		{"/pay", message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusyDeadline)}, errcode.BusyDeadline, false},
+		{"/pay", message.Outcome{Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}, errcode.UnknownOutcome, false},
+		{"/pay", message.Outcome{Kind: message.StartedNoWhole, Code: int64(errcode.AnswerMalformed)}, errcode.AnswerMalformed, false},
+		{"/look", message.Outcome{Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}, errcode.OK, true},
+	} {
+		f := ready(c, 0, upstream("one", "here"), upstream("two", "here"))
+		method := map[string]string{"/pay": "POST", "/look": "GET"}[tried.path]
+		asked := request(method, tried.path, KeyHeader, "secret", backend.CallerHeader, "shop")
+		begin := 10 * time.Second // a life as old as the retry window has its allowance
+		asked.Deadline += begin
+		c.Assert(f.Admit(begin, time.Now(), asked), qt.IsNil)
+		c.Assert(f.Choose(begin, asked, rand.New(rand.NewPCG(1, 2))), qt.IsNil)
+		final := f.Judge(begin+time.Millisecond, asked, tried.outcome)
+		c.Check(final == nil, qt.Equals, tried.again, qt.Commentf("%+v", tried))
+		c.Check(code(final), qt.Equals, tried.final, qt.Commentf("%+v", tried))
+		if final != nil {
+			busy := final.Status == http.StatusServiceUnavailable
+			c.Check(final.RetryAfter > 0, qt.Equals, busy)
+		}
+		// Once something may have run, no later refusal says that nothing did.
+		if final == nil && tried.outcome.Kind == message.StartedNoWhole {
+			c.Assert(f.Choose(begin+2*time.Millisecond, asked, rand.New(rand.NewPCG(1, 2))), qt.IsNil)
+			last := f.Judge(begin+6*time.Second, asked, message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusySlotsFull)})
+			c.Check(code(last), qt.Equals, errcode.UnknownOutcome)
+		}
+	}
+}
+
+// Retries stay below the share plus this proxy's part of the allowance.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	f := ready(c, 0)
+	granted := 0
+	for number := range 1000 {
+		now := time.Duration(number) * 10 * time.Millisecond
+		f.lock.Lock()
+		f.first(now, "pay")
+		if f.mayRetry(now, "pay") {
+			granted++
+		}
+		f.lock.Unlock()
+	}
+	c.Assert(granted <= 201, qt.IsTrue, qt.Commentf(fmt.Sprint(granted)))
+	c.Assert(granted >= 150, qt.IsTrue, qt.Commentf(fmt.Sprint(granted)))
+	// A life that has just begun has no allowance of its own yet.
+	young := ready(c, 0)
+	young.lock.Lock()
+	defer young.lock.Unlock()
+	c.Assert(young.mayRetry(time.Second, "pay"), qt.IsFalse)
+	c.Assert(young.mayRetry(10*time.Second, "pay"), qt.IsTrue)
+}
--- a/internal/foyer/manner.go
+++ b/internal/frontend/protocol.go
@@ -1,8 +1,8 @@
-// This file is the port towards callers' ways of speaking: where a query shows its
+// This file is the port towards callers' ways of speaking: where a request shows its
 // key, its name and its time, by which path its route is found, what must not reach an
 // upstream, and how the mesh's own answers are put. House is the product's own manner;
 // adapters bring others.
-package foyer
+package frontend
 
 import (
 	"encoding/json"
@@ -13,58 +13,58 @@
 	"strings"
 	"time"
 
-	"beaconvane/internal/blocking"
-	"beaconvane/internal/greenroom"
-	"beaconvane/internal/notice"
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/routeconfig"
 )
 
-// Claims is what a query says of who asks.
+// Claims is what a request says of who asks.
 type Claims struct {
 	Keys   []string      // of tenants; the first one counts
-	Pass   string        // of a running query, on whose behalf an upstream asks
+	Pass   string        // of a running request, on whose behalf an upstream asks
 	Caller string        // the calling service, where callers name theirs
 	Name   string        // the caller's own name of this try, "" for none
 	Wait   time.Duration // how long the caller waits; 0: not told
 }
 
-// Manner is how callers speak.
-type Manner interface {
-	Claims(query *Query) Claims
-	Place(query *Query) (path string, code notice.Code)
-	Shown(query *Query, keys []string, layouts []*blocking.Layout) bool
-	Scrub(query *Query, keys []string, layouts []*blocking.Layout)
+// Protocol is how callers speak.
+type Protocol interface {
+	Claims(request *Request) Claims
+	Place(request *Request) (path string, code errcode.Code)
+	Shown(request *Request, keys []string, configurations []*routeconfig.Configuration) bool
+	Scrub(request *Request, keys []string, configurations []*routeconfig.Configuration)
 	Answer(out http.ResponseWriter, final *Final)
 }
 
-// House is the product's own manner.
-type House struct{}
+// Node is the product's own manner.
+type Node struct{}
 
 // Claims takes keys from header, bearer and parameter.
-func (House) Claims(query *Query) Claims {
-	return Claims{Keys: takeKeys(query), Pass: query.Header.Get(greenroom.PassHeader), Caller: query.Header.Get(greenroom.CallerHeader)}
+func (Node) Claims(request *Request) Claims {
+	return Claims{Keys: takeKeys(request), Pass: request.Header.Get(backend.PassHeader), Caller: request.Header.Get(backend.CallerHeader)}
 }
 
 // Place is the normalised path; one that shows a key has none.
-func (House) Place(query *Query) (string, notice.Code) {
-	path, err := blocking.NormalPath(query.RawPath)
+func (Node) Place(request *Request) (string, errcode.Code) {
+	path, err := routeconfig.NormalPath(request.RawPath)
 	if err != nil {
-		return "", notice.QueryBadPath
+		return "", errcode.RequestBadPath
 	}
-	return path, notice.OK
+	return path, errcode.OK
 }
 
 // Shown says that the path itself shows a key, which can't be taken out.
-func (House) Shown(query *Query, keys []string, layouts []*blocking.Layout) bool {
-	return shows(query.RawPath, keys, layouts)
+func (Node) Shown(request *Request, keys []string, configurations []*routeconfig.Configuration) bool {
+	return shows(request.RawPath, keys, configurations)
 }
 
 // Scrub removes what the mesh sets itself and keys wherever they stand.
-func (House) Scrub(query *Query, keys []string, layouts []*blocking.Layout) {
-	scrub(query, keys, layouts)
+func (Node) Scrub(request *Request, keys []string, configurations []*routeconfig.Configuration) {
+	scrub(request, keys, configurations)
 }
 
 // Answer puts a refusal with its code in the head and in a JSON body.
-func (House) Answer(out http.ResponseWriter, final *Final) {
+func (Node) Answer(out http.ResponseWriter, final *Final) {
 	if final.RetryAfter > 0 {
 		out.Header().Set("Retry-After", strconv.FormatInt(int64((final.RetryAfter+time.Second-1)/time.Second), 10))
 	}
@@ -76,29 +76,29 @@
 	out.Header().Set(CodeHeader, strconv.Itoa(int(final.Code)))
 	out.Header().Set("Content-Type", "application/json")
 	out.WriteHeader(final.Status)
-	json.NewEncoder(out).Encode(map[string]any{"code": int(final.Code), "result": final.Code.String(), "detail": notice.Entries[final.Code].Text})
+	json.NewEncoder(out).Encode(map[string]any{"code": int(final.Code), "result": final.Code.String(), "detail": errcode.Entries[final.Code].Text})
 }
 
-// takeKeys gives every key that a query shows where keys belong; the first one counts.
-func takeKeys(query *Query) []string {
-	keys := slices.Clone(query.Header.Values(KeyHeader))
-	for _, value := range query.Header.Values("Authorization") {
+// takeKeys gives every key that a request shows where keys belong; the first one counts.
+func takeKeys(request *Request) []string {
+	keys := slices.Clone(request.Header.Values(KeyHeader))
+	for _, value := range request.Header.Values("Authorization") {
 		if scheme, key, found := strings.Cut(value, " "); found && strings.EqualFold(scheme, "Bearer") {
 			keys = append(keys, strings.TrimSpace(key))
 		}
 	}
-	if values, err := url.ParseQuery(query.RawQuery); err == nil {
+	if values, err := url.ParseQuery(request.RawQuery); err == nil {
 		keys = append(keys, values[KeyParam]...)
 	}
 	return slices.DeleteFunc(keys, func(key string) bool { return key == "" })
 }
 
-var ownHeaders = map[string]bool{"x-tenant": true, "x-calling-service": true, "x-beacon-pass": true, "x-query-id": true,
+var ownHeaders = map[string]bool{"x-tenant": true, "x-calling-service": true, "x-beacon-pass": true, "x-request-id": true,
 	"x-api-key": true, "authorization": true, "host": true, "expect": true}
 
 // shows finds a key in a text, in whatever letters, plain or percent-encoded, and any
 // key that is honoured where it stands alone or as one of several parts.
-func shows(text string, keys []string, layouts []*blocking.Layout) bool {
+func shows(text string, keys []string, configurations []*routeconfig.Configuration) bool {
 	for range 3 {
 		lower := strings.ToLower(text)
 		for _, key := range keys {
@@ -107,8 +107,8 @@
 			}
 		}
 		for _, part := range append(strings.FieldsFunc(text, func(letter rune) bool { return strings.ContainsRune(" ;,=/\"", letter) }), text) {
-			for _, layout := range layouts {
-				if _, honoured := layout.Tenant(part); honoured {
+			for _, configuration := range configurations {
+				if _, honoured := configuration.Tenant(part); honoured {
 					return true
 				}
 			}
@@ -122,32 +122,32 @@
 	return false
 }
 
-func scrub(query *Query, keys []string, layouts []*blocking.Layout) {
+func scrub(request *Request, keys []string, configurations []*routeconfig.Configuration) {
 	clean := http.Header{}
-	dropped := greenroom.HopHeaders(query.Header)
-	for name, values := range query.Header {
-		if dropped[name] || ownHeaders[strings.ReplaceAll(strings.ToLower(name), "_", "-")] || shows(name, keys, layouts) {
+	dropped := backend.HopHeaders(request.Header)
+	for name, values := range request.Header {
+		if dropped[name] || ownHeaders[strings.ReplaceAll(strings.ToLower(name), "_", "-")] || shows(name, keys, configurations) {
 			continue
 		}
 		for _, value := range values {
-			if !shows(value, keys, layouts) {
+			if !shows(value, keys, configurations) {
 				clean.Add(name, value)
 			}
 		}
 	}
-	query.Header = clean
-	if query.RawQuery == "" {
+	request.Header = clean
+	if request.RawQuery == "" {
 		return
 	}
 	kept := []string{}
-	for _, part := range strings.Split(query.RawQuery, "&") {
+	for _, part := range strings.Split(request.RawQuery, "&") {
 		name, value, _ := strings.Cut(part, "=")
 		plainName, nameErr := url.QueryUnescape(name)
 		plainValue, valueErr := url.QueryUnescape(value)
-		if nameErr != nil || valueErr != nil || strings.EqualFold(plainName, KeyParam) || shows(plainValue, keys, layouts) || shows(plainName, keys, layouts) {
+		if nameErr != nil || valueErr != nil || strings.EqualFold(plainName, KeyParam) || shows(plainValue, keys, configurations) || shows(plainName, keys, configurations) {
 			continue
 		}
 		kept = append(kept, part)
 	}
-	query.RawQuery = strings.Join(kept, "&")
+	request.RawQuery = strings.Join(kept, "&")
 }
--- /dev/null
+++ b/internal/frontend/tracker.go
@@ -0,0 +1,452 @@
+// This file is a request's way from stage to stage, as events: a request arrives, is
+// gated, chosen for, carried; a outcome comes or a connection breaks; orders of the
+// backend are started or concluded. It keeps no goroutine, clock or socket of its
+// own; those come through the Backstage port, so that the simulator drives this very
+// code. stages.go is the port of the real process.
+package frontend
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/atomic"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/proxy"
+	"beaconvane/internal/settings"
+)
+
+// Env names a queue between two steps.
+type Env int
+
+// The stages behind the read stage; StageStart is the serving proxy's.
+const (
+	StageAdmit Env = iota
+	StageChoose
+	StageJudge
+	StageStart
+)
+
+// Connection carries traffic frames to one serving proxy.
+type Connection interface {
+	Post(msg any) error
+	Broken() bool
+	Attached() bool
+	Close()
+}
+
+// Backstage is what the desk needs of its surroundings.
+type Backstage interface {
+	Now() time.Duration
+	Wall() time.Time
+	Random() *rand.Rand
+	Queue(env Env, item any) bool
+	Open(servingProxy string, received func(msg any), closed func(connection Connection)) Connection
+	After(wait time.Duration, then func())
+	Tell(tidings any)
+}
+
+// Trip is a request on its way through this proxy.
+type Trip struct {
+	Request    *Request
+	lock       sync.Mutex
+	forwarded  string     // id of the attempt that is out
+	connection Connection // the one that the attempt went out on
+	judging    bool       // a outcome is in; the answer or the next attempt is on its way
+	over       bool
+	gated      func(deadline time.Duration)
+	done       func(final *Final)
+	came       time.Duration
+}
+
+// claim takes the outcome of an attempt, once.
+func (t *Trip) claim(id string) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.over || t.forwarded != id {
+		return false
+	}
+	t.forwarded, t.judging = "", true
+	return true
+}
+
+// on says that the attempt which is out went on a certain connection.
+func (t *Trip) on(connection Connection) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.connection == connection
+}
+
+// Judged is a outcome on its way to the judge stage.
+type Judged struct {
+	Trip    *Trip
+	Outcome message.Outcome
+}
+
+// Tracker joins frontend and backend of one proxy.
+type Tracker struct {
+	settings settings.Settings
+	frontend *Frontend
+	room     *backend.Backend
+	back     Backstage
+	address  string
+	node     string
+	life     int64 // an earlier life's requests are none of this one's knowledge
+	born     time.Duration
+
+	receivedOf atomic.Bool // an upstream has announced itself in this life
+
+	lock        sync.Mutex
+	connections map[string]Connection
+	waiting     map[string]*Trip
+	replies     map[string]func(msg any) error
+}
+
+// NewDesk makes the desk of a proxy.
+func NewDesk(cfg settings.Settings, front *Frontend, room *backend.Backend, back Backstage, self message.Member) *Tracker {
+	return &Tracker{settings: cfg, frontend: front, room: room, back: back, address: self.Address, node: self.Name, life: self.Birth, born: back.Now(),
+		connections: map[string]Connection{}, waiting: map[string]*Trip{}, replies: map[string]func(msg any) error{}}
+}
+
+// Show takes a new snapshot of the control state to both sides.
+func (d *Tracker) Show(snapshot *proxy.Snapshot) {
+	d.frontend.Show(d.back.Now(), snapshot)
+	d.ForwardOut(d.room.Roster(snapshot.Upstreams))
+	if d.settings.ByTarget() && d.back.Now()-d.born < d.settings.HeartbeatBound() && !d.receivedOf.Load() {
+		d.adopt(snapshot)
+	}
+}
+
+// adopt takes over, until any upstream has announced itself here, what the roster
+// says of those beside an earlier life of this serving proxy: a request names its upstream, so one
+// that is no longer there refuses what is sent.
+func (d *Tracker) adopt(snapshot *proxy.Snapshot) {
+	for _, list := range snapshot.Upstreams {
+		for _, registration := range list {
+			if registration.ServingProxy == d.node && registration.ServingProxyBirth < d.life && !d.room.Holds(registration.Instance) {
+				d.take(backend.Announcement{Service: registration.Service, Instance: registration.Instance, Incarnation: registration.Incarnation,
+					Address: registration.Address, Zone: registration.Zone, Slots: registration.Slots, Leaving: registration.State == message.StateLeaving})
+			}
+		}
+	}
+}
+
+// Arrive begins a request's trip; gated is told once until when it may take, done is
+// called once with the final answer.
+func (d *Tracker) Arrive(request *Request, gated func(deadline time.Duration), done func(final *Final)) *Trip {
+	going := &Trip{Request: request, gated: gated, done: done, came: d.back.Now()}
+	if !d.back.Queue(StageAdmit, going) {
+		d.finish(going, Refusal(errcode.BusyQueueFull))
+	}
+	return going
+}
+
+// Admit is the gate stage.
+func (d *Tracker) Admit(going *Trip) {
+	if now := d.back.Now(); now-d.born < d.settings.Reparent() && now-going.came < d.frontend.Moment(going.Request) && !d.frontend.Here() {
+		// This proxy has only just begun, and its updates is a moment away.
+		d.back.After(d.settings.TickEvery(), func() {
+			if !d.back.Queue(StageAdmit, going) {
+				d.finish(going, Refusal(errcode.BusyQueueFull))
+			}
+		})
+		return
+	}
+	if final := d.frontend.Admit(d.back.Now(), d.back.Wall(), going.Request); final != nil {
+		d.finish(going, final)
+		return
+	}
+	going.gated(going.Request.Deadline)
+	d.next(going)
+}
+
+func (d *Tracker) next(going *Trip) {
+	if !d.back.Queue(StageChoose, going) {
+		d.finish(going, d.frontend.Abandon(going.Request, false, errcode.BusyQueueFull))
+	}
+}
+
+// Choose is the choose stage; it carries.
+func (d *Tracker) Choose(going *Trip) {
+	if final := d.frontend.Choose(d.back.Now(), going.Request, d.back.Random()); final != nil {
+		d.finish(going, final)
+		return
+	}
+	d.forward(going)
+}
+
+// carry sends the request to the chosen serving proxy. Where the frame provably never left, it
+// was not started; otherwise only the serving proxy may say so.
+func (d *Tracker) forward(going *Trip) {
+	request := going.Request
+	frame := d.frontend.Forward(d.back.Now(), request, d.node, strconv.Itoa(request.Attempts))
+	connection := d.connectionTo(request.Target.ServingProxyAddress)
+	going.lock.Lock()
+	if going.over {
+		going.lock.Unlock()
+		d.frontend.Release(request)
+		return
+	}
+	going.forwarded, going.connection, going.judging = frame.ID, connection, false
+	going.lock.Unlock()
+	d.lock.Lock()
+	d.waiting[frame.ID] = going
+	d.lock.Unlock()
+	if connection == nil {
+		d.local(frame)
+	} else if err := connection.Post(frame); err != nil {
+		d.outcome(message.Outcome{ID: frame.ID, Kind: message.NotStarted, Code: int64(errcode.BusyServingProxyLost)})
+	}
+}
+
+// local passes a frame to this proxy's own backend.
+func (d *Tracker) local(msg any) {
+	d.Inbound(msg, func(reply any) error { d.received(reply); return nil })
+}
+
+// connectionTo gives the connection to a serving proxy, opened anew where it broke; nil for this proxy.
+func (d *Tracker) connectionTo(servingProxy string) Connection {
+	if servingProxy == d.address {
+		return nil
+	}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	connection := d.connections[servingProxy]
+	if connection == nil || connection.Broken() {
+		connection = d.back.Open(servingProxy, d.received, func(broken Connection) { d.lost(servingProxy, broken) })
+		d.connections[servingProxy] = connection
+	}
+	return connection
+}
+
+// lost settles what was out on a connection that broke: on that one alone, since another
+// connection to the same serving proxy says nothing of what this one carried.
+func (d *Tracker) lost(servingProxy string, connection Connection) {
+	d.lock.Lock()
+	out := map[string]*Trip{}
+	ids := []string{}
+	for id, going := range d.waiting {
+		if going.on(connection) {
+			out[id] = going
+			ids = append(ids, id)
+		}
+	}
+	if d.connections[servingProxy] == connection {
+		delete(d.connections, servingProxy)
+	}
+	d.lock.Unlock()
+	sort.Strings(ids)
+	if len(ids) == 0 {
+		return
+	}
+	if !connection.Attached() {
+		for _, id := range ids {
+			d.outcome(message.Outcome{ID: id, Kind: message.NotStarted, Code: int64(errcode.BusyServingProxyLost)})
+		}
+		return
+	}
+	// Go back to the serving proxy for the outcomes, for a short while.
+	unknown := func() {
+		for _, id := range ids {
+			d.outcome(message.Outcome{ID: id, Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)})
+		}
+	}
+	again := d.back.Open(servingProxy, d.received, func(Connection) { unknown() })
+	for _, id := range ids {
+		again.Post(message.OutcomeRequest{ID: id, ServingProxyBirth: out[id].Request.Target.ServingProxyBirth})
+	}
+	d.back.After(d.settings.UpdatesEvery()*2, func() {
+		unknown()
+		again.Close()
+	})
+}
+
+// heard takes what a serving proxy says.
+func (d *Tracker) received(msg any) {
+	if outcome, isOutcome := msg.(message.Outcome); isOutcome && outcome.Kind != message.StillRunning {
+		d.outcome(outcome)
+	}
+}
+
+func (d *Tracker) outcome(outcome message.Outcome) {
+	d.lock.Lock()
+	going, known := d.waiting[outcome.ID]
+	delete(d.waiting, outcome.ID)
+	d.lock.Unlock()
+	if known && going.claim(outcome.ID) {
+		d.back.Queue(StageJudge, Judged{going, outcome})
+	}
+}
+
+// Judge is the judge stage.
+func (d *Tracker) Judge(item Judged) {
+	if final := d.frontend.Judge(d.back.Now(), item.Trip.Request, item.Outcome); final != nil {
+		d.finish(item.Trip, final)
+		return
+	}
+	d.next(item.Trip)
+}
+
+func (d *Tracker) finish(going *Trip, final *Final) {
+	going.lock.Lock()
+	if going.over {
+		going.lock.Unlock()
+		return
+	}
+	going.over = true
+	going.lock.Unlock()
+	final = d.frontend.soon(final)
+	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), going.Request, final)
+	going.done(final)
+}
+
+// Abandon ends a trip from the waiting side: its time is up, or the caller hung up.
+// False when an answer was already on its way.
+func (d *Tracker) Abandon(going *Trip) bool {
+	going.lock.Lock()
+	if going.over || going.judging {
+		going.lock.Unlock()
+		return false
+	}
+	going.over = true
+	forwarded, connection := going.forwarded, going.connection
+	going.lock.Unlock()
+	if forwarded != "" {
+		d.lock.Lock()
+		delete(d.waiting, forwarded)
+		d.lock.Unlock()
+		d.frontend.Release(going.Request)
+		if withdraw := (message.Withdraw{ID: forwarded}); connection != nil {
+			connection.Post(withdraw)
+		} else {
+			d.local(withdraw)
+		}
+	}
+	final := d.frontend.Abandon(going.Request, forwarded != "", errcode.BusyDeadline)
+	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), going.Request, final)
+	going.done(final)
+	return true
+}
+
+// Inbound takes traffic frames from other proxies (and from this one).
+func (d *Tracker) Inbound(msg any, back func(msg any) error) bool {
+	switch received := msg.(type) {
+	case message.Forward:
+		d.lock.Lock()
+		d.replies[received.ID] = back
+		d.lock.Unlock()
+		d.ForwardOut(d.room.Forwarded(d.back.Now(), received))
+	case message.OutcomeRequest:
+		if received.ServingProxyBirth != d.life {
+			back(whole(message.Outcome{ID: received.ID, Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}))
+			return true
+		}
+		outcome := d.room.Outcome(d.back.Now(), received.ID)
+		if outcome.Kind == message.StillRunning {
+			// The answer will go to the new connection when it is there.
+			d.lock.Lock()
+			d.replies[received.ID] = back
+			d.lock.Unlock()
+		}
+		back(whole(outcome))
+	case message.Withdraw:
+		d.ForwardOut(d.room.Withdraw(received.ID))
+	default:
+		return false
+	}
+	return true
+}
+
+// ForwardOut queues orders for the serving proxy stage; a full queue refuses at once.
+func (d *Tracker) ForwardOut(orders []backend.Order) {
+	for _, order := range orders {
+		if !order.Start {
+			d.Conclude(order, message.Outcome{Kind: message.NotStarted, Code: int64(order.Code)})
+			continue
+		}
+		if d.settings.CountsBegun() {
+			order.Window = d.frontend.Began(time.Duration(d.back.Wall().UnixNano()), order.Forward.Tenant)
+		}
+		if !d.back.Queue(StageStart, order) {
+			d.Conclude(order, message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusyQueueFull)})
+		}
+	}
+}
+
+// Conclude sends a outcome back and starts what may start next.
+func (d *Tracker) Conclude(order backend.Order, outcome message.Outcome) {
+	if order.Start && outcome.Kind == message.NotStarted && d.settings.CountsBegun() {
+		d.frontend.Unbegun(order.Window, order.Forward.Tenant)
+	}
+	outcome, next := d.room.Finish(d.back.Now(), order, outcome)
+	d.lock.Lock()
+	back := d.replies[outcome.ID]
+	delete(d.replies, outcome.ID)
+	d.lock.Unlock()
+	if back != nil {
+		back(whole(outcome))
+	}
+	d.ForwardOut(next)
+}
+
+// whole fills what the encoding wants.
+func whole(outcome message.Outcome) message.Outcome {
+	if outcome.Headers == nil {
+		outcome.Headers = []message.HeaderLine{}
+	}
+	if outcome.Body == nil {
+		outcome.Body = []byte{}
+	}
+	return outcome
+}
+
+// Expire is the steady sweep of the serving proxy.
+func (d *Tracker) Expire() { d.ForwardOut(d.room.Expire(d.back.Now())) }
+
+// Leave is the serving proxy's part of a polite stop.
+func (d *Tracker) Leave() { d.ForwardOut(d.room.Leave()) }
+
+// Announce takes a checked announcement; false when a higher incarnation is known.
+func (d *Tracker) Announce(response backend.Announcement) bool {
+	d.receivedOf.Store(true)
+	return d.take(response)
+}
+
+func (d *Tracker) take(response backend.Announcement) bool {
+	accepted, endings, orders := d.room.Announce(d.back.Now(), response)
+	if !accepted {
+		return false
+	}
+	for _, ending := range endings {
+		d.back.Tell(proxy.SignedOff{Service: ending.Service, Instance: ending.Instance, Incarnation: ending.Incarnation})
+	}
+	// What the serving proxy holds now, which a late announcement has not altered.
+	if held, known := d.room.Held(response.Service, response.Instance); known {
+		d.back.Tell(proxy.Announced{Registration: held.Registration()})
+	}
+	d.ForwardOut(orders)
+	return true
+}
+
+// Dismiss takes an instance's last word, whatever it had registered; its name never
+// comes back.
+func (d *Tracker) Dismiss(instance string) {
+	ending, found, orders := d.room.Dismiss(d.back.Now(), instance)
+	if found {
+		d.back.Tell(proxy.SignedOff{Service: ending.Service, Instance: instance, Incarnation: ending.Incarnation})
+	}
+	d.ForwardOut(orders)
+}
+
+// SignOff takes an upstream's last word; false when it is not registered here.
+func (d *Tracker) SignOff(service, instance string, incarnation int64) bool {
+	found, orders := d.room.SignOff(service, instance, incarnation)
+	d.back.Tell(proxy.SignedOff{Service: service, Instance: instance, Incarnation: incarnation})
+	d.ForwardOut(orders)
+	return found
+}
--- /dev/null
+++ b/internal/frontend/tracker_test.go
@@ -0,0 +1,99 @@
+// The order in which broken connections are told of must not matter.
+package frontend
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/proxy"
+	"beaconvane/internal/routeconfig"
+	"beaconvane/internal/settings"
+)
+
+type fakeConnection struct {
+	broken, attached bool
+	closed           func(connection Connection)
+	posted           []any
+}
+
+func (w *fakeConnection) Post(msg any) error {
+	w.posted = append(w.posted, msg)
+	return nil
+}
+func (w *fakeConnection) Broken() bool   { return w.broken }
+func (w *fakeConnection) Attached() bool { return w.attached }
+func (w *fakeConnection) Close()         { w.broken = true }
+
+type fakeBackstage struct {
+	tracker     *Tracker
+	connections []*fakeConnection
+	judged      []Judged
+	random      *rand.Rand
+}
+
+func (b *fakeBackstage) Now() time.Duration          { return time.Second }
+func (b *fakeBackstage) Wall() time.Time             { return time.Unix(0, 0) }
+func (b *fakeBackstage) Random() *rand.Rand          { return b.random }
+func (b *fakeBackstage) After(time.Duration, func()) {}
+func (b *fakeBackstage) Tell(any)                    {}
+
+func (b *fakeBackstage) Queue(env Env, item any) bool {
+	switch env {
+	case StageAdmit:
+		b.tracker.Admit(item.(*Trip))
+	case StageChoose:
+		b.tracker.Choose(item.(*Trip))
+	case StageJudge:
+		b.judged = append(b.judged, item.(Judged))
+	}
+	return true
+}
+
+func (b *fakeBackstage) Open(_ string, _ func(msg any), closed func(connection Connection)) Connection {
+	connection := &fakeConnection{closed: closed}
+	b.connections = append(b.connections, connection)
+	return connection
+}
+
+// A second connection that never came about says nothing of a request sent on the first.
+func TestAFailedDialDoesNotSpeakForAnEarlierConnection(t *testing.T) {
+	c := qt.New(t)
+	cfg := settings.Default()
+	cfg.Zone = "here"
+	f := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
+	f.Show(0, &proxy.Snapshot{Configurations: []*routeconfig.Configuration{routeconfig.Parse("main", 1, []byte(configName), cfg.ConfigurationLimits())}, Known: true, RosterHere: true, Proxies: 2,
+		Upstreams: map[string][]message.Registration{"pay": {upstream("one", "here")}}})
+	back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
+	back.tracker = NewDesk(cfg, f, backend.New(cfg, nil), back, message.Member{Name: "me", Address: "here:1"})
+	request := func(id string) {
+		asked := request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "shop")
+		asked.ID = id
+		back.tracker.Arrive(asked, func(time.Duration) {}, func(*Final) {})
+	}
+	request("sent")
+	c.Assert(back.connections, qt.HasLen, 1)
+	first := back.connections[0]
+	first.attached, first.broken = true, true
+	request("later")
+	c.Assert(back.connections, qt.HasLen, 2)
+	second := back.connections[1]
+	second.broken = true
+	second.closed(second)
+	c.Assert(back.judged, qt.HasLen, 1)
+	c.Assert(back.judged[0].Trip.Request.ID, qt.Equals, "later")
+	c.Assert(back.judged[0].Outcome.Kind, qt.Equals, message.NotStarted)
+	// The first connection's end is asked about at the serving proxy, and unknown when that fails.
+	first.closed(first)
+	c.Assert(back.connections, qt.HasLen, 3)
+	c.Assert(back.connections[2].posted, qt.HasLen, 1)
+	back.connections[2].closed(back.connections[2])
+	c.Assert(back.judged, qt.HasLen, 2)
+	c.Assert(back.judged[1].Trip.Request.ID, qt.Equals, "sent")
+	c.Assert(errcode.Code(back.judged[1].Outcome.Code), qt.Equals, errcode.UnknownOutcome)
+}
--- a/internal/crew/crew.go
+++ b/internal/goroutine/goroutine.go
@@ -1,7 +1,7 @@
-// Package crew is the one place where goroutines start. Every one has a name, is
+// Package goroutine is the one place where goroutines start. Every one has a name, is
 // counted while it runs, and is waited for when the process stops. It also has the
 // process clock: time since start, monotonic, so that durations never jump.
-package crew
+package goroutine
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"go.uber.org/atomic"
 )
 
-// Crew starts and counts the goroutines of a process.
-type Crew struct {
+// Goroutine starts and counts the goroutines of a process.
+type Group struct {
 	Context  context.Context
 	cancel   context.CancelFunc
 	waiting  sync.WaitGroup
@@ -20,14 +20,14 @@
 	startsAt time.Time
 }
 
-// New makes a crew; its context ends on Stop.
-func New() *Crew {
+// New makes a goroutine; its context ends on Stop.
+func New() *Group {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Crew{Context: ctx, cancel: cancel, startsAt: time.Now()}
+	return &Group{Context: ctx, cancel: cancel, startsAt: time.Now()}
 }
 
 // Go starts work; the name serves the counters and a reader of the code.
-func (c *Crew) Go(name string, work func(ctx context.Context)) {
+func (c *Group) Go(name string, work func(ctx context.Context)) {
 	c.waiting.Add(1)
 	c.running.Inc()
 	go func() {
@@ -40,13 +40,13 @@
 }
 
 // Now is the process clock.
-func (c *Crew) Now() time.Duration { return time.Since(c.startsAt) }
+func (c *Group) Now() time.Duration { return time.Since(c.startsAt) }
 
-// Running counts live goroutines of the crew.
-func (c *Crew) Running() int64 { return c.running.Load() }
+// Running counts live goroutines of the goroutine.
+func (c *Group) Running() int64 { return c.running.Load() }
 
 // Stop cancels the context and waits at most the given time.
-func (c *Crew) Stop(limit time.Duration) bool {
+func (c *Group) Stop(limit time.Duration) bool {
 	c.cancel()
 	done := make(chan struct{})
 	go func() { c.waiting.Wait(); close(done) }()
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,481 @@
+// Package lease decides which voter is active for a sharing tag. The source leaves
+// activation to an outside system; here the voters derive it. A candidate asks all
+// three for an epoch higher than any it knows; a voter writes the epoch and the
+// candidate down, synced, before it grants, and then promises a lease's length not
+// to grant another. The holder renews, counts its time from when it asked, and stops
+// acting a margin before the promises lapse. The epoch is what keeps two holders
+// apart; the clocks only make it rare that a stale one tries. A voter that restarts
+// waits a full lease, since it has forgotten its promise, before it grants another than
+// the one it promised last, which its disk tells. A tag's starting state in
+// the settings is a preference: that voter asks first, and gets the tag back from a
+// living holder only by the holder's own handing over.
+//
+// Before it raises an epoch a candidate makes a trial, which changes nothing anywhere:
+// a voter that merely missed some renewals finds out that the others still hear the
+// holder, and disturbs nobody. A holder that finds a voter bound to another or higher
+// epoch raises its own, so that all three stand behind it again.
+package lease
+
+import (
+	"sort"
+	"time"
+
+	"beaconvane/internal/message"
+	"beaconvane/internal/quorum"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
+)
+
+type tagState struct {
+	vote      message.Vote
+	synced    bool
+	promised  time.Duration
+	changedAt time.Duration
+	reserved  string
+
+	reservedTo time.Duration
+
+	seen    int64
+	epoch   int64
+	acks    map[string]string
+	round   int64
+	askedAt time.Duration
+	trial   bool
+	trials  int  // made in vain since a holder was last heard
+	proven  bool // the voter voted for has renewed, so it did hold the tag
+	raiseAt time.Duration
+	freeAt  time.Duration // since when the tag has been free, as known here
+	mine    bool          // this voter has held the tag, in this life or the last
+	rival   string
+	rivalAt time.Duration // when another was first heard to hold or claim it since
+	holding bool
+	spent   int64 // an epoch once lost is never taken again
+	until   time.Duration
+	heldAt  time.Duration
+	renewAt time.Duration
+	tryAt   time.Duration
+}
+
+// Leases is one voter's part in the leases of all tags of its group.
+type Leases struct {
+	settings settings.Settings
+	host     quorum.Host
+	quorum   *quorum.Quorum
+	tags     map[string]*tagState
+	order    []string
+	votesAt  time.Duration
+	written  bool // the votes are this disk's own, with every promise it made
+	round    int64
+	fit      func(tag string) bool
+	took     func(s *statemachine.Env, tag string, epoch int64)
+	lost     func(s *statemachine.Env, tag string, epoch int64)
+}
+
+// NewLeases makes the machine. fit says whether this voter may be a candidate; took
+// and lost are called on the change.
+func NewLeases(cfg settings.Settings, host quorum.Host, group *quorum.Quorum, tags []string, votes []message.Vote,
+	fit func(tag string) bool, took, lost func(s *statemachine.Env, tag string, epoch int64)) *Leases {
+	t := &Leases{settings: cfg, host: host, quorum: group, tags: map[string]*tagState{}, fit: fit, took: took, lost: lost}
+	for _, tag := range tags {
+		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true}
+		t.order = append(t.order, tag)
+	}
+	sort.Strings(t.order)
+	t.Restore(votes)
+	t.votesAt = -1
+	return t
+}
+
+// Restore takes votes from disk or from a grant; only a higher epoch counts.
+func (t *Leases) Restore(votes []message.Vote) {
+	for _, vote := range votes {
+		if state, known := t.tags[vote.Tag]; known && vote.Epoch > state.vote.Epoch {
+			state.vote, state.synced = vote, true
+			state.mine = vote.Holder == t.quorum.Voter
+		}
+	}
+}
+
+// Votes lists the promises as they stand, for the slot and for grants.
+func (t *Leases) Votes() []message.Vote {
+	votes := []message.Vote{}
+	for _, tag := range t.order {
+		vote := t.tags[tag].vote
+		if t.tags[tag].epoch > vote.Epoch {
+			vote.Epoch = t.tags[tag].epoch
+		}
+		votes = append(votes, vote)
+	}
+	return votes
+}
+
+// BeginVoting starts the wait of a full lease before the first vote; a group just
+// founded has no earlier promise to wait for.
+func (t *Leases) BeginVoting(s *statemachine.Env, fresh bool) {
+	t.votesAt = s.Now + t.settings.Lease()
+	if fresh {
+		t.votesAt = s.Now
+	}
+	for _, state := range t.tags {
+		// What was voted for before is taken to have held the tag.
+		state.changedAt, state.proven = s.Now, state.vote.Holder != ""
+	}
+}
+
+// Holding says that this voter is active for the tag, by its own clock, now.
+func (t *Leases) Holding(tag string, now time.Duration) bool {
+	state := t.tags[tag]
+	return state != nil && state.holding && now < state.until && !t.quorum.ShutOut
+}
+
+// Epoch is the highest epoch this voter has promised or holds for the tag.
+func (t *Leases) Epoch(tag string) int64 { return t.tags[tag].vote.Epoch }
+
+// Holder is the voter this one last voted for.
+func (t *Leases) Holder(tag string) string { return t.tags[tag].vote.Holder }
+
+// Confirmed says that a majority renewed in a round begun at or after a given time:
+// what a read waits for, so that it needs no clock but the holder's own order.
+func (t *Leases) Confirmed(tag string, since time.Duration) bool {
+	state := t.tags[tag]
+	return state.holding && state.until-t.settings.LeaseHeld() >= since
+}
+
+// RenewNow asks for a renewal at the next tick.
+func (t *Leases) RenewNow(tag string, s *statemachine.Env) {
+	if state := t.tags[tag]; state.holding && state.renewAt > s.Now {
+		state.renewAt = s.Now
+		t.request(s, tag, state)
+	}
+}
+
+// Tick campaigns, renews and gives up what ran out.
+func (t *Leases) Tick(s *statemachine.Env) {
+	if !t.quorum.Voting() {
+		for _, tag := range t.order {
+			t.drop(s, tag, "not standing")
+		}
+		return
+	}
+	if t.votesAt < 0 {
+		t.BeginVoting(s, false)
+		t.written = true
+	}
+	for _, tag := range t.order {
+		state := t.tags[tag]
+		if state.holding {
+			switch {
+			case s.Now >= state.until:
+				t.drop(s, tag, "lease ran out")
+				state.tryAt = s.Now + time.Duration(s.Random.Int64N(int64(t.settings.Lease())))
+			case s.Now >= state.renewAt:
+				t.handBack(s, tag, state)
+				if state.holding {
+					t.request(s, tag, state)
+				}
+			}
+			continue
+		}
+		if s.Now < state.promised {
+			state.freeAt = 0
+			continue
+		}
+		if s.Now < t.votesAt && !t.promisedTo(state, t.quorum.Voter, t.quorum.State.Identity) || s.Now < state.tryAt || !t.fit(tag) {
+			continue
+		}
+		if state.freeAt == 0 {
+			state.freeAt = s.Now
+		}
+		if s.Now-state.freeAt < min(t.host.SyncTime()*2, t.settings.Lease()) {
+			// A voter with a slower disk lets the others go first.
+			continue
+		}
+		if state.mine && state.rival != "" && state.reserved != t.quorum.Voter && s.Now-state.rivalAt < t.settings.HolderRest() {
+			// It held the tag, then another did: its own rest binds it, whatever the
+			// voters know.
+			continue
+		}
+		if state.reserved != "" && state.reserved != t.quorum.Voter {
+			state.tryAt = s.Now + t.settings.Lease()/2
+			state.reserved = ""
+			continue
+		}
+		if state.epoch <= max(state.vote.Epoch, state.seen) && !t.preferred(tag) && state.reserved == "" && state.tryAt == 0 && s.Now >= t.votesAt {
+			// The preferred voter asks first; the others after a part of a lease.
+			state.tryAt = s.Now + t.settings.Lease()/3 + time.Duration(s.Random.Int64N(int64(t.settings.Lease()/3)))
+			if t.quorum.Discovered() && t.settings.Active[tag] == "" {
+				state.tryAt -= t.settings.Lease() / 3
+			}
+			continue
+		}
+		if (len(t.host.Peers())+1)*2 <= len(t.settings.Voters) {
+			// Too few are known to be granted by; a trial now would only cost time.
+			continue
+		}
+		t.campaign(s, tag, state)
+	}
+}
+
+// promisedTo: what this disk promised last was to that very holder, so whatever was
+// forgotten in a restart bars it from nothing.
+func (t *Leases) promisedTo(state *tagState, voter, identity string) bool {
+	return t.written && state.synced && state.vote.Holder == voter && state.vote.Identity == quorum.BareIdentity(identity)
+}
+
+func (t *Leases) preferred(tag string) bool { return t.settings.Active[tag] == t.quorum.Voter }
+
+// goesBefore orders two candidates that try at one time.
+func (t *Leases) goesBefore(tag, other string) bool {
+	if wanted := t.settings.Active[tag]; wanted == other || wanted == t.quorum.Voter {
+		return wanted == t.quorum.Voter
+	}
+	return t.quorum.Voter < other
+}
+
+func (t *Leases) campaign(s *statemachine.Env, tag string, state *tagState) {
+	state.epoch = max(state.vote.Epoch, state.seen, state.epoch) + 1
+	state.trial = true
+	state.trials++
+	state.tryAt = s.Now + t.settings.RenewEvery()/2 + time.Duration(s.Random.Int64N(int64(t.settings.RenewEvery()/2)))
+	t.request(s, tag, state)
+}
+
+func (t *Leases) request(s *statemachine.Env, tag string, state *tagState) {
+	t.round++
+	state.round, state.askedAt, state.renewAt = t.round, s.Now, s.Now+t.settings.RenewEvery()
+	state.acks = map[string]string{}
+	request := message.LeaseRequest{Group: t.quorum.Group, Tag: tag, Epoch: state.epoch, Voter: t.quorum.Voter,
+		Identity: t.quorum.Signature(), Round: state.round, Trial: state.trial}
+	for _, peer := range t.host.Peers() {
+		if peer.Voter != t.quorum.Voter {
+			s.Send(peer.Address, request)
+		}
+	}
+	t.handleRequest(s, "", request)
+}
+
+// drop ends this voter's activity for a tag.
+func (t *Leases) drop(s *statemachine.Env, tag, cause string) {
+	state := t.tags[tag]
+	if !state.holding {
+		return
+	}
+	state.holding, state.spent = false, state.epoch
+	s.Event("lease-lost", 0, state.epoch, tag+": "+cause)
+	t.lost(s, tag, state.epoch)
+}
+
+// Yield hands every tag over, at a polite stop: to whom is left open.
+func (t *Leases) Yield(s *statemachine.Env) {
+	for _, tag := range t.order {
+		if t.tags[tag].holding {
+			t.yieldTo(s, tag, t.tags[tag], "")
+		}
+		t.tags[tag].tryAt = s.Now + t.settings.Lease()*1000
+	}
+}
+
+func (t *Leases) handBack(s *statemachine.Env, tag string, state *tagState) {
+	wanted := t.settings.Active[tag]
+	if wanted == "" || wanted == t.quorum.Voter || s.Now-state.heldAt < t.settings.MoveBack() {
+		return
+	}
+	for _, peer := range t.host.Peers() {
+		status, at, known := t.quorum.LastStatus(wanted)
+		if peer.Voter == wanted && peer.State == message.Alive && known && status.Voting &&
+			s.Now-at < t.settings.DigestEvery()*25 {
+			t.yieldTo(s, tag, state, wanted)
+			return
+		}
+	}
+}
+
+func (t *Leases) yieldTo(s *statemachine.Env, tag string, state *tagState, to string) {
+	yield := message.LeaseYield{Group: t.quorum.Group, Tag: tag, Epoch: state.epoch, Voter: t.quorum.Voter,
+		Identity: t.quorum.Signature(), To: to}
+	t.drop(s, tag, "handed over to "+to)
+	state.tryAt = s.Now + t.settings.Lease()*2
+	for _, peer := range t.host.Peers() {
+		if peer.Voter != t.quorum.Voter {
+			s.Send(peer.Address, yield)
+		}
+	}
+	t.handleYield(s, yield)
+}
+
+// Handle takes a lease message; false when it is another part's.
+func (t *Leases) Handle(s *statemachine.Env, from string, msg any) bool {
+	switch received := msg.(type) {
+	case message.LeaseRequest:
+		if received.Group == t.quorum.Group {
+			t.handleRequest(s, from, received)
+		}
+	case message.LeaseVote:
+		if received.Group == t.quorum.Group {
+			t.handleVote(s, received)
+		}
+	case message.LeaseYield:
+		if received.Group == t.quorum.Group {
+			t.handleYield(s, received)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (t *Leases) handleRequest(s *statemachine.Env, from string, request message.LeaseRequest) {
+	state, known := t.tags[request.Tag]
+	if known && !request.Trial && request.Voter != t.quorum.Voter && request.Voter != state.rival && request.Epoch >= state.vote.Epoch && t.quorum.Holds(request.Voter, request.Identity) {
+		state.rival, state.rivalAt = request.Voter, s.Now
+	}
+	if !known || !t.quorum.Voting() || t.votesAt < 0 || s.Now < t.votesAt && !t.promisedTo(state, request.Voter, request.Identity) {
+		return
+	}
+	answer := message.LeaseVote{Group: request.Group, Tag: request.Tag, Epoch: request.Epoch, Round: request.Round,
+		Voter: t.quorum.Voter, Identity: t.quorum.Signature(), Trial: request.Trial, Seen: max(state.vote.Epoch, state.seen)}
+	reply := func(s *statemachine.Env) {
+		answer.Identity = t.quorum.Signature()
+		if from == "" {
+			t.handleVote(s, answer)
+		} else {
+			s.Send(from, answer)
+		}
+	}
+	same := state.vote.Holder == request.Voter && state.vote.Identity == quorum.BareIdentity(request.Identity)
+	switch {
+	case !t.quorum.Holds(request.Voter, request.Identity):
+		answer.Reason = "not on the member list"
+	case request.Epoch < state.vote.Epoch:
+		answer.Reason = "lower epoch"
+	case request.Epoch == state.vote.Epoch && !same:
+		answer.Reason = "epoch given to another"
+	case request.Epoch == state.vote.Epoch && request.Trial:
+		answer.Reason = "epoch in use"
+	case request.Epoch == state.vote.Epoch:
+		// A renewal counts as synced only once the vote itself is.
+		if !state.synced {
+			return
+		}
+		state.promised = s.Now + t.settings.Lease()
+		answer.Granted = true
+		state.trials = 0
+		if !state.proven {
+			state.proven, state.changedAt = true, s.Now
+		}
+	case !same && s.Now < state.promised:
+		answer.Reason = "another holds it"
+	case !same && state.reserved != "" && state.reserved != request.Voter && s.Now < state.reservedTo:
+		answer.Reason = "handed over to another"
+	case !same && request.Voter == state.vote.Former && s.Now-state.changedAt < t.settings.HolderRest():
+		answer.Reason = "holder rest"
+	case request.Trial && !same && state.trial && s.Now < state.tryAt && state.trials <= 2 && t.goesBefore(request.Tag, request.Voter):
+		answer.Reason = "goes first here"
+	case request.Trial:
+		answer.Granted = true
+		if from != "" && state.trial {
+			// Another goes first: this voter's own trial is off, for a while.
+			state.trial, state.round = false, 0
+			state.tryAt = s.Now + t.settings.RenewEvery() + time.Duration(s.Random.Int64N(int64(t.settings.RenewEvery())))
+		}
+	default:
+		if !same {
+			if state.proven {
+				state.vote.Former = state.vote.Holder
+			}
+			state.proven = false
+			state.changedAt = s.Now
+		}
+		state.vote.Epoch, state.vote.Holder, state.vote.Identity = request.Epoch, request.Voter, quorum.BareIdentity(request.Identity)
+		state.reserved = ""
+		state.promised = s.Now + t.settings.Lease()
+		state.synced = false
+		vote := state.vote
+		t.host.Persist(s, vote, func(s *statemachine.Env, failure error) {
+			if failure != nil || state.vote != vote {
+				return
+			}
+			state.synced = true
+			state.promised = s.Now + t.settings.Lease()
+			answer.Granted = true
+			reply(s)
+		})
+		return
+	}
+	reply(s)
+}
+
+func (t *Leases) handleVote(s *statemachine.Env, vote message.LeaseVote) {
+	state, known := t.tags[vote.Tag]
+	if !known {
+		return
+	}
+	state.seen = max(state.seen, vote.Seen)
+	if vote.Epoch != state.epoch || vote.Epoch <= state.spent || !t.quorum.Holds(vote.Voter, vote.Identity) {
+		return
+	}
+	if !vote.Granted {
+		if state.holding && vote.Seen >= state.epoch && vote.Reason != "another holds it" && s.Now >= state.raiseAt && t.fit(vote.Tag) {
+			state.raiseAt = s.Now + t.settings.Lease()
+			t.drop(s, vote.Tag, "raises its epoch: "+vote.Voter+" is bound to another")
+			t.campaign(s, vote.Tag, state)
+		}
+		return
+	}
+	if vote.Round != state.round || vote.Trial != state.trial {
+		return
+	}
+	state.acks[vote.Voter] = vote.Identity
+	if !t.quorum.Majority(state.acks) {
+		return
+	}
+	if state.trial {
+		state.trial = false
+		state.tryAt = s.Now + t.settings.Lease()/2 + time.Duration(s.Random.Int64N(int64(t.settings.Lease()/2)))
+		t.request(s, vote.Tag, state)
+		return
+	}
+	if state.vote.Epoch > state.epoch {
+		return
+	}
+	state.until = max(state.until, state.askedAt+t.settings.LeaseHeld())
+	if !state.holding && s.Now < state.until {
+		state.holding, state.heldAt, state.mine, state.rival = true, s.Now, true, ""
+		s.Event("lease-taken", 0, state.epoch, vote.Tag+" by "+t.quorum.Voter)
+		t.took(s, vote.Tag, state.epoch)
+	}
+}
+
+func (t *Leases) handleYield(s *statemachine.Env, yield message.LeaseYield) {
+	state, known := t.tags[yield.Tag]
+	if !known || yield.Epoch != state.vote.Epoch || state.vote.Holder != yield.Voter || !t.quorum.Holds(yield.Voter, yield.Identity) {
+		return
+	}
+	state.promised = 0
+	state.reserved, state.reservedTo = yield.To, s.Now+t.settings.Lease()/2
+	if yield.To != "" {
+		// Handing back is rate-limited by the holder; the rest does not apply.
+		state.changedAt = s.Now - t.settings.HolderRest()
+	}
+	if yield.To == t.quorum.Voter {
+		state.tryAt = s.Now
+	} else if yield.Voter != t.quorum.Voter {
+		state.tryAt = s.Now + t.settings.Lease()/2
+	}
+}
+
+// Forget drops all that this voter held and promised: the voter is another's now.
+func (t *Leases) Forget(s *statemachine.Env) {
+	for _, tag := range t.order {
+		t.drop(s, tag, "the voter is another's")
+		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true}
+	}
+	t.votesAt, t.written = -1, false
+}
+
+// ForceRecover leaps over whatever epochs the lost disks may have given out.
+func (t *Leases) ForceRecover() {
+	for _, state := range t.tags {
+		state.vote.Epoch += 1 << 20
+	}
+}
--- a/internal/claque/claque.go
+++ b/internal/loadgen/loadgen.go
@@ -1,8 +1,8 @@
-// Package claque is the project's load generator: an open loop at a set rate, so that
-// a stall shows as late answers and not as fewer queries. Latency counts from the
-// intended start. Every query has an id of its own, kept with what the caller was
-// told, for the critic to hold against what the upstreams ran.
-package claque
+// Package loadgen is the project's load generator: an open loop at a set rate, so that
+// a stall shows as late answers and not as fewer requests. Latency counts from the
+// intended start. Every request has an id of its own, kept with what the caller was
+// told, for the checker to hold against what the upstreams ran.
+package loadgen
 
 import (
 	"bytes"
@@ -19,14 +19,14 @@
 
 	"go.uber.org/atomic"
 
-	"beaconvane/internal/crew"
-	"beaconvane/internal/critic"
-	"beaconvane/internal/foyer"
-	"beaconvane/internal/greenroom"
-	"beaconvane/internal/understudy"
+	"beaconvane/internal/backend"
+	"beaconvane/internal/checker"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/stubserver"
 )
 
-// Kind is one kind of query with its weight in the mix.
+// Kind is one kind of request with its weight in the mix.
 type Kind struct {
 	Route   string  `json:"route"`
 	Service string  `json:"service"`
@@ -47,7 +47,7 @@
 
 // Plan is what to ask, where, how fast and for how long.
 type Plan struct {
-	Ushers  []string      `json:"ushers"`
+	Proxies []string      `json:"proxies"`
 	Kinds   []Kind        `json:"kinds"`
 	Tenants []Tenant      `json:"tenants"`
 	Rate    float64       `json:"rate"`
@@ -55,12 +55,12 @@
 	Limit   time.Duration `json:"limit"`
 	Seed    uint64        `json:"seed"`
 	Base    time.Time     `json:"-"`
-	Direct  bool          `json:"direct"` // the targets are upstreams, not ushers
+	Direct  bool          `json:"direct"` // the targets are upstreams, not proxies
 }
 
 // Run asks by the plan and gives the record.
-func Run(ctx context.Context, members *crew.Crew, plan Plan) []critic.Asked {
-	dice := rand.New(rand.NewPCG(plan.Seed, 7))
+func Run(ctx context.Context, members *goroutine.Group, plan Plan) []checker.Asked {
+	random := rand.New(rand.NewPCG(plan.Seed, 7))
 	client := &http.Client{Timeout: plan.Limit, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256, MaxIdleConns: 4096, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
@@ -70,7 +70,7 @@
 	}
 	var lock sync.Mutex
 	var waiting sync.WaitGroup
-	list := []critic.Asked{}
+	list := []checker.Asked{}
 	var out atomic.Int64
 	begin := time.Now()
 	count := int(plan.Rate * plan.Length.Seconds())
@@ -86,23 +86,23 @@
 				return list
 			}
 		}
-		roll, chosenKind := dice.Float64()*total, plan.Kinds[0]
+		memberList, chosenKind := random.Float64()*total, plan.Kinds[0]
 		for _, kind := range plan.Kinds {
-			if roll -= kind.Weight; roll < 0 {
+			if memberList -= kind.Weight; memberList < 0 {
 				chosenKind = kind
 				break
 			}
 		}
-		chosenTenant := plan.Tenants[dice.IntN(len(plan.Tenants))]
-		chosenUsher := plan.Ushers[dice.IntN(len(plan.Ushers))]
-		asked := critic.Asked{ID: fmt.Sprintf("q%d-%d", plan.Seed, number), Usher: chosenUsher, Route: chosenKind.Route, Service: chosenKind.Service,
+		chosenTenant := plan.Tenants[random.IntN(len(plan.Tenants))]
+		chosenProxy := plan.Proxies[random.IntN(len(plan.Proxies))]
+		asked := checker.Asked{ID: fmt.Sprintf("q%d-%d", plan.Seed, number), Proxy: chosenProxy, Route: chosenKind.Route, Service: chosenKind.Service,
 			Tenant: chosenTenant.Name, Key: chosenTenant.Key, Caller: chosenKind.Caller, Once: chosenKind.Once, Intended: intended.Sub(plan.Base)}
 		waiting.Add(1)
 		out.Inc()
-		members.Go("claque.ask", func(context.Context) {
+		members.Go("loadgen.ask", func(context.Context) {
 			defer waiting.Done()
 			defer out.Dec()
-			ask(client, plan, chosenKind, &asked)
+			request(client, plan, chosenKind, &asked)
 			lock.Lock()
 			list = append(list, asked)
 			lock.Unlock()
@@ -112,33 +112,33 @@
 	return list
 }
 
-func ask(client *http.Client, plan Plan, kind Kind, asked *critic.Asked) {
+func request(client *http.Client, plan Plan, kind Kind, asked *checker.Asked) {
 	asked.Sent = time.Since(plan.Base)
 	// A body that is no bytes.Reader can't be rewound, so the library can't resend it.
-	request, err := http.NewRequest(kind.Method, "http://"+asked.Usher+kind.Path, io.MultiReader(bytes.NewReader(make([]byte, kind.Body))))
+	request, err := http.NewRequest(kind.Method, "http://"+asked.Proxy+kind.Path, io.MultiReader(bytes.NewReader(make([]byte, kind.Body))))
 	if err != nil {
-		asked.Wire = true
+		asked.Connection = true
 		return
 	}
 	request.ContentLength = int64(kind.Body)
 	if kind.Body == 0 {
 		request.Body = http.NoBody
 	}
-	request.Header.Set(understudy.IDHeader, asked.ID)
-	request.Header.Set(foyer.KeyHeader, asked.Key)
-	request.Header.Set(greenroom.CallerHeader, kind.Caller)
+	request.Header.Set(stubserver.IDHeader, asked.ID)
+	request.Header.Set(frontend.KeyHeader, asked.Key)
+	request.Header.Set(backend.CallerHeader, kind.Caller)
 	response, err := client.Do(request)
 	if err != nil {
-		asked.Wire, asked.Done = true, time.Since(plan.Base)
+		asked.Connection, asked.Done = true, time.Since(plan.Base)
 		return
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	asked.Done = time.Since(plan.Base)
-	asked.Wire = err != nil
+	asked.Connection = err != nil
 	asked.Status, asked.Body = response.StatusCode, string(body)
-	asked.Code, _ = strconv.Atoi(response.Header.Get(foyer.CodeHeader))
-	asked.Mark = response.Header.Get(understudy.MarkHeader)
+	asked.Code, _ = strconv.Atoi(response.Header.Get(frontend.CodeHeader))
+	asked.Mark = response.Header.Get(stubserver.MarkHeader)
 	asked.Retry = response.Header.Get("Retry-After") != ""
 }
 
@@ -155,13 +155,13 @@
 }
 
 // Summarise counts answers and ranks latencies from the intended start.
-func Summarise(list []critic.Asked) Summary {
+func Summarise(list []checker.Asked) Summary {
 	summary := Summary{Asked: len(list), ByCode: map[string]int{}}
 	waits := []float64{}
 	for _, asked := range list {
 		switch {
-		case asked.Wire:
-			summary.ByCode["wire"]++
+		case asked.Connection:
+			summary.ByCode["connection"]++
 		case asked.Code != 0:
 			summary.ByCode[strconv.Itoa(asked.Code)]++
 		default:
--- a/internal/script/script_test.go
+++ b/internal/message/message_test.go
@@ -1,5 +1,5 @@
-// Every message survives the wire, the largest included.
-package script
+// Every message survives the connection, the largest included.
+package message
 
 import (
 	"bytes"
@@ -11,16 +11,16 @@
 func TestLargestBodySurvives(t *testing.T) {
 	c := qt.New(t)
 	body := bytes.Repeat([]byte("0123456789abcdef"), 8<<16)
-	frame, err := Encode(BookPut{Ticket: 1, Sheet: "main", Version: 2, Body: body})
+	frame, err := Encode(WriteRequest{RequestID: 1, ConfigName: "main", Version: 2, Body: body})
 	c.Assert(err, qt.IsNil)
 	decoded, err := Decode(frame)
 	c.Assert(err, qt.IsNil)
-	c.Assert(bytes.Equal(decoded.(BookPut).Body, body), qt.IsTrue)
+	c.Assert(bytes.Equal(decoded.(WriteRequest).Body, body), qt.IsTrue)
 }
 
 func TestBadFramesAreRefused(t *testing.T) {
 	c := qt.New(t)
-	frame, err := Encode(Carry{ID: "x", Headers: []HeaderLine{{"A", "b"}}, Body: []byte("body")})
+	frame, err := Encode(Forward{ID: "x", Headers: []HeaderLine{{"A", "b"}}, Body: []byte("body")})
 	c.Assert(err, qt.IsNil)
 	for size := range len(frame) {
 		_, err := Decode(frame[:size])
