--- a/internal/script/schema.go
+++ b/internal/message/schema.go
@@ -3,7 +3,7 @@
 // a checksum: the library takes a record that ends early for one with empty fields.
 // Messages hold only strings, bytes, bools, int64, float64, slices,
 // string maps and structs, which is all that the processes say to each other.
-package script
+package message
 
 import (
 	"encoding/binary"
@@ -14,7 +14,7 @@
 
 	"github.com/hamba/avro/v2"
 
-	"beaconvane/internal/notice"
+	"beaconvane/internal/errcode"
 )
 
 type kindEntry struct {
@@ -44,7 +44,7 @@
 	goType := reflect.TypeOf(sample)
 	entry := kindEntry{kind, SchemaOf(sample), goType}
 	if _, taken := byKind[kind]; taken {
-		panic(fmt.Sprintf("script: kind %d twice", kind))
+		panic(fmt.Sprintf("message: kind %d twice", kind))
 	}
 	byKind[kind] = entry
 	byType[goType] = entry
@@ -92,18 +92,18 @@
 		}
 		return `{"type":"record","name":"` + goType.Name() + `","fields":[` + strings.Join(fields, ",") + `]}`
 	}
-	panic("script: no Avro form for " + goType.String())
+	panic("message: no Avro form for " + goType.String())
 }
 
 // Encode gives the frame body of a message: kind byte and Avro record.
-func Encode(message any) ([]byte, error) {
-	entry, found := byType[reflect.TypeOf(message)]
+func Encode(msg any) ([]byte, error) {
+	entry, found := byType[reflect.TypeOf(msg)]
 	if !found {
-		return nil, notice.Wrap("script.encode", notice.FrameBad, fmt.Errorf("unknown type %T", message))
+		return nil, errcode.Wrap("message.encode", errcode.FrameBad, fmt.Errorf("unknown type %T", msg))
 	}
-	body, err := codec.Marshal(entry.schema, message)
+	body, err := codec.Marshal(entry.schema, msg)
 	if err != nil {
-		return nil, notice.Wrap("script.encode", notice.FrameBad, err)
+		return nil, errcode.Wrap("message.encode", errcode.FrameBad, err)
 	}
 	frame := make([]byte, 0, len(body)+1+sumBytes)
 	frame = append(append(frame, entry.kind), body...)
@@ -113,19 +113,19 @@
 // Decode reads a frame body back into its message (by value).
 func Decode(frame []byte) (any, error) {
 	if len(frame) < 1+sumBytes {
-		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("short frame"))
+		return nil, errcode.Wrap("message.decode", errcode.FrameBad, fmt.Errorf("short frame"))
 	}
 	frame, sum := frame[:len(frame)-sumBytes], binary.BigEndian.Uint32(frame[len(frame)-sumBytes:])
 	if sum != crc32.Checksum(frame, sumTable) {
-		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("checksum"))
+		return nil, errcode.Wrap("message.decode", errcode.FrameBad, fmt.Errorf("checksum"))
 	}
 	entry, found := byKind[frame[0]]
 	if !found {
-		return nil, notice.Wrap("script.decode", notice.FrameBad, fmt.Errorf("unknown kind %d", frame[0]))
+		return nil, errcode.Wrap("message.decode", errcode.FrameBad, fmt.Errorf("unknown kind %d", frame[0]))
 	}
 	target := reflect.New(entry.goType)
 	if err := codec.Unmarshal(entry.schema, frame[1:], target.Interface()); err != nil {
-		return nil, notice.Wrap("script.decode", notice.FrameBad, err)
+		return nil, errcode.Wrap("message.decode", errcode.FrameBad, err)
 	}
 	return target.Elem().Interface(), nil
 }
--- /dev/null
+++ b/internal/quorum/core.go
@@ -0,0 +1,111 @@
+// This file is what the two core programs share around the quorum and the leases:
+// writes through the ledger, who the peers are, and the addresses remembered for the
+// next life, so that a node finds the others when every seed was swapped.
+package quorum
+
+import (
+	"slices"
+	"time"
+
+	"beaconvane/internal/membership"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
+	"beaconvane/internal/storage"
+)
+
+// Core is embedded by a core program's machine.
+type Core struct {
+	settings   settings.Settings
+	role       string
+	membership *membership.Membership
+	ledger     *storage.Ledger
+	voterAt    func(address string) string
+	bornAt     time.Duration
+	born       bool
+	seen       []string
+	seenAt     time.Duration
+	sync       time.Duration // how long writes take, smoothed
+}
+
+// NewCore makes the shared part; snapshot gives the machine's whole state; empty says
+// that the disk has never held one.
+func NewCore(cfg settings.Settings, role string, members *membership.Membership, snapshot func() []byte, empty bool) *Core {
+	return &Core{settings: cfg, role: role, membership: members, ledger: storage.NewLedger(1<<20, snapshot, empty)}
+}
+
+// Persist appends a record; CompactNow writes the whole snapshot.
+func (c *Core) Persist(s *statemachine.Env, record any, then storage.Then) {
+	began := s.Now
+	c.ledger.Persist(s, record, func(s *statemachine.Env, failure error) {
+		c.sync += (s.Now - began - c.sync) / 4
+		then(s, failure)
+	})
+}
+
+// SyncTime is about how long a write takes here, waiting included.
+func (c *Core) SyncTime() time.Duration { return c.sync }
+
+func (c *Core) CompactNow(s *statemachine.Env, then storage.Then) { c.ledger.Compact(s, then) }
+
+// Failure is set once a write has failed.
+func (c *Core) Failure() error { return c.ledger.Failure() }
+
+// Synced answers a write.
+func (c *Core) Synced(s *statemachine.Env, requestID int64, failure error) {
+	c.ledger.Synced(s, requestID, failure)
+}
+
+// Peers are the other members of the role, dead ones aside. Where voters are sought,
+// who sits where is the quorum's knowledge, not the membership's.
+func (c *Core) Peers() []message.Member {
+	peers := c.membership.Alive(c.role)
+	if c.voterAt != nil {
+		for index := range peers {
+			peers[index].Voter = c.voterAt(peers[index].Address)
+		}
+	}
+	return peers
+}
+
+// UseVoters has the peers' voters told by the quorum.
+func (c *Core) UseVoters(quorum *Quorum) {
+	if quorum.Discovered() {
+		c.voterAt = quorum.VoterAt
+	}
+}
+
+// Sit says in the membership which voter this node holds.
+func (c *Core) HoldVoter(voter string) { c.membership.HoldVoter(voter) }
+
+// Superseded: this node's name lives on elsewhere.
+func (c *Core) Superseded() bool { return c.membership.Superseded() }
+
+// Gone says that a node is dead or has left. One that was never heard of is gone only
+// to a node that has been up, among others, for long enough to have heard of it.
+func (c *Core) Gone(s *statemachine.Env, nodeName string) bool {
+	member, known := c.membership.Find(c.role + "/" + nodeName)
+	if known {
+		return member.State >= message.Dead
+	}
+	return c.born && s.Now-c.bornAt > c.settings.SuspectFor()*4 && c.membership.Joined()
+}
+
+// Keep is the steady part: remember addresses, and leave when shut out.
+func (c *Core) Keep(s *statemachine.Env, shutOut bool) {
+	if !c.born {
+		c.born, c.bornAt = true, s.Now
+	}
+	if shutOut && !c.membership.HasLeft() {
+		// Nobody should look here for the voter any more.
+		c.membership.Leave(s)
+	}
+	if s.Now < c.seenAt || shutOut || c.ledger.Failure() != nil {
+		return
+	}
+	c.seenAt = s.Now + c.settings.HolderRest()
+	if seen := c.membership.Seen(); len(seen) > 0 && !slices.Equal(seen, c.seen) {
+		c.seen = seen
+		c.Persist(s, message.SeenState{Addresses: seen}, func(*statemachine.Env, error) {})
+	}
+}
--- /dev/null
+++ b/internal/registry/requests.go
@@ -0,0 +1,325 @@
+// This file takes the outside questions for both programs: configurations go on to the
+// configstore that holds the lease and its answer comes back; status is gathered here.
+// A put that was sent and not answered is sent again with the same bytes, which the
+// store answers alike; when the time is up its outcome is said to be unknown, never
+// that it was refused.
+package registry
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"beaconvane/internal/distribution"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
+)
+
+// Questions that the HTTP side asks of the machine.
+type (
+	WriteConfiguration struct {
+		ConfigName string
+		Version    int64
+		Body       []byte
+	}
+	GetConfiguration struct {
+		ConfigName string
+		Version    int64
+		List       bool
+	}
+	// ConfigurationStatus asks where a configuration is in force, at least at a version (0: the newest).
+	ConfigurationStatus struct {
+		ConfigName string
+		Version    int64
+	}
+	ReadUsage  struct{ Window int64 }
+	ReadStatus struct{}
+	ReadRoster struct{}
+	Ready      struct{}
+	Stop       struct{}
+)
+
+// Answer is what goes back outside.
+type Answer struct {
+	Code errcode.Code
+	Body []byte
+	Raw  bool
+}
+
+func answerJSON(code errcode.Code, body any) Answer {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return Answer{Code: errcode.Internal, Body: []byte(`{}`)}
+	}
+	return Answer{Code: code, Body: text}
+}
+
+func answerCode(code errcode.Code, detail string) Answer {
+	return answerJSON(code, map[string]any{"code": int(code), "result": code.String(), "detail": detail})
+}
+
+type outsideRequest struct {
+	outer  int64
+	write  *message.WriteRequest
+	get    *message.ReadRequest
+	until  time.Duration
+	nextAt time.Duration
+	target string
+	open   int // puts sent whose outcome no configstore has told
+}
+
+type outside struct {
+	m             *Machine
+	lastRequestID int64
+	waiting       map[int64]*outsideRequest
+	hint          string
+}
+
+func newOutside(m *Machine) *outside { return &outside{m: m, waiting: map[int64]*outsideRequest{}} }
+
+// Asked takes a question.
+func (m *Machine) Asked(s *statemachine.Env, requestID int64, question any) {
+	o := m.outside
+	switch asked := question.(type) {
+	case WriteConfiguration:
+		o.lastRequestID++
+		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.WriteLimit(),
+			write: &message.WriteRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, Body: asked.Body}}
+		o.tick(s)
+	case GetConfiguration:
+		o.lastRequestID++
+		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.WriteLimit(),
+			get: &message.ReadRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, List: asked.List}}
+		o.tick(s)
+	case ConfigurationStatus:
+		s.Reply(requestID, m.configurationStatus(s, asked.ConfigName, asked.Version))
+	case ReadUsage:
+		s.Reply(requestID, m.usage.read(asked.Window))
+	case ReadStatus:
+		s.Reply(requestID, m.status(s))
+	case ReadRoster:
+		s.Reply(requestID, m.roster(s))
+	case Ready:
+		s.Reply(requestID, m.ready(s))
+	case Reported:
+		m.usage.done(s, asked.Window)
+	case statemachine.Reseeded:
+		m.membership.Reseed(asked.Seeds)
+	case statemachine.ConnectionBroke:
+		m.distribution.ConnectionBroke(s, asked.Address)
+	case Stop:
+		m.stopping = true
+		m.leases.Yield(s)
+		m.membership.Leave(s)
+		s.Reply(requestID, answerCode(errcode.OK, "stopping"))
+	}
+}
+
+// holder guesses the configstore that holds the lease: the one the updates comes from,
+// or the hint of the last one that did not.
+func (o *outside) holder(s *statemachine.Env) (string, bool) {
+	stores := o.m.membership.Alive(message.RoleConfigStore)
+	if seated := slices.DeleteFunc(slices.Clone(stores), func(configLog message.Member) bool { return configLog.Voter == "" }); len(seated) > 0 {
+		stores = seated
+	}
+	parent, _, _ := o.m.distribution.Parent()
+	for _, wanted := range []string{o.hint, parent} {
+		for _, configLog := range stores {
+			if configLog.Name == wanted && wanted != "" {
+				return configLog.Address, true
+			}
+		}
+	}
+	if len(stores) == 0 {
+		return "", false
+	}
+	return stores[s.Random.IntN(len(stores))].Address, true
+}
+
+func (o *outside) tick(s *statemachine.Env) {
+	for _, requestID := range slices.Sorted(maps.Keys(o.waiting)) {
+		waiting := o.waiting[requestID]
+		if s.Now >= waiting.until {
+			delete(o.waiting, requestID)
+			switch {
+			case waiting.write != nil && waiting.open > 0:
+				s.Reply(waiting.outer, answerCode(errcode.ConfigurationUnsure, "no answer in time"))
+			default:
+				s.Reply(waiting.outer, answerCode(errcode.ConfigurationNoHolder, "no holder in time"))
+			}
+			continue
+		}
+		if s.Now < waiting.nextAt {
+			continue
+		}
+		address, found := o.holder(s)
+		waiting.nextAt = s.Now + o.m.settings.UpdatesEvery()
+		if !found {
+			continue
+		}
+		if waiting.target == address {
+			// Asked already: give that holder time before asking the same again.
+			waiting.nextAt = s.Now + o.m.settings.Lease()/2
+		}
+		waiting.target = address
+		if waiting.write != nil {
+			waiting.open++
+			s.Send(address, *waiting.write)
+		} else {
+			s.Send(address, *waiting.get)
+		}
+	}
+}
+
+func (o *outside) handle(s *statemachine.Env, msg any) bool {
+	response, isResponse := msg.(message.StoreResponse)
+	if !isResponse {
+		return false
+	}
+	waiting, known := o.waiting[response.RequestID]
+	if !known {
+		return true
+	}
+	code := errcode.Code(response.Code)
+	switch code {
+	case errcode.ConfigurationNoHolder, errcode.ConfigurationBehind:
+		o.hint = response.Holder
+		waiting.open--
+		waiting.nextAt = s.Now + o.m.settings.UpdatesEvery()/2
+		if response.Holder != "" && code == errcode.ConfigurationNoHolder {
+			waiting.target = ""
+		}
+		return true
+	case errcode.ConfigurationUnsure:
+		// The store lost its lease midway; the same bytes settle it at the next one.
+		waiting.target, waiting.nextAt = "", s.Now+o.m.settings.UpdatesEvery()
+		return true
+	}
+	delete(o.waiting, response.RequestID)
+	if waiting.get != nil && code == errcode.OK && !waiting.get.List {
+		s.Reply(waiting.outer, Answer{Code: errcode.OK, Body: response.Body, Raw: true})
+		return true
+	}
+	if waiting.get != nil && code == errcode.OK {
+		s.Reply(waiting.outer, answerJSON(errcode.OK, map[string]any{"configuration": response.ConfigName, "versions": response.Versions, "configurations": response.ConfigNames}))
+		return true
+	}
+	if waiting.write != nil && code == errcode.OK {
+		// Settled is settled: this voter and its peers pass it on at once, whatever
+		// becomes of the configstore that settled it.
+		committed := message.ConfigurationCommitted{ConfigName: response.ConfigName, Version: response.Version, Body: waiting.write.Body}
+		if len(response.Body) > 0 {
+			committed.Body = response.Body
+		}
+		o.m.distribution.WriteConfiguration(s, committed.ConfigName, committed.Version, committed.Body)
+		for _, peer := range o.m.Peers() {
+			s.Send(peer.Address, committed)
+		}
+	}
+	answer := map[string]any{"code": response.Code, "result": code.String(), "configuration": response.ConfigName, "version": response.Version}
+	if response.Detail != "" {
+		answer["detail"] = response.Detail
+	}
+	if len(response.Faults) > 0 {
+		answer["faults"] = response.Faults
+	}
+	s.Reply(waiting.outer, answerJSON(code, answer))
+	return true
+}
+
+// configurationStatus says which proxy has which version in force, as its heartbeats tell.
+func (m *Machine) configurationStatus(s *statemachine.Env, configName string, wanted int64) Answer {
+	version, _, known := m.distribution.ConfigName(configName)
+	wanted = max(wanted, version)
+	lacking := []string{}
+	if !known {
+		return answerCode(errcode.ConfigurationNotFound, configName)
+	}
+	age, _ := m.distribution.Age(distribution.ConfigurationTopic(configName), s.Now)
+	inForce := map[string]int64{}
+	everywhere := true
+	for _, proxyNode := range m.membership.Alive(message.RoleProxy) {
+		inForce[proxyNode.Name] = 0
+		if seen, heartbeats := m.proxies[proxyNode.Name]; heartbeats {
+			for _, mark := range seen.batch.Marks {
+				if mark.Topic == distribution.ConfigurationTopic(configName) {
+					inForce[proxyNode.Name] = mark.Seq
+				}
+			}
+		}
+		if inForce[proxyNode.Name] < wanted {
+			everywhere = false
+			lacking = append(lacking, proxyNode.Name)
+		}
+	}
+	return answerJSON(errcode.OK, map[string]any{"configuration": configName, "version": version, "age_ms": age.Milliseconds(), "in_force": inForce, "everywhere": everywhere, "wanted": wanted, "lacking": lacking})
+}
+
+func (m *Machine) ready(s *statemachine.Env) Answer {
+	switch {
+	case m.Failure() != nil:
+		return answerCode(errcode.DiskFault, "")
+	case m.quorum.ShutOut || m.membership.Superseded():
+		return answerCode(errcode.VoterShutOut, "")
+	case !m.quorum.Voting() && !m.quorum.Spare(s):
+		return answerCode(errcode.VoterRecovering, "")
+	case m.stopping || !m.membership.Joined():
+		return answerCode(errcode.BusyNotReady, "")
+	}
+	for _, tag := range m.settings.Zones {
+		if age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now); !known || age > m.settings.StaleReady() {
+			return answerCode(errcode.BusyNotReady, "slice "+tag)
+		}
+	}
+	return answerCode(errcode.OK, "ready")
+}
+
+var stateNames = []string{"alive", "suspect", "dead", "left"}
+
+func (m *Machine) status(s *statemachine.Env) Answer {
+	members := []map[string]any{}
+	for _, member := range m.membership.All() {
+		members = append(members, map[string]any{"name": member.Name, "role": member.Role, "voter": member.Voter, "zone": member.Zone,
+			"address": member.Address, "state": stateNames[member.State&3], "incarnation": member.Incarnation})
+	}
+	leases := map[string]any{}
+	for _, tag := range append(append([]string{}, m.settings.Zones...), settings.UsageTag) {
+		leases[tag] = map[string]any{"epoch": m.leases.Epoch(tag), "holder": m.leases.Holder(tag), "here": m.leases.Holding(tag, s.Now)}
+	}
+	slices := map[string]any{}
+	for _, tag := range m.settings.Zones {
+		mark := m.slices[tag].Mark
+		age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now)
+		slices[tag] = map[string]any{"epoch": mark.Epoch, "seq": mark.Seq, "count": mark.Count, "age_ms": age.Milliseconds(), "known": known, "whole": m.whole[tag]}
+	}
+	configNames := map[string]any{}
+	for _, configName := range m.settings.ConfigNames {
+		version, body, known := m.distribution.ConfigName(configName)
+		age, _ := m.distribution.Age(distribution.ConfigurationTopic(configName), s.Now)
+		configNames[configName] = map[string]any{"version": version, "bytes": len(body), "known": known, "age_ms": age.Milliseconds()}
+	}
+	relays := map[string]any{}
+	for name, seen := range m.proxies {
+		relays[name] = map[string]any{"path": seen.batch.Path, "ready": seen.batch.Ready, "heard_ms": (s.Now - seen.at).Milliseconds()}
+	}
+	parent, path, moves := m.distribution.Parent()
+	return answerJSON(errcode.OK, map[string]any{"node": m.settings.Node, "voter": m.quorum.Voter, "voting": m.quorum.Voting(), "shut_out": m.quorum.ShutOut,
+		"members": members, "relays": relays, "leases": leases, "slices": slices, "configurations": configNames,
+		"updates": map[string]any{"from": parent, "path": path, "moves": moves}, "usage": map[string]any{"reported": m.usage.reported}})
+}
+
+func (m *Machine) roster(s *statemachine.Env) Answer {
+	slices := map[string][]map[string]any{}
+	for _, tag := range m.settings.Zones {
+		slices[tag] = []map[string]any{}
+		for _, registration := range m.slices[tag].List() {
+			slices[tag] = append(slices[tag], map[string]any{"service": registration.Service, "instance": registration.Instance,
+				"incarnation": registration.Incarnation, "address": registration.Address, "slots": registration.Slots,
+				"state": registration.State, "serving_proxy": registration.ServingProxy})
+		}
+	}
+	return answerJSON(errcode.OK, map[string]any{"slices": slices})
+}
--- a/internal/callboard/usage.go
+++ b/internal/registry/usage.go
@@ -1,10 +1,10 @@
-// This file is the usage report. Ushers count answered queries by window and tenant,
-// cumulatively, and repeat the counts with their beats until the window is sealed.
-// The keeper of the usage tag sums a window a while after its end, gets the sum synced
-// on a majority under its epoch, and only then reports it. A new keeper first reads a
+// This file is the usage report. Proxies count answered requests by window and tenant,
+// cumulatively, and repeat the counts with their heartbeats until the window is sealed.
+// The holder of the usage tag sums a window a while after its end, gets the sum synced
+// on a majority under its epoch, and only then reports it. A new holder first reads a
 // majority: a value found there is settled again unchanged, so that a window has one
 // value for ever, whoever reports it.
-package callboard
+package registry
 
 import (
 	"maps"
@@ -13,10 +13,10 @@
 	"strconv"
 	"time"
 
-	"beaconvane/internal/cue"
-	"beaconvane/internal/notice"
-	"beaconvane/internal/playbill"
-	"beaconvane/internal/script"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
 )
 
 const (
@@ -26,9 +26,9 @@
 
 type usage struct {
 	m        *Machine
-	sealed   map[int64]script.UsageSealed
+	sealed   map[int64]message.UsageSealed
 	final    map[int64]bool
-	counts   map[int64]map[string]script.UsageLife
+	counts   map[int64]map[string]message.UsageLife
 	closed   map[string]int64
 	changed  map[int64]map[string]bool
 	saving   bool
@@ -40,13 +40,13 @@
 	ready    bool
 	reads    map[string]string
 	acks     map[string]string
-	open     *script.UsageSealed
+	open     *message.UsageSealed
 	sentAt   time.Duration
 	reportAt time.Duration
 }
 
-func newUsage(m *Machine, sealed []script.UsageSealed, reported int64) *usage {
-	u := &usage{m: m, sealed: map[int64]script.UsageSealed{}, final: map[int64]bool{}, counts: map[int64]map[string]script.UsageLife{},
+func newUsage(m *Machine, sealed []message.UsageSealed, reported int64) *usage {
+	u := &usage{m: m, sealed: map[int64]message.UsageSealed{}, final: map[int64]bool{}, counts: map[int64]map[string]message.UsageLife{},
 		closed: map[string]int64{}, changed: map[int64]map[string]bool{}, reported: reported}
 	for _, window := range sealed {
 		u.restore(window)
@@ -54,7 +54,7 @@
 	return u
 }
 
-func (u *usage) restore(sealed script.UsageSealed) {
+func (u *usage) restore(sealed message.UsageSealed) {
 	if held, known := u.sealed[sealed.Window]; !known || held.Epoch <= sealed.Epoch {
 		u.sealed[sealed.Window] = sealed
 	}
@@ -73,8 +73,8 @@
 	return newest
 }
 
-func (u *usage) list() []script.UsageSealed {
-	list := []script.UsageSealed{}
+func (u *usage) list() []message.UsageSealed {
+	list := []message.UsageSealed{}
 	for _, sealed := range u.sealed {
 		list = append(list, sealed)
 	}
@@ -82,7 +82,7 @@
 	return list
 }
 
-// sealedBelow: ushers need not repeat windows below it. A collector that is down must
+// sealedBelow: proxies need not repeat windows below it. A collector that is down must
 // not make them repeat what is sealed and only waits to be reported.
 func (u *usage) sealedBelow() int64 {
 	window := u.reported + 1
@@ -93,21 +93,21 @@
 }
 
 // settled: a window whose value is known here needs no counts any more.
-func (u *usage) settled(window int64) bool {
+func (u *usage) committed(window int64) bool {
 	_, sealed := u.sealed[window]
 	return sealed || window <= u.reported
 }
 
-// count takes the cumulative counts of a usher; the newest per life of a usher holds.
-func (u *usage) count(s *cue.Stage, told script.UsageTold) {
-	life := told.Usher + "/" + strconv.FormatInt(told.Birth, 36)
-	u.closed[told.Usher] = max(u.closed[told.Usher], told.Closed)
-	for _, window := range told.Counts {
+// count takes the cumulative counts of a proxy; the newest per life of a proxy holds.
+func (u *usage) count(s *statemachine.Env, response message.UsageUpdate) {
+	life := response.Proxy + "/" + strconv.FormatInt(response.Birth, 36)
+	u.closed[response.Proxy] = max(u.closed[response.Proxy], response.Closed)
+	for _, window := range response.Counts {
 		held, known := u.counts[window.Window][life]
-		if u.settled(window.Window) || known && told.Number <= held.Number {
+		if u.committed(window.Window) || known && response.Number <= held.Number {
 			continue
 		}
-		u.keep(script.UsageLife{Window: window.Window, Life: life, Number: told.Number, Counts: window.Counts, Open: window.Open})
+		u.keep(message.UsageLife{Window: window.Window, Life: life, Number: response.Number, Counts: window.Counts, Open: window.Open})
 		if !known || !maps.Equal(held.Counts, window.Counts) || !maps.Equal(held.Open, window.Open) {
 			if u.changed[window.Window] == nil {
 				u.changed[window.Window] = map[string]bool{}
@@ -118,20 +118,20 @@
 	u.save(s)
 }
 
-func (u *usage) keep(told script.UsageLife) {
-	if u.counts[told.Window] == nil {
-		u.counts[told.Window] = map[string]script.UsageLife{}
+func (u *usage) keep(response message.UsageLife) {
+	if u.counts[response.Window] == nil {
+		u.counts[response.Window] = map[string]message.UsageLife{}
 	}
-	u.counts[told.Window][told.Life] = told
+	u.counts[response.Window][response.Life] = response
 }
 
 // save puts changed counts on disk, one write at a time, the next as soon as the last
 // is done; on a disk slower than it should be as long a rest is left to the votes.
-func (u *usage) save(s *cue.Stage) {
+func (u *usage) save(s *statemachine.Env) {
 	if u.saving || s.Now < u.saveAt || len(u.changed) == 0 {
 		return
 	}
-	record := script.UsageHeld{Lives: []script.UsageLife{}}
+	record := message.UsageHeld{Lives: []message.UsageLife{}}
 	for _, life := range u.held().Lives {
 		if u.changed[life.Window][life.Life] {
 			record.Lives = append(record.Lives, life)
@@ -143,10 +143,10 @@
 	}
 	u.saving = true
 	began := s.Now
-	u.m.Persist(s, record, func(s *cue.Stage, _ error) {
+	u.m.Persist(s, record, func(s *statemachine.Env, _ error) {
 		u.saving = false
-		u.saveAt = began + u.m.config.SaveEvery()
-		if took := s.Now - began; took > u.m.config.SlowSync() {
+		u.saveAt = began + u.m.settings.SaveEvery()
+		if took := s.Now - began; took > u.m.settings.SlowSync() {
 			u.saveAt = s.Now + took
 		}
 		u.save(s)
@@ -154,10 +154,10 @@
 }
 
 // held lists the counts of windows not reported yet.
-func (u *usage) held() script.UsageHeld {
-	held := script.UsageHeld{Lives: []script.UsageLife{}}
+func (u *usage) held() message.UsageHeld {
+	held := message.UsageHeld{Lives: []message.UsageLife{}}
 	for window, lives := range u.counts {
-		if u.settled(window) {
+		if u.committed(window) {
 			continue
 		}
 		for _, life := range lives {
@@ -171,7 +171,7 @@
 	return held
 }
 
-func (u *usage) regain(held script.UsageHeld) {
+func (u *usage) regain(held message.UsageHeld) {
 	for _, life := range held.Lives {
 		if life.Number >= u.counts[life.Window][life.Life].Number {
 			u.keep(life)
@@ -179,37 +179,37 @@
 	}
 }
 
-func (u *usage) took(s *cue.Stage, epoch int64) {
+func (u *usage) took(s *statemachine.Env, epoch int64) {
 	u.epoch, u.reading, u.ready, u.open, u.readFor = epoch, true, false, nil, 0
-	u.reads = map[string]string{u.m.seating.Seat: u.m.seating.State.Identity}
+	u.reads = map[string]string{u.m.quorum.Voter: u.m.quorum.State.Identity}
 	u.sentAt = 0
 }
 
 func (u *usage) lost() { u.reading, u.ready, u.open = false, false, nil }
 
-// forget drops the values a seat vouched for. The counts are the ushers' word, and stay.
+// forget drops the values a voter vouched for. The counts are the proxies' word, and stay.
 func (u *usage) forget() {
-	u.sealed, u.final, u.reported, u.epoch = map[int64]script.UsageSealed{}, map[int64]bool{}, 0, 0
+	u.sealed, u.final, u.reported, u.epoch = map[int64]message.UsageSealed{}, map[int64]bool{}, 0, 0
 	u.reading, u.ready, u.open, u.readFor = false, false, nil, 0
 }
 
-func (u *usage) tick(s *cue.Stage) {
+func (u *usage) tick(s *statemachine.Env) {
 	for window := range u.counts {
-		if u.settled(window) {
+		if u.committed(window) {
 			delete(u.counts, window)
 			delete(u.changed, window)
 		}
 	}
 	u.save(s)
-	if !u.m.tenures.Holding(playbill.UsageTag, s.Now) {
+	if !u.m.leases.Holding(settings.UsageTag, s.Now) {
 		return
 	}
-	again := s.Now-u.sentAt >= u.m.config.DigestEvery()
+	again := s.Now-u.sentAt >= u.m.settings.DigestEvery()
 	switch {
 	case u.reading && again:
 		u.sentAt = s.Now
 		for _, peer := range u.m.Peers() {
-			s.Send(peer.Address, script.UsageRead{Epoch: u.epoch, Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp()})
+			s.Send(peer.Address, message.UsageRead{Epoch: u.epoch, Voter: u.m.quorum.Voter, Identity: u.m.quorum.Signature()})
 		}
 		u.readEnough()
 	case u.open != nil && again:
@@ -222,8 +222,8 @@
 
 // sealNext takes the oldest window that is over, was not reported and has no final
 // value under this epoch.
-func (u *usage) sealNext(s *cue.Stage) {
-	length := u.m.config.UsageWindow()
+func (u *usage) sealNext(s *statemachine.Env) {
+	length := u.m.settings.UsageWindow()
 	current := int64(s.Wall / length)
 	if u.reported == 0 {
 		// Nothing was ever reported: begin with the oldest window that has a value or
@@ -242,26 +242,26 @@
 			continue
 		}
 		end := time.Duration(window+1) * length
-		if s.Wall < end+u.m.config.SealAfter() && !(s.Wall >= end+u.m.config.SealAfter()/8 && u.allClosed(window)) {
+		if s.Wall < end+u.m.settings.SealAfter() && !(s.Wall >= end+u.m.settings.SealAfter()/8 && u.allClosed(window)) {
 			return
 		}
 		if u.readFor != window {
-			// Counts of a usher that died may be with another seat only: ask first.
+			// Counts of a proxy that died may be with another voter only: ask first.
 			u.readFor, u.reading, u.sentAt = window, true, 0
-			u.reads = map[string]string{u.m.seating.Seat: u.m.seating.State.Identity}
+			u.reads = map[string]string{u.m.quorum.Voter: u.m.quorum.State.Identity}
 			return
 		}
 		value, known := u.sealed[window]
 		if !known {
-			value = script.UsageSealed{Window: window, Counts: u.sum(window)}
+			value = message.UsageSealed{Window: window, Counts: u.sum(window)}
 		}
 		value.Epoch = u.epoch
 		u.open, u.acks = &value, map[string]string{}
 		u.sealed[window] = value
 		u.sentAt = s.Now
-		u.m.Persist(s, value, func(s *cue.Stage, failure error) {
+		u.m.Persist(s, value, func(s *statemachine.Env, failure error) {
 			if failure == nil && u.open != nil && u.open.Window == value.Window && u.open.Epoch == value.Epoch {
-				u.ack(s, u.m.seating.Seat, u.m.seating.State.Identity)
+				u.ack(s, u.m.quorum.Voter, u.m.quorum.State.Identity)
 			}
 		})
 		u.send(s)
@@ -269,19 +269,19 @@
 	}
 }
 
-// allClosed: every usher that is known or was heard lately has closed the window.
+// allClosed: every proxy that is known or was heard lately has closed the window.
 // One that is cut off or frozen is waited for, since its counts may still come; one
 // that said goodbye is not.
 func (u *usage) allClosed(window int64) bool {
-	for _, name := range slices.Sorted(maps.Keys(u.m.ushers)) {
-		if member, known := u.m.company.Find(name); known && member.State == script.Left {
+	for _, name := range slices.Sorted(maps.Keys(u.m.proxies)) {
+		if member, known := u.m.membership.Find(name); known && member.State == message.Left {
 			continue
 		}
 		if u.closed[name] <= window {
 			return false
 		}
 	}
-	for _, member := range u.m.company.Alive(script.RoleUsher) {
+	for _, member := range u.m.membership.Alive(message.RoleProxy) {
 		if u.closed[member.Name] <= window {
 			return false
 		}
@@ -304,35 +304,35 @@
 	return sums
 }
 
-func (u *usage) send(s *cue.Stage) {
+func (u *usage) send(s *statemachine.Env) {
 	u.sentAt = s.Now
 	for _, peer := range u.m.Peers() {
-		s.Send(peer.Address, script.UsageSeal{Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(), Sealed: *u.open, Reported: u.reported})
+		s.Send(peer.Address, message.UsageSeal{Voter: u.m.quorum.Voter, Identity: u.m.quorum.Signature(), Sealed: *u.open, Reported: u.reported})
 	}
 }
 
-func (u *usage) ack(s *cue.Stage, seat, identity string) {
-	u.acks[seat] = identity
-	if !u.m.seating.Majority(u.acks) {
+func (u *usage) ack(s *statemachine.Env, voter, identity string) {
+	u.acks[voter] = identity
+	if !u.m.quorum.Majority(u.acks) {
 		return
 	}
 	u.final[u.open.Window] = true
-	s.Note("usage-sealed", 0, u.epoch, strconv.FormatInt(u.open.Window, 10))
+	s.Event("usage-sealed", 0, u.epoch, strconv.FormatInt(u.open.Window, 10))
 	u.open = nil
 	u.reportAt = 0
 }
 
 // report sends the oldest sealed window until the collector has it.
-func (u *usage) report(s *cue.Stage) {
+func (u *usage) report(s *statemachine.Env) {
 	window := u.reported + 1
-	if !u.final[window] || s.Now < u.reportAt || u.m.config.Collector == "" {
-		if u.final[window] && u.m.config.Collector == "" {
+	if !u.final[window] || s.Now < u.reportAt || u.m.settings.Collector == "" {
+		if u.final[window] && u.m.settings.Collector == "" {
 			u.done(s, window)
 		}
 		return
 	}
-	u.reportAt = s.Now + u.m.config.ReportEvery()
-	s.Report(Report{Window: window, Counts: u.sealed[window].Counts, Epoch: u.epoch, Until: s.Now + u.m.config.Tenure()/2})
+	u.reportAt = s.Now + u.m.settings.ReportEvery()
+	s.Report(Report{Window: window, Counts: u.sealed[window].Counts, Epoch: u.epoch, Until: s.Now + u.m.settings.Lease()/2})
 }
 
 // Report is the effect's body: what the collector gets, and until when it may be sent.
@@ -346,43 +346,43 @@
 // Reported is the question by which the process says that the collector has a window.
 type Reported struct{ Window int64 }
 
-func (u *usage) done(s *cue.Stage, window int64) {
+func (u *usage) done(s *statemachine.Env, window int64) {
 	if window != u.reported+1 {
 		return
 	}
 	u.reported = window
 	u.reportAt = 0
 	delete(u.final, window)
-	u.m.Persist(s, script.UsageReported{Window: window}, func(*cue.Stage, error) {})
+	u.m.Persist(s, message.UsageReported{Window: window}, func(*statemachine.Env, error) {})
 }
 
-func (u *usage) hear(s *cue.Stage, from string, message any) bool {
-	switch heard := message.(type) {
-	case script.UsageRead:
-		if u.m.tenures.Epoch(playbill.UsageTag) == heard.Epoch && u.m.seating.Standing() && u.m.seating.Holds(heard.Seat, heard.Identity) {
-			s.Send(from, script.UsageReadTold{Epoch: heard.Epoch, Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(),
+func (u *usage) handle(s *statemachine.Env, from string, msg any) bool {
+	switch received := msg.(type) {
+	case message.UsageRead:
+		if u.m.leases.Epoch(settings.UsageTag) == received.Epoch && u.m.quorum.Voting() && u.m.quorum.Holds(received.Voter, received.Identity) {
+			s.Send(from, message.UsageReadResponse{Epoch: received.Epoch, Voter: u.m.quorum.Voter, Identity: u.m.quorum.Signature(),
 				Sealed: u.tail(), Reported: u.reported, Held: u.held()})
 		}
-	case script.UsageReadTold:
-		if !u.reading || heard.Epoch != u.epoch {
+	case message.UsageReadResponse:
+		if !u.reading || received.Epoch != u.epoch {
 			return true
 		}
-		for _, sealed := range heard.Sealed {
+		for _, sealed := range received.Sealed {
 			u.restore(sealed)
 		}
-		u.reported = max(u.reported, heard.Reported)
-		for _, life := range heard.Held.Lives {
+		u.reported = max(u.reported, received.Reported)
+		for _, life := range received.Held.Lives {
 			if life.Window > u.reported && life.Number > u.counts[life.Window][life.Life].Number {
 				u.keep(life)
 			}
 		}
-		u.reads[heard.Seat] = heard.Identity
+		u.reads[received.Voter] = received.Identity
 		u.readEnough()
-	case script.UsageSeal:
-		u.hearSeal(s, from, heard)
-	case script.UsageSealTold:
-		if u.open != nil && heard.Window == u.open.Window && heard.Epoch == u.epoch {
-			u.ack(s, heard.Seat, heard.Identity)
+	case message.UsageSeal:
+		u.handleSeal(s, from, received)
+	case message.UsageSealResponse:
+		if u.open != nil && received.Window == u.open.Window && received.Epoch == u.epoch {
+			u.ack(s, received.Voter, received.Identity)
 		}
 	default:
 		return false
@@ -391,7 +391,7 @@
 }
 
 func (u *usage) readEnough() {
-	if u.m.seating.Majority(u.reads) {
+	if u.m.quorum.Majority(u.reads) {
 		u.reading = false
 		if !u.ready {
 			u.ready, u.final = true, map[int64]bool{}
@@ -399,21 +399,21 @@
 	}
 }
 
-func (u *usage) hearSeal(s *cue.Stage, from string, seal script.UsageSeal) {
-	if seal.Sealed.Epoch < u.m.tenures.Epoch(playbill.UsageTag) || !u.m.seating.Standing() || !u.m.seating.Holds(seal.Seat, seal.Identity) {
+func (u *usage) handleSeal(s *statemachine.Env, from string, seal message.UsageSeal) {
+	if seal.Sealed.Epoch < u.m.leases.Epoch(settings.UsageTag) || !u.m.quorum.Voting() || !u.m.quorum.Holds(seal.Voter, seal.Identity) {
 		return
 	}
 	u.reported = max(u.reported, seal.Reported)
 	u.restore(seal.Sealed)
-	u.m.Persist(s, seal.Sealed, func(s *cue.Stage, failure error) {
+	u.m.Persist(s, seal.Sealed, func(s *statemachine.Env, failure error) {
 		if failure == nil {
-			s.Send(from, script.UsageSealTold{Seat: u.m.seating.Seat, Identity: u.m.seating.Stamp(), Window: seal.Sealed.Window, Epoch: seal.Sealed.Epoch})
+			s.Send(from, message.UsageSealResponse{Voter: u.m.quorum.Voter, Identity: u.m.quorum.Signature(), Window: seal.Sealed.Window, Epoch: seal.Sealed.Epoch})
 		}
 	})
 }
 
 // tail lists the sealed windows that may not have been reported yet.
-func (u *usage) tail() []script.UsageSealed {
+func (u *usage) tail() []message.UsageSealed {
 	list := u.list()
 	if len(list) > windowsKept/4 {
 		list = list[len(list)-windowsKept/4:]
@@ -425,7 +425,7 @@
 func (u *usage) read(window int64) Answer {
 	held, known := u.sealed[window]
 	if !known || window > u.reported && !u.final[window] {
-		return answerCode(notice.UsageNotFound, strconv.FormatInt(window, 10))
+		return answerCode(errcode.UsageNotFound, strconv.FormatInt(window, 10))
 	}
-	return answerJSON(notice.OK, map[string]any{"window": window, "counts": maps.Clone(held.Counts)})
+	return answerJSON(errcode.OK, map[string]any{"window": window, "counts": maps.Clone(held.Counts)})
 }
--- a/internal/blocking/calendar.go
+++ b/internal/routeconfig/calendar.go
@@ -4,7 +4,7 @@
 // that overlapping entries join. Times are local to the zone: at a change of the
 // clocks an opening that does not exist that day is skipped by the library, and the
 // length counts in real minutes.
-package blocking
+package routeconfig
 
 import (
 	"fmt"
--- a/internal/blocking/hosted_test.go
+++ b/internal/routeconfig/hosted_test.go
@@ -1,6 +1,6 @@
-// Sheets whose routes are bound to hosts: what is found, how splits fall, whose queries
-// go first, and each kind of sheet that is refused.
-package blocking
+// Configurations whose routes are bound to hosts: what is found, how splits fall, whose requests
+// go first, and each kind of configuration that is refused.
+package routeconfig
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 
 const hosted = `{"version":7,"limits":{"head_bytes":16384,"body_bytes":67108864,"head_ms":3000,"idle_ms":15000},
 "tenants":[{"name":"first","keys":["k1","k2"],"priority":1},{"name":"silent","keys":["k3"]}],
-"services":[{"name":"a","liveness":"/health","wires":130,"protocol":"h1","tls":false},{"name":"b"},"c"],
+"services":[{"name":"a","health":"/health","connections":130,"protocol":"h1","tls":false},{"name":"b"},"c"],
 "routes":[{"name":"short","host":"One.example","prefix":"/x/","service":"a","kind":"repeatable","timeout_ms":1200,"attempts":2,"aim_ms":500,"priority":2},
 {"name":"long","host":"one.example","prefix":"/x/y/","split":[{"service":"a","weight":90},{"service":"b","weight":10},{"service":"c","weight":0}],"kind":"once","timeout_ms":1500},
 {"name":"big","host":"one.example","prefix":"/big/","service":"c","kind":"upload","timeout_ms":4000,"open":true},
@@ -21,39 +21,39 @@
 {"name":"silent","host":"two.example","prefix":"/","service":"b","timeout_ms":1000},
 {"name":"unbound","path":"/x","match":"prefix","service":"c","methods":["GET"],"callers":["*"]}]}`
 
-func parsed(c *qt.C, body string) *Layout {
+func parsed(c *qt.C, body string) *Configuration {
 	faults, _ := Check([]byte(body), limits)
 	c.Assert(faults, qt.HasLen, 0)
 	return Parse("main", 7, []byte(body), limits)
 }
 
-// The longest prefix of the query's own host; a host that has routes has those alone.
+// The longest prefix of the request's own host; a host that has routes has those alone.
 func TestHostsAndLongestPrefixes(t *testing.T) {
 	c := qt.New(t)
-	layout := parsed(c, hosted)
-	for query, wanted := range map[string]string{
+	configuration := parsed(c, hosted)
+	for request, wanted := range map[string]string{
 		"one.example /x/1": "short", "one.example /x/": "short", "one.example /x": "", "one.example /xy/1": "", "ONE.example:8080 /x/z/y/": "short",
 		"one.example /x/y/1": "long", "one.example /x/y/": "long", "one.example /x/y": "short", "one.example /x/yy/1": "short",
 		"one.example /x//y/1": "short", "one.example /x/%79/1": "short", "one.example /big/1/2/3": "big", "one.example /": "",
 		"half.example /half": "half", "half.example /half/1": "half", "half.example /halfway": "", "half.example /hal": "",
 		"two.example /x/1": "silent", "two.example /": "silent", "three.example /x/1": "unbound", " /x/1": "unbound", "three.example /big/1": "",
 	} {
-		host, path, _ := strings.Cut(query, " ")
-		route, found := layout.Find(host, "GET", path)
-		c.Check(route.Name, qt.Equals, wanted, qt.Commentf(query))
+		host, path, _ := strings.Cut(request, " ")
+		route, found := configuration.Find(host, "GET", path)
+		c.Check(route.Name, qt.Equals, wanted, qt.Commentf(request))
 		c.Check(found, qt.Equals, wanted != "")
 	}
-	_, found := layout.Find("three.example", "POST", "/x/1")
+	_, found := configuration.Find("three.example", "POST", "/x/1")
 	c.Assert(found, qt.IsFalse)
-	_, found = layout.Find("one.example", "PROPFIND", "/x/1")
+	_, found = configuration.Find("one.example", "PROPFIND", "/x/1")
 	c.Assert(found, qt.IsTrue)
 }
 
 // Services of a split get their parts by weight, and none that has no weight.
 func TestSplitsFallByWeight(t *testing.T) {
 	c := qt.New(t)
-	layout := parsed(c, hosted)
-	long, _ := layout.Named("long")
+	configuration := parsed(c, hosted)
+	long, _ := configuration.Named("long")
 	fallen := map[string]int{}
 	for number := range 1000 {
 		fallen[long.Pick((float64(number)+0.5)/1000)]++
@@ -63,68 +63,68 @@
 	for service, leads := range map[string]bool{"a": true, "b": true, "c": false, "": false} {
 		c.Check(long.Leads(service), qt.Equals, leads)
 	}
-	short, _ := layout.Named("short")
+	short, _ := configuration.Named("short")
 	c.Assert(short.Pick(0.99), qt.Equals, "a")
 	c.Assert(short.Leads("a"), qt.IsTrue)
 	c.Assert(short.Leads("b"), qt.IsFalse)
 }
 
-// What may be repeated is what the sheet says may be; all else runs at most once.
+// What may be repeated is what the configuration says may be; all else runs at most once.
 func TestKindsOfRoutes(t *testing.T) {
 	c := qt.New(t)
-	layout := parsed(c, hosted)
+	configuration := parsed(c, hosted)
 	for name, once := range map[string]bool{"short": false, "long": true, "big": true, "silent": true, "unbound": false} {
-		route, _ := layout.Named(name)
+		route, _ := configuration.Named(name)
 		c.Check(route.Once, qt.Equals, once, qt.Commentf(name))
 	}
-	short, _ := layout.Named("short")
+	short, _ := configuration.Named("short")
 	c.Assert(short.Attempts, qt.Equals, int64(2))
 	c.Assert(short.Aim, qt.Equals, 500*time.Millisecond)
 	c.Assert(short.Limit, qt.Equals, 1200*time.Millisecond)
 	c.Assert(short.Open, qt.IsFalse)
-	c.Assert(layout.Service("a"), qt.Equals, Service{Name: "a", Liveness: "/health", Wires: 130})
-	c.Assert(layout.Service("c"), qt.Equals, Service{Name: "c"})
+	c.Assert(configuration.Service("a"), qt.Equals, Service{Name: "a", Health: "/health", Connections: 130})
+	c.Assert(configuration.Service("c"), qt.Equals, Service{Name: "c"})
 }
 
-// A route may be open, and a sheet without tenants wants no key at all.
-func TestOpenRoutesAndSheetsWithoutTenants(t *testing.T) {
+// A route may be open, and a configuration without tenants wants no key at all.
+func TestOpenRoutesAndConfigurationsWithoutTenants(t *testing.T) {
 	c := qt.New(t)
-	layout := parsed(c, hosted)
-	big, _ := layout.Named("big")
+	configuration := parsed(c, hosted)
+	big, _ := configuration.Named("big")
 	c.Assert(big.Open, qt.IsTrue)
-	c.Assert(layout.Keyless(), qt.IsFalse)
+	c.Assert(configuration.Keyless(), qt.IsFalse)
 	for key, wanted := range map[string]string{"k1": "first", "k2": "first", "k3": "silent", "k": "", "": ""} {
-		tenant, known := layout.Tenant(key)
+		tenant, known := configuration.Tenant(key)
 		c.Check(tenant, qt.Equals, wanted)
 		c.Check(known, qt.Equals, wanted != "")
 	}
-	c.Assert(layout.Honours("first"), qt.IsTrue)
-	c.Assert(layout.Honours(""), qt.IsFalse)
+	c.Assert(configuration.Honours("first"), qt.IsTrue)
+	c.Assert(configuration.Honours(""), qt.IsFalse)
 	bare := parsed(c, `{"services":["a"],"routes":[{"name":"r","host":"h","prefix":"/","service":"a","timeout_ms":1}]}`)
 	c.Assert(bare.Keyless(), qt.IsTrue)
 	route, _ := bare.Named("r")
 	c.Assert(route.Allows("", "anyone"), qt.IsTrue)
 }
 
-// Whose queries go first: by the tenant's priority, among those of one by the route's; a
-// tenant that names none is behind those that do, and what a running query asks is not.
+// Whose requests go first: by the tenant's priority, among those of one by the route's; a
+// tenant that names none is behind those that do, and what a running request asks is not.
 func TestPriorities(t *testing.T) {
 	c := qt.New(t)
-	layout := parsed(c, strings.Replace(hosted, `{"name":"silent","keys":["k3"]}`, `{"name":"silent","keys":["k3"]},{"name":"best","keys":["k4"],"priority":0}`, 1))
+	configuration := parsed(c, strings.Replace(hosted, `{"name":"silent","keys":["k3"]}`, `{"name":"silent","keys":["k3"]},{"name":"best","keys":["k4"],"priority":0}`, 1))
 	last := int64(-1)
 	for _, pair := range []string{"best short", "best long", "first short", "first long", "silent short", "silent long"} {
 		tenant, name, _ := strings.Cut(pair, " ")
-		route, _ := layout.Named(name)
-		rank := layout.Priority(tenant, route)
+		route, _ := configuration.Named(name)
+		rank := configuration.Priority(tenant, route)
 		c.Check(rank > last, qt.IsTrue, qt.Commentf(pair))
 		last = rank
 	}
-	long, _ := layout.Named("long")
-	c.Assert(layout.Priority("", long) < layout.Priority("first", long), qt.IsTrue)
+	long, _ := configuration.Named("long")
+	c.Assert(configuration.Priority("", long) < configuration.Priority("first", long), qt.IsTrue)
 }
 
-// Each kind of sheet that must be refused.
-func TestSheetsThatAreRefused(t *testing.T) {
+// Each kind of configuration that must be refused.
+func TestConfigurationsThatAreRefused(t *testing.T) {
 	c := qt.New(t)
 	lenient := limits
 	lenient.Lenient = true
@@ -160,7 +160,7 @@
 	}
 }
 
-// Fields that nobody knows are refused, or kept and not read: everywhere in a sheet.
+// Fields that nobody knows are refused, or kept and not read: everywhere in a configuration.
 func TestFieldsThatAreNotKnown(t *testing.T) {
 	c := qt.New(t)
 	lenient := limits
--- a/internal/blocking/blocking.go
+++ b/internal/routeconfig/routeconfig.go
@@ -1,12 +1,12 @@
-// Package blocking reads, checks and applies layouts: the operators' route sheets.
-// A sheet is JSON, read and checked by gjson paths; a check lists every fault by its
+// Package blocking reads, checks and applies configurations: the operators' configuration.
+// A configuration is JSON, read and checked by gjson paths; a check lists every fault by its
 // path. Matching is by one normalised path: exact routes before prefixes, longer
 // prefixes before shorter, never two that could both win. The same code serves the
-// store, which refuses bad sheets, and the proxies, which only apply checked ones.
+// store, which refuses bad configurations, and the proxies, which only apply checked ones.
 // A route may be bound to a host: it is then found by that host alone, through an
 // index, and any method and caller will do unless it names some. A split shares its
-// queries among services by weight.
-package blocking
+// requests among services by weight.
+package routeconfig
 
 import (
 	"crypto/sha256"
@@ -19,39 +19,39 @@
 	"github.com/tidwall/gjson"
 )
 
-// Limits bound a sheet. Lenient sheets may hold fields that are not known here; they
+// Limits bound a configuration. Lenient configurations may hold fields that are not known here; they
 // are kept and not read.
 type Limits struct {
 	Bytes   int64
 	Entries int64
-	Query   time.Duration
+	Request time.Duration
 	Lenient bool
 }
 
-// Share is one service's part of a route's queries.
+// Share is one service's part of a route's requests.
 type Share struct {
 	Service string
 	Weight  int64
 }
 
-// Service is what a sheet says of a service: the path that asks for its liveness, and
-// how many wires an upstream of it takes from all callers; "" and 0 are not told.
+// Service is what a configuration says of a service: the path that asks for its health, and
+// how many connections an upstream of it takes from all callers; "" and 0 are not told.
 type Service struct {
-	Name     string
-	Liveness string
-	Wires    int64
+	Name        string
+	Health      string
+	Connections int64
 }
 
 // LeastPriority is the rank of a route or tenant that names none; 0 goes first.
 const LeastPriority = 1 << 20
 
-// Route is one rule: where a kind of query may go, who may ask it.
+// Route is one rule: where a kind of request may go, who may ask it.
 type Route struct {
 	Name     string
 	Host     string
 	Service  string
 	Split    []Share
-	Attempts int64         // upstreams to which one query may be sent; 0: as the budget allows
+	Attempts int64         // upstreams to which one request may be sent; 0: as the budget allows
 	Aim      time.Duration // within which an answer has its full worth; 0: not told
 	Priority int64         // 0 goes first
 	Open     bool          // needs no tenant's key
@@ -66,50 +66,50 @@
 	Calendar *Calendar
 }
 
-// Layout is one version of a sheet, ready to apply.
-type Layout struct {
-	Sheet   string
-	Version int64
-	Routes  []Route
-	keys    map[[sha256.Size]byte]string
-	tenants map[string]bool  // those with a key
-	ranks   map[string]int64 // priorities of the tenants that have one
-	hosts   map[string]map[string][]int
-	kinds   map[string]Service
+// Configuration is one version of a configuration, ready to apply.
+type Configuration struct {
+	ConfigName string
+	Version    int64
+	Routes     []Route
+	keys       map[[sha256.Size]byte]string
+	tenants    map[string]bool  // those with a key
+	ranks      map[string]int64 // priorities of the tenants that have one
+	hosts      map[string]map[string][]int
+	kinds      map[string]Service
 }
 
-// Keyless says that no tenants are told at all: then no query wants a key.
-func (l *Layout) Keyless() bool { return len(l.keys) == 0 }
+// Keyless says that no tenants are told at all: then no request wants a key.
+func (l *Configuration) Keyless() bool { return len(l.keys) == 0 }
 
-// Priority orders the queries of a layout: by their tenants' priorities, and among
+// Priority orders the requests of a configuration: by their tenants' priorities, and among
 // those of one by their routes'. A tenant that names none goes behind those that do; a
-// query without a tenant is a running one's, whose work would be lost with it.
-func (l *Layout) Priority(tenant string, route Route) int64 {
-	rank, told := l.ranks[tenant]
-	if !told && tenant != "" {
+// request without a tenant is a running one's, whose work would be lost with it.
+func (l *Configuration) Priority(tenant string, route Route) int64 {
+	rank, response := l.ranks[tenant]
+	if !response && tenant != "" {
 		rank = LeastPriority
 	}
 	return rank*(LeastPriority+1) + min(route.Priority, LeastPriority)
 }
 
-// Service gives what the sheet says of a service.
-func (l *Layout) Service(name string) Service { return l.kinds[name] }
+// Service gives what the configuration says of a service.
+func (l *Configuration) Service(name string) Service { return l.kinds[name] }
 
 // Honours says that some key of a tenant is honoured.
-func (l *Layout) Honours(tenant string) bool { return l.tenants[tenant] }
+func (l *Configuration) Honours(tenant string) bool { return l.tenants[tenant] }
 
 var (
-	sheetKeys   = []string{"version", "services", "tenants", "routes", "limits", "note"}
-	tenantKeys  = []string{"name", "keys", "priority"}
-	serviceKeys = []string{"name", "liveness", "wires", "protocol", "tls"}
-	routeKeys   = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar",
+	configurationKeys = []string{"version", "services", "tenants", "routes", "limits", "note"}
+	tenantKeys        = []string{"name", "keys", "priority"}
+	serviceKeys       = []string{"name", "health", "connections", "protocol", "tls"}
+	routeKeys         = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar",
 		"host", "prefix", "kind", "split", "attempts", "aim_ms", "priority", "open"}
 	limitKeys  = []string{"head_bytes", "body_bytes", "head_ms", "idle_ms"}
 	kindList   = []string{"repeatable", "once", "upload"}
 	methodList = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
 
-// Check lists the faults of a sheet's bytes; tooLarge tells 413 from 422.
+// Check lists the faults of a configuration's bytes; tooLarge tells 413 from 422.
 func Check(body []byte, limits Limits) (faults []string, tooLarge bool) {
 	if int64(len(body)) > limits.Bytes {
 		return []string{fmt.Sprintf("$: %d bytes, the limit is %d", len(body), limits.Bytes)}, true
@@ -122,7 +122,7 @@
 		return []string{"$: want an object"}, false
 	}
 	check := &checker{lenient: limits.Lenient}
-	check.keys("", root, sheetKeys)
+	check.keys("", root, configurationKeys)
 	check.number("version", root.Get("version"), 0)
 	if bounds := root.Get("limits"); bounds.Exists() {
 		check.keys("limits.", bounds, limitKeys)
@@ -220,7 +220,7 @@
 		check.number(path+".attempts", route.Get("attempts"), 0)
 		check.number(path+".aim_ms", route.Get("aim_ms"), 0)
 		check.rank(path+".priority", route.Get("priority"))
-		check.number(path+".timeout_ms", route.Get("timeout_ms"), int64(limits.Query/time.Millisecond))
+		check.number(path+".timeout_ms", route.Get("timeout_ms"), int64(limits.Request/time.Millisecond))
 		check.number(path+".body_bytes", route.Get("body_bytes"), 0)
 		if calendar := route.Get("calendar"); calendar.Exists() {
 			for _, text := range CheckCalendar(calendar) {
@@ -245,7 +245,7 @@
 		if item.IsObject() {
 			c.keys(path+".", item, serviceKeys)
 			name = item.Get("name")
-			c.number(path+".wires", item.Get("wires"), 0)
+			c.number(path+".connections", item.Get("connections"), 0)
 			path += ".name"
 		}
 		text := c.text(path, name)
@@ -361,25 +361,25 @@
 	}
 }
 
-// Parse reads a sheet that Check has passed.
-func Parse(sheet string, version int64, body []byte, limits Limits) *Layout {
-	layout := &Layout{Sheet: sheet, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
+// Parse reads a configuration that Check has passed.
+func Parse(configName string, version int64, body []byte, limits Limits) *Configuration {
+	configuration := &Configuration{ConfigName: configName, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
 		ranks: map[string]int64{}, hosts: map[string]map[string][]int{}, kinds: map[string]Service{}}
 	root := gjson.ParseBytes(body)
 	for _, item := range root.Get("services").Array() {
 		service := Service{Name: item.String()}
 		if item.IsObject() {
-			service = Service{Name: item.Get("name").String(), Liveness: item.Get("liveness").String(), Wires: item.Get("wires").Int()}
+			service = Service{Name: item.Get("name").String(), Health: item.Get("health").String(), Connections: item.Get("connections").Int()}
 		}
-		layout.kinds[service.Name] = service
+		configuration.kinds[service.Name] = service
 	}
 	for _, tenant := range root.Get("tenants").Array() {
 		if rank := tenant.Get("priority"); rank.Exists() {
-			layout.ranks[tenant.Get("name").String()] = rank.Int()
+			configuration.ranks[tenant.Get("name").String()] = rank.Int()
 		}
 		for _, key := range tenant.Get("keys").Array() {
-			layout.keys[sha256.Sum256([]byte(key.String()))] = tenant.Get("name").String()
-			layout.tenants[tenant.Get("name").String()] = true
+			configuration.keys[sha256.Sum256([]byte(key.String()))] = tenant.Get("name").String()
+			configuration.tenants[tenant.Get("name").String()] = true
 		}
 	}
 	set := func(value gjson.Result) map[string]bool {
@@ -404,8 +404,8 @@
 		for _, share := range item.Get("split").Array() {
 			route.Split = append(route.Split, Share{share.Get("service").String(), share.Get("weight").Int()})
 		}
-		if route.Limit <= 0 || route.Limit > limits.Query {
-			route.Limit = limits.Query
+		if route.Limit <= 0 || route.Limit > limits.Request {
+			route.Limit = limits.Request
 		}
 		switch once, kind := item.Get("once"), item.Get("kind"); {
 		case once.Exists():
@@ -422,30 +422,30 @@
 		if calendar := item.Get("calendar"); calendar.Exists() {
 			route.Calendar = ParseCalendar(calendar)
 		}
-		layout.Routes = append(layout.Routes, route)
+		configuration.Routes = append(configuration.Routes, route)
 	}
-	sort.SliceStable(layout.Routes, func(i, j int) bool {
-		left, right := layout.Routes[i], layout.Routes[j]
+	sort.SliceStable(configuration.Routes, func(i, j int) bool {
+		left, right := configuration.Routes[i], configuration.Routes[j]
 		if left.Prefix != right.Prefix {
 			return !left.Prefix
 		}
 		return len(left.Path) > len(right.Path)
 	})
-	for index, route := range layout.Routes {
+	for index, route := range configuration.Routes {
 		if route.Host == "" {
 			continue
 		}
-		if layout.hosts[route.Host] == nil {
-			layout.hosts[route.Host] = map[string][]int{}
+		if configuration.hosts[route.Host] == nil {
+			configuration.hosts[route.Host] = map[string][]int{}
 		}
-		layout.hosts[route.Host][route.Path] = append(layout.hosts[route.Host][route.Path], index)
+		configuration.hosts[route.Host][route.Path] = append(configuration.hosts[route.Host][route.Path], index)
 	}
-	return layout
+	return configuration
 }
 
 // Find gives the route of a host with the longest prefix that begins a raw path; a
 // host without routes of its own has those that are bound to none.
-func (l *Layout) Find(host, method, path string) (Route, bool) {
+func (l *Configuration) Find(host, method, path string) (Route, bool) {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
 	places, known := l.hosts[host]
 	if !known {
@@ -464,7 +464,7 @@
 	return Route{}, false
 }
 
-// Pick chooses the service of a route's query by a number from 0 to below 1.
+// Pick chooses the service of a route's request by a number from 0 to below 1.
 func (r Route) Pick(chance float64) string {
 	total := int64(0)
 	for _, share := range r.Split {
@@ -479,7 +479,7 @@
 	return r.Service
 }
 
-// Leads says that the route may send a query to a service.
+// Leads says that the route may send a request to a service.
 func (r Route) Leads(service string) bool {
 	for _, share := range r.Split {
 		if share.Service == service && share.Weight > 0 {
@@ -490,13 +490,13 @@
 }
 
 // Tenant finds who a key belongs to.
-func (l *Layout) Tenant(key string) (string, bool) {
+func (l *Configuration) Tenant(key string) (string, bool) {
 	tenant, found := l.keys[sha256.Sum256([]byte(key))]
 	return tenant, found
 }
 
 // Match finds the one route for a method and normalised path.
-func (l *Layout) Match(method, path string) (Route, bool) {
+func (l *Configuration) Match(method, path string) (Route, bool) {
 	for _, route := range l.Routes {
 		if route.Host == "" && route.Methods[method] && route.covers(path) {
 			return route, true
@@ -506,7 +506,7 @@
 }
 
 // Named finds a route by its name.
-func (l *Layout) Named(name string) (Route, bool) {
+func (l *Configuration) Named(name string) (Route, bool) {
 	for _, route := range l.Routes {
 		if route.Name == name {
 			return route, true
--- a/internal/blocking/blocking_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -1,5 +1,5 @@
-// Sheets: what is refused and why, what matches, when a calendar is open.
-package blocking
+// Configurations: what is refused and why, what matches, when a calendar is open.
+package routeconfig
 
 import (
 	"strings"
@@ -9,16 +9,16 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var limits = Limits{Bytes: 4000, Entries: 20, Query: 5 * time.Second}
+var limits = Limits{Bytes: 4000, Entries: 20, Request: 5 * time.Second}
 
-const sheet = `{"services":["a","b"],"tenants":[{"name":"t","keys":["k1"]},{"name":"u","keys":["k2"]}],
+const configName = `{"services":["a","b"],"tenants":[{"name":"t","keys":["k1"]},{"name":"u","keys":["k2"]}],
 "routes":[{"name":"all","service":"a","path":"/x","match":"prefix","methods":["GET","POST"],"callers":["*"]},
 {"name":"deep","service":"b","path":"/x/y","match":"prefix","methods":["GET"],"callers":["c"],"tenants":["t"]},
 {"name":"one","service":"b","path":"/x/y","methods":["POST"],"callers":["c"],"once":false,"timeout_ms":700}]}`
 
 func TestFaultsAreAllListedByPath(t *testing.T) {
 	c := qt.New(t)
-	faults, tooLarge := Check([]byte(sheet), limits)
+	faults, tooLarge := Check([]byte(configName), limits)
 	c.Assert(faults, qt.HasLen, 0)
 	c.Assert(tooLarge, qt.IsFalse)
 	for body, wanted := range map[string]string{
@@ -26,19 +26,19 @@
 		`[]`:                                  "$: want an object",
 		`{"services":["a"],"colour":1}`:       "colour: unknown field",
 		`{"services":["a"],"services":["a"]}`: "services: key stands twice",
-		strings.Replace(sheet, `"service":"b"`, `"service":"z"`, 1):                                                      "routes.1.service: unknown service z",
-		strings.Replace(sheet, `"k2"`, `"k1"`, 1):                                                                        "tenants.1.keys.0: key stands already at tenants.0.keys.0",
-		strings.Replace(sheet, `"path":"/x/y","methods":["POST"]`, `"path":"/x","match":"prefix","methods":["POST"]`, 1): "routes.2: ambiguous with routes.0 for POST",
-		strings.Replace(sheet, `"/x/y"`, `"/x/../y"`, 1):                                                                 "routes.1.path: want a normalised path that begins with /",
-		strings.Replace(sheet, `"tenants":["t"]`, `"tenants":["w"]`, 1):                                                  "routes.1.tenants: unknown tenant w",
-		strings.Replace(sheet, `700`, `70000`, 1):                                                                        "routes.2.timeout_ms: the settings allow at most 5000",
-		strings.Replace(sheet, `"once":false`, `"once":"no"`, 1):                                                         "routes.2.once: want true or false",
+		strings.Replace(configName, `"service":"b"`, `"service":"z"`, 1):                                                      "routes.1.service: unknown service z",
+		strings.Replace(configName, `"k2"`, `"k1"`, 1):                                                                        "tenants.1.keys.0: key stands already at tenants.0.keys.0",
+		strings.Replace(configName, `"path":"/x/y","methods":["POST"]`, `"path":"/x","match":"prefix","methods":["POST"]`, 1): "routes.2: ambiguous with routes.0 for POST",
+		strings.Replace(configName, `"/x/y"`, `"/x/../y"`, 1):                                                                 "routes.1.path: want a normalised path that begins with /",
+		strings.Replace(configName, `"tenants":["t"]`, `"tenants":["w"]`, 1):                                                  "routes.1.tenants: unknown tenant w",
+		strings.Replace(configName, `700`, `70000`, 1):                                                                        "routes.2.timeout_ms: the settings allow at most 5000",
+		strings.Replace(configName, `"once":false`, `"once":"no"`, 1):                                                         "routes.2.once: want true or false",
 	} {
 		faults, tooLarge := Check([]byte(body), limits)
 		c.Check(tooLarge, qt.IsFalse)
 		c.Check(strings.Join(faults, "\n"), qt.Contains, wanted)
 	}
-	two := strings.Replace(strings.Replace(sheet, `700`, `-1`, 1), `"service":"b"`, `"service":"z"`, 1)
+	two := strings.Replace(strings.Replace(configName, `700`, `-1`, 1), `"service":"b"`, `"service":"z"`, 1)
 	faults, _ = Check([]byte(two), limits)
 	c.Assert(faults, qt.HasLen, 2)
 	_, tooLarge = Check([]byte(strings.Repeat(" ", 4001)), limits)
@@ -49,23 +49,23 @@
 
 func TestMatching(t *testing.T) {
 	c := qt.New(t)
-	layout := Parse("main", 3, []byte(sheet), limits)
-	for query, wanted := range map[string]string{"GET /x": "all", "GET /x/z": "all", "GET /x/y": "deep", "GET /x/y/z": "deep", "POST /x/y": "one",
+	configuration := Parse("main", 3, []byte(configName), limits)
+	for request, wanted := range map[string]string{"GET /x": "all", "GET /x/z": "all", "GET /x/y": "deep", "GET /x/y/z": "deep", "POST /x/y": "one",
 		"POST /x/y/z": "all", "GET /xy": "", "DELETE /x": "", "GET /": ""} {
-		method, path, _ := strings.Cut(query, " ")
-		route, _ := layout.Match(method, path)
-		c.Check(route.Name, qt.Equals, wanted, qt.Commentf(query))
+		method, path, _ := strings.Cut(request, " ")
+		route, _ := configuration.Match(method, path)
+		c.Check(route.Name, qt.Equals, wanted, qt.Commentf(request))
 	}
-	deep, _ := layout.Named("deep")
+	deep, _ := configuration.Named("deep")
 	c.Assert(deep.Allows("t", "c"), qt.IsTrue)
 	c.Assert(deep.Allows("u", "c"), qt.IsFalse)
 	c.Assert(deep.Allows("t", "d"), qt.IsFalse)
 	c.Assert(deep.Once, qt.IsFalse)
-	all, _ := layout.Named("all")
+	all, _ := configuration.Named("all")
 	c.Assert(all.Once, qt.IsTrue)
-	one, _ := layout.Named("one")
+	one, _ := configuration.Named("one")
 	c.Assert(one.Limit, qt.Equals, 700*time.Millisecond)
-	tenant, known := layout.Tenant("k2")
+	tenant, known := configuration.Tenant("k2")
 	c.Assert(known, qt.IsTrue)
 	c.Assert(tenant, qt.Equals, "u")
 }
@@ -86,11 +86,11 @@
 // Berlin changes its clocks; openings there join, shift and fall away as documented.
 func TestCalendars(t *testing.T) {
 	c := qt.New(t)
-	body := strings.Replace(sheet, `"once":false`, `"once":false,"calendar":{"zone":"Europe/Berlin","open":[{"at":"0 8 * * *","minutes":120},{"at":"30 9 * * *","minutes":60},{"at":"30 2 * * *","minutes":10}]}`, 1)
+	body := strings.Replace(configName, `"once":false`, `"once":false,"calendar":{"zone":"Europe/Berlin","open":[{"at":"0 8 * * *","minutes":120},{"at":"30 9 * * *","minutes":60},{"at":"30 2 * * *","minutes":10}]}`, 1)
 	faults, _ := Check([]byte(body), limits)
 	c.Assert(faults, qt.HasLen, 0)
-	layout := Parse("main", 1, []byte(body), limits)
-	one, _ := layout.Named("one")
+	configuration := Parse("main", 1, []byte(body), limits)
+	one, _ := configuration.Named("one")
 	for at, open := range map[string]bool{
 		"2026-07-01T05:59:59Z": false, "2026-07-01T06:00:00Z": true, "2026-07-01T08:29:59Z": true, "2026-07-01T08:30:00Z": false,
 		"2026-12-01T06:30:00Z": false, "2026-12-01T07:00:00Z": true, // an hour later in winter
@@ -104,7 +104,7 @@
 	c.Assert(one.Calendar.NextOpen(when), qt.Equals, 15*time.Hour+30*time.Minute)
 	for _, bad := range []string{`{"zone":"Mars/Base","open":[{"at":"0 8 * * *","minutes":1}]}`, `{"zone":"UTC","open":[{"at":"@every 1h","minutes":1}]}`,
 		`{"zone":"UTC","open":[{"at":"0 8 * * *","minutes":0}]}`, `{"zone":"UTC","open":[]}`, `{"zone":"UTC","open":[{"at":"0 8 * *","minutes":5}]}`} {
-		faults, _ := Check([]byte(strings.Replace(sheet, `"once":false`, `"once":false,"calendar":`+bad, 1)), limits)
+		faults, _ := Check([]byte(strings.Replace(configName, `"once":false`, `"once":false,"calendar":`+bad, 1)), limits)
 		c.Check(faults, qt.Not(qt.HasLen), 0, qt.Commentf(bad))
 	}
 }
--- /dev/null
+++ b/internal/scaletest/fleet.go
@@ -0,0 +1,305 @@
+// This file lays a hollow fleet out, starts its troupes, as processes or within this
+// one, and asks them. Every wait is for a condition and has a limit.
+package scaletest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+// Plan says what fleet to run.
+type Plan struct {
+	Proxies  int           `json:"proxies"`
+	Zones    int           `json:"zones"`
+	Services int           `json:"services"`
+	Tenants  int           `json:"tenants"` // 0: no requests are counted
+	Fanout   int64         `json:"fanout"`
+	InForce  time.Duration `json:"in_force"` // the bound on configurations, to which most timers are ratios
+	Share    int           `json:"share"`    // proxies in one process
+	Folder   string        `json:"-"`
+	Program  string        `json:"-"` // empty: all in this process
+}
+
+// hand is a hollow fleet wherever it runs.
+type hand interface {
+	do(request Request) Answer
+	close()
+}
+
+type near struct{ fleet *HollowFleet }
+
+func (n near) do(request Request) Answer { return n.fleet.Do(request) }
+func (n near) close()                    { n.fleet.Close() }
+
+type far struct {
+	command *exec.Cmd
+	input   io.WriteCloser
+	encoder *json.Encoder
+	decoder *json.Decoder
+	members *goroutine.Group
+}
+
+func (f *far) do(request Request) Answer {
+	answer := Answer{}
+	if err := f.encoder.Encode(request); err != nil {
+		return Answer{Fault: err.Error()}
+	}
+	if err := f.decoder.Decode(&answer); err != nil {
+		return Answer{Fault: err.Error()}
+	}
+	return answer
+}
+
+// close ends the input; a process that does not end by itself is ended.
+func (f *far) close() {
+	f.input.Close()
+	done := make(chan struct{})
+	f.members.Go("scaletest.wait", func(context.Context) {
+		f.command.Wait()
+		close(done)
+	})
+	limit := time.NewTimer(20 * time.Second)
+	defer limit.Stop()
+	select {
+	case <-done:
+	case <-limit.C:
+		f.command.Process.Kill()
+		<-done
+	}
+}
+
+// Fleet is a running hollow fleet.
+type Fleet struct {
+	plan       Plan
+	goroutines *goroutine.Group
+	hands      map[string][]hand // by role
+	version    int64
+}
+
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", errcode.Wrap("scaletest.address", errcode.ConnectionLost, err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// Settings is that of one house of the plan.
+func (p Plan) Settings(role, nodeName, voter, zone, address string, seeds []string) settings.Settings {
+	cfg := settings.Default()
+	cfg.Node, cfg.Voter, cfg.Zone, cfg.Address, cfg.Seeds = nodeName, voter, zone, address, seeds
+	cfg.Voters = voterNames
+	cfg.Zones = nil
+	cfg.Active = map[string]string{settings.ConfigLogTag: voterNames[0], settings.UsageTag: voterNames[2]}
+	for number := range p.Zones {
+		name := zoneName(number)
+		cfg.Zones = append(cfg.Zones, name)
+		cfg.Active[name] = voterNames[number%len(voterNames)]
+	}
+	cfg.Limits.Fanout = p.Fanout
+	if p.InForce > 0 {
+		cfg.Bounds.ConfigurationInForce = p.InForce.Milliseconds()
+	}
+	if role != message.RoleConfigStore {
+		cfg.Outside = address // told to others, never bound here
+	}
+	if role != message.RoleProxy {
+		cfg.Data = filepath.Join(p.Folder, role+"-"+nodeName)
+	}
+	return cfg
+}
+
+var voterNames = []string{"core-1", "core-2", "core-3"}
+
+func zoneName(number int) string { return fmt.Sprintf("zone-%02d", number+1) }
+
+// Start lays the fleet out and starts it, the core first.
+func Start(plan Plan) (*Fleet, error) {
+	f := &Fleet{plan: plan, goroutines: goroutine.New(), hands: map[string][]hand{}}
+	addresses, seeds := map[string]string{}, []string{}
+	for index, voter := range voterNames {
+		for _, role := range []string{message.RoleRegistry, message.RoleConfigStore} {
+			address, err := freeAddress(fmt.Sprintf("127.88.1.%d", index+1))
+			if err != nil {
+				return nil, err
+			}
+			addresses[role+voter] = address
+			if role == message.RoleRegistry {
+				seeds = append(seeds, address)
+			}
+		}
+	}
+	for index, voter := range voterNames {
+		for _, role := range []string{message.RoleConfigStore, message.RoleRegistry} {
+			cfg := plan.Settings(role, voter, voter, zoneName(index%plan.Zones), addresses[role+voter], seeds)
+			if err := f.add(role, []Part{{Role: role, Settings: cfg}}); err != nil {
+				f.Stop()
+				return nil, err
+			}
+		}
+	}
+	parts := []Part{}
+	for number := range plan.Proxies {
+		address, err := freeAddress(fmt.Sprintf("127.88.%d.%d", 2+number/250, 1+number%250))
+		if err != nil {
+			f.Stop()
+			return nil, err
+		}
+		cfg := plan.Settings(message.RoleProxy, fmt.Sprintf("edge-%05d", number+1), "", zoneName(number%plan.Zones), address, seeds)
+		parts = append(parts, Part{Role: message.RoleProxy, Settings: cfg, Service: serviceName(number % plan.Services), Tenants: plan.Tenants})
+		if len(parts) == plan.Share || number == plan.Proxies-1 {
+			if err := f.add(message.RoleProxy, parts); err != nil {
+				f.Stop()
+				return nil, err
+			}
+			parts = nil
+		}
+	}
+	return f, nil
+}
+
+func serviceName(number int) string { return fmt.Sprintf("service-%03d", number+1) }
+
+func (f *Fleet) add(role string, parts []Part) error {
+	if f.plan.Program == "" {
+		hollow, err := NewHollowFleet(parts)
+		if err != nil {
+			return err
+		}
+		f.hands[role] = append(f.hands[role], near{hollow})
+		return nil
+	}
+	command := exec.Command(f.plan.Program, "hollow fleet")
+	command.Stderr = os.Stderr
+	input, err := command.StdinPipe()
+	if err != nil {
+		return errcode.Wrap("scaletest.start", errcode.Internal, err)
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return errcode.Wrap("scaletest.start", errcode.Internal, err)
+	}
+	if err := command.Start(); err != nil {
+		return errcode.Wrap("scaletest.start", errcode.Internal, err)
+	}
+	started := &far{command, input, json.NewEncoder(input), json.NewDecoder(output), f.goroutines}
+	f.hands[role] = append(f.hands[role], started)
+	if err := started.encoder.Encode(parts); err != nil {
+		return errcode.Wrap("scaletest.start", errcode.Internal, err)
+	}
+	answer := Answer{}
+	if err := started.decoder.Decode(&answer); err != nil {
+		return errcode.Wrap("scaletest.start", errcode.Internal, err)
+	}
+	if answer.Fault != "" {
+		return errcode.Wrap("scaletest.start", errcode.Internal, fmt.Errorf("%s", answer.Fault))
+	}
+	return nil
+}
+
+// Stop ends what was started.
+func (f *Fleet) Stop() {
+	for _, role := range []string{message.RoleProxy, message.RoleRegistry, message.RoleConfigStore} {
+		for _, held := range f.hands[role] {
+			held.close()
+		}
+	}
+	f.goroutines.Stop(time.Second)
+}
+
+// until asks in a steady rhythm whether a condition holds.
+func until(limit, rhythm time.Duration, condition func() bool) bool {
+	ticker, end := time.NewTicker(rhythm), time.NewTimer(limit)
+	defer ticker.Stop()
+	defer end.Stop()
+	for {
+		if condition() {
+			return true
+		}
+		select {
+		case <-end.C:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// state sums what the proxies know.
+func (f *Fleet) state() State {
+	sum := State{Reached: map[int64]int{}, LastAt: map[int64]int64{}}
+	for index, held := range f.hands[message.RoleProxy] {
+		answer := held.do(Request{EventName: "state"})
+		if answer.State == nil {
+			return State{}
+		}
+		state := answer.State
+		sum.Ready += state.Ready
+		if index == 0 || state.Upstreams < sum.Upstreams {
+			sum.Upstreams = state.Upstreams
+		}
+		if index == 0 || state.Proxies < sum.Proxies {
+			sum.Proxies = state.Proxies
+		}
+		sum.Depth, sum.Age, sum.Moves = max(sum.Depth, state.Depth), max(sum.Age, state.Age), sum.Moves+state.Moves
+		sum.MeanDepth += state.MeanDepth * float64(f.size(index)) / float64(f.plan.Proxies)
+		for version, number := range state.Reached {
+			sum.Reached[version] += number
+			sum.LastAt[version] = max(sum.LastAt[version], state.LastAt[version])
+		}
+	}
+	return sum
+}
+
+// size is how many proxies a hollow fleet has.
+func (f *Fleet) size(index int) int { return min(f.plan.Share, f.plan.Proxies-index*f.plan.Share) }
+
+// whole says that every proxy is ready and knows all others and all upstreams.
+func (f *Fleet) whole() bool {
+	state := f.state()
+	return state.Ready == f.plan.Proxies && state.Upstreams >= f.plan.Proxies && state.Proxies >= f.plan.Proxies
+}
+
+// put sets the next version and gives when it was asked for; the configuration is as large as
+// the plan's number of services makes it.
+func (f *Fleet) write() (time.Time, error) {
+	f.version++
+	began := time.Now()
+	answer := f.hands[message.RoleRegistry][0].do(Request{EventName: "put", Version: f.version, Body: ConfigName(f.plan.Services, f.plan.Tenants, f.version)})
+	if answer.Fault != "" {
+		return began, errcode.Wrap("scaletest.put", errcode.ConfigurationUnsure, fmt.Errorf("%s", answer.Fault))
+	}
+	return began, nil
+}
+
+// Configuration writes a configuration of one route a service.
+func ConfigName(services, tenants int, version int64) []byte {
+	names, routes, listed := []string{}, []map[string]any{}, []map[string]any{}
+	for number := range services {
+		name := serviceName(number)
+		names = append(names, name)
+		routes = append(routes, map[string]any{"name": "route-" + name, "service": name, "path": "/" + name, "match": "prefix",
+			"methods": []string{"GET", "POST"}, "callers": slices.Compact([]string{serviceName((number + 1) % services), serviceName((number + 7) % services)}), "timeout_ms": 3000})
+	}
+	for number := range max(tenants, 1) {
+		listed = append(listed, map[string]any{"name": fmt.Sprintf("tenant-%d", number), "keys": []string{fmt.Sprintf("key-%d-secret", number)}})
+	}
+	body, err := json.Marshal(map[string]any{"services": names, "tenants": listed, "routes": routes, "note": fmt.Sprintf("version %d", version)})
+	if err != nil {
+		panic("scaletest: " + err.Error())
+	}
+	return body
+}
--- /dev/null
+++ b/internal/scaletest/hollow.go
@@ -0,0 +1,432 @@
+// Package scaletest runs hollow fleets to learn what a fleet's size costs: the very
+// control machines of proxies, registries and configstores, with their connections, datagrams
+// and disks, but no requests. Many proxies share a process, called a hollow fleet; a core voter
+// is a hollow fleet of one, so that its processor time stands alone.
+//
+// This file is one hollow fleet: it starts its houses, and answers by JSON lines what they
+// have passed, written, spent and know. It ends when its input ends, so none outlives
+// the one who asks.
+package scaletest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/configstore"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+	"beaconvane/internal/node"
+	"beaconvane/internal/proxy"
+	"beaconvane/internal/registry"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
+	"beaconvane/internal/transport"
+)
+
+// Part is one house of a hollow fleet.
+type Part struct {
+	Role     string            `json:"role"`
+	Settings settings.Settings `json:"config"`
+	Service  string            `json:"service"` // of the one upstream beside a proxy
+	Tenants  int               `json:"tenants"` // whose answers a proxy counts, each round
+}
+
+// Ask is one question to a hollow fleet.
+type Request struct {
+	EventName string `json:"event"` // read, weigh, state, reached, put, end, begin
+	Index     int    `json:"index"`
+	Version   int64  `json:"version"`
+	Body      []byte `json:"body"`
+}
+
+// Reading is what a hollow fleet has spent and passed since it began; it only grows, but
+// for the memory.
+type Reading struct {
+	At        time.Duration     `json:"at"`
+	Processor time.Duration     `json:"processor"`
+	Resident  int64             `json:"resident"`
+	Live      int64             `json:"live"` // heap in use after a collection, and stacks
+	Counts    []transport.Count `json:"counts"`
+	Node      map[string]int64  `json:"house"`
+}
+
+// State is what the proxies of a hollow fleet know, the least of each.
+type State struct {
+	Ready     int             `json:"ready"`
+	Upstreams int             `json:"upstreams"`
+	Proxies   int             `json:"proxies"`
+	Depth     int             `json:"depth"` // of the longest way the updates takes
+	MeanDepth float64         `json:"mean_depth"`
+	Age       int64           `json:"age_ms"` // of the stalest topic of any proxy
+	Moves     int64           `json:"moves"`  // changes of parent, all proxies
+	Reached   map[int64]int   `json:"reached"`
+	LastAt    map[int64]int64 `json:"last_at"` // unix nanoseconds
+}
+
+// Answer is what a hollow fleet says; Fault is empty where all went well.
+type Answer struct {
+	Reading *Reading `json:"reading,omitempty"`
+	State   *State   `json:"state,omitempty"`
+	Fault   string   `json:"fault,omitempty"`
+}
+
+type player struct {
+	part       Part
+	goroutines *goroutine.Group
+	process    *node.Node
+	lock       sync.Mutex
+	snapshot   *proxy.Snapshot
+	version    int64
+	gone       map[string]transport.Count // of earlier lives
+}
+
+// Hollow fleet is a process's share of a fleet.
+type HollowFleet struct {
+	players []*player
+	startAt time.Time
+	lock    sync.Mutex
+	reached map[int64]int
+	lastAt  map[int64]int64
+}
+
+// NewHollowFleet starts its parts.
+func NewHollowFleet(parts []Part) (*HollowFleet, error) {
+	t := &HollowFleet{startAt: time.Now(), reached: map[int64]int{}, lastAt: map[int64]int64{}}
+	for _, part := range parts {
+		held := &player{part: part, gone: map[string]transport.Count{}}
+		t.players = append(t.players, held)
+		if err := t.begin(held); err != nil {
+			t.Close()
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *HollowFleet) begin(held *player) error {
+	members := goroutine.New()
+	process := node.New(held.part.Settings, held.part.Role, members)
+	process.Log = logr.Discard()
+	held.goroutines, held.process = members, process
+	self := node.Self(held.part.Settings, held.part.Role)
+	if held.part.Role == message.RoleProxy {
+		tracker := frontend.New(held.part.Settings, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
+		process.OnPublish(func(snapshot any) {
+			tracker.Show(members.Now(), snapshot.(*proxy.Snapshot))
+			t.shown(held, snapshot.(*proxy.Snapshot))
+		})
+		if err := process.Run(proxy.New(held.part.Settings, self), nil); err != nil {
+			return err
+		}
+		members.Go("scaletest.upstream", func(ctx context.Context) { announce(ctx, held.part, process) })
+		if held.part.Tenants > 0 {
+			members.Go("scaletest.count", func(ctx context.Context) { count(ctx, held.part, process) })
+		}
+		return nil
+	}
+	_, snapshot, records, err := process.OpenDisk()
+	if err != nil {
+		return err
+	}
+	var machine statemachine.Machine
+	if held.part.Role == message.RoleRegistry {
+		machine, err = registry.New(held.part.Settings, self, snapshot, records)
+	} else {
+		machine, err = configstore.New(held.part.Settings, self, snapshot, records)
+	}
+	if err != nil {
+		return err
+	}
+	return process.Run(machine, nil)
+}
+
+// announce stands for the one upstream beside a proxy; a dial that proves it meets the
+// proxy's own address, so that each upstream has one of its own.
+func announce(ctx context.Context, part Part, process *node.Node) {
+	registration := message.Registration{Service: part.Service, Instance: part.Settings.Node, Incarnation: time.Now().UnixNano(), Address: part.Settings.Address,
+		Zone: part.Settings.Zone, Slots: 16, State: message.StateReady}
+	ticker := time.NewTicker(part.Settings.HeartbeatEvery())
+	defer ticker.Stop()
+	for {
+		process.Tell(proxy.Announced{Registration: registration})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// count tells counts as a proxy under load does: some answered in each round.
+func count(ctx context.Context, part Part, process *node.Node) {
+	ticker := time.NewTicker(part.Settings.CountEvery())
+	defer ticker.Stop()
+	counts := map[int64]map[string]int64{}
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		asked, cancel := context.WithTimeout(ctx, part.Settings.HeartbeatEvery())
+		answer, err := process.Request(asked, proxy.ReadSealed{})
+		cancel()
+		if err != nil {
+			continue
+		}
+		current := time.Now().UnixNano() / int64(part.Settings.UsageWindow())
+		if counts[current] == nil {
+			counts[current] = map[string]int64{}
+		}
+		counts[current][fmt.Sprintf("tenant-%d", round%part.Tenants)]++
+		response := proxy.Counted{Closed: current}
+		for window := range counts {
+			if window < answer.(int64) || window < current-4 {
+				delete(counts, window)
+			}
+		}
+		for window := current - 4; window <= current; window++ {
+			if held, open := counts[window]; open {
+				copied := map[string]int64{}
+				for tenant, number := range held {
+					copied[tenant] = number
+				}
+				response.Usage = append(response.Usage, message.UsageCount{Window: window, Counts: copied, Open: map[string]int64{"tenant-0": 1}})
+			}
+		}
+		process.Tell(response)
+	}
+}
+
+// shown notes when each version came in force here for the first time.
+func (t *HollowFleet) shown(held *player, snapshot *proxy.Snapshot) {
+	held.lock.Lock()
+	defer held.lock.Unlock()
+	held.snapshot = snapshot
+	for _, configuration := range snapshot.Configurations {
+		t.lock.Lock()
+		for ; held.version < configuration.Version; held.version++ {
+			t.reached[held.version+1]++
+			t.lastAt[held.version+1] = time.Now().UnixNano()
+		}
+		t.lock.Unlock()
+	}
+}
+
+// end stops a house as a killed process does: without a word.
+func (t *HollowFleet) end(held *player) {
+	if held.process == nil || held.process.Transport == nil {
+		return
+	}
+	for _, passed := range held.process.Transport.Counts() {
+		merge(held.gone, passed)
+	}
+	held.process.Transport.Close()
+	held.goroutines.Stop(held.part.Settings.HolderRest())
+	held.lock.Lock()
+	held.snapshot, held.process = nil, nil
+	held.lock.Unlock()
+}
+
+// Close ends all houses.
+func (t *HollowFleet) Close() {
+	for _, held := range t.players {
+		t.end(held)
+	}
+}
+
+func merge(sums map[string]transport.Count, passed transport.Count) {
+	key := fmt.Sprintf("%s %t %s", passed.Way, passed.Out, passed.Kind)
+	sum := sums[key]
+	sums[key] = transport.Count{Way: passed.Way, Out: passed.Out, Kind: passed.Kind, Messages: sum.Messages + passed.Messages, Bytes: sum.Bytes + passed.Bytes}
+}
+
+// Do answers one question.
+func (t *HollowFleet) Do(request Request) Answer {
+	answer, err := t.do(request)
+	if err != nil {
+		answer.Fault = err.Error()
+	}
+	return answer
+}
+
+func (t *HollowFleet) do(request Request) (Answer, error) {
+	if request.Index < 0 || request.Index >= len(t.players) {
+		return Answer{}, errcode.Wrap("scaletest.do", errcode.ConfigBadValue, fmt.Errorf("no part %d", request.Index))
+	}
+	held := t.players[request.Index]
+	switch request.EventName {
+	case "read":
+		return Answer{Reading: t.read()}, nil
+	case "weigh":
+		return Answer{Reading: t.weigh()}, nil
+	case "state":
+		return Answer{State: t.state()}, nil
+	case "reached":
+		return Answer{State: t.reachedBy(&State{Reached: map[int64]int{}, LastAt: map[int64]int64{}})}, nil
+	case "put":
+		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.WriteLimit()*2)
+		defer cancel()
+		answered, err := held.process.Request(limited, registry.WriteConfiguration{ConfigName: held.part.Settings.ConfigNames[0], Version: request.Version, Body: request.Body})
+		if err != nil {
+			return Answer{}, err
+		}
+		if response := answered.(registry.Answer); response.Code != errcode.OK {
+			return Answer{}, errcode.Wrap("scaletest.put", response.Code, fmt.Errorf("%s", response.Body))
+		}
+		return Answer{}, nil
+	case "end":
+		t.end(held)
+		return Answer{}, nil
+	case "begin":
+		return Answer{}, t.begin(held)
+	}
+	return Answer{}, errcode.Wrap("scaletest.do", errcode.ConfigBadValue, fmt.Errorf("no deed %q", request.EventName))
+}
+
+func (t *HollowFleet) read() *Reading {
+	usage := syscall.Rusage{}
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	reading := &Reading{At: time.Since(t.startAt), Processor: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), Node: map[string]int64{}}
+	sums := map[string]transport.Count{}
+	for _, held := range t.players {
+		for _, passed := range held.gone {
+			merge(sums, passed)
+		}
+		if held.process == nil {
+			continue
+		}
+		for _, passed := range held.process.Transport.Counts() {
+			merge(sums, passed)
+		}
+		for name, number := range held.process.Counters() {
+			reading.Node[name] += number
+		}
+	}
+	for _, passed := range sums {
+		reading.Counts = append(reading.Counts, passed)
+	}
+	return reading
+}
+
+// weigh collects first, so that what is left is in use.
+func (t *HollowFleet) weigh() *Reading {
+	debug.FreeOSMemory()
+	memory := runtime.MemStats{}
+	runtime.ReadMemStats(&memory)
+	return &Reading{Resident: resident(), Live: int64(memory.HeapAlloc + memory.StackInuse)}
+}
+
+func resident() int64 {
+	body, err := os.ReadFile(filepath.Join("/proc", "self", "statm"))
+	if err != nil {
+		return 0
+	}
+	size, pages := int64(0), int64(0)
+	fmt.Sscan(strings.TrimSpace(string(body)), &size, &pages)
+	return pages * int64(os.Getpagesize())
+}
+
+func (t *HollowFleet) state() *State {
+	state := &State{Reached: map[int64]int{}, LastAt: map[int64]int64{}}
+	proxies, depths := 0, 0
+	for _, held := range t.players {
+		if held.part.Role != message.RoleProxy {
+			continue
+		}
+		proxies++
+		held.lock.Lock()
+		snapshot := held.snapshot
+		held.lock.Unlock()
+		upstreams, known := 0, 0
+		if snapshot != nil {
+			for _, list := range snapshot.Upstreams {
+				upstreams += len(list)
+			}
+			known = snapshot.Proxies
+			if snapshot.Ready(held.goroutines.Now(), held.part.Settings.StaleReady()) {
+				state.Ready++
+			}
+		}
+		if proxies == 1 || upstreams < state.Upstreams {
+			state.Upstreams = upstreams
+		}
+		if proxies == 1 || known < state.Proxies {
+			state.Proxies = known
+		}
+		if held.process == nil {
+			continue
+		}
+		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.HolderRest())
+		answered, err := held.process.Request(limited, proxy.ReadStatus{})
+		cancel()
+		if status, isStatus := answered.(map[string]any); err == nil && isStatus {
+			path, _ := status["path"].([]string)
+			state.Depth, depths = max(state.Depth, len(path)), depths+len(path)
+			moves, _ := status["moves"].(int64)
+			state.Moves += moves
+			ages, _ := status["ages_ms"].(map[string]int64)
+			for _, age := range ages {
+				state.Age = max(state.Age, age)
+			}
+		}
+	}
+	if proxies > 0 {
+		state.MeanDepth = float64(depths) / float64(proxies)
+	}
+	return t.reachedBy(state)
+}
+
+func (t *HollowFleet) reachedBy(state *State) *State {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for version, number := range t.reached {
+		state.Reached[version], state.LastAt[version] = number, t.lastAt[version]
+	}
+	return state
+}
+
+// Serve is the loop of a hollow fleet's process: the first line has the parts, each further
+// one a question.
+func Serve(in io.Reader, out io.Writer) error {
+	reader, encoder := bufio.NewReaderSize(in, 1<<20), json.NewEncoder(out)
+	decoder := json.NewDecoder(reader)
+	parts := []Part{}
+	if err := decoder.Decode(&parts); err != nil {
+		return errcode.Wrap("scaletest.serve", errcode.ConfigUnreadable, err)
+	}
+	hollow, err := NewHollowFleet(parts)
+	if err != nil {
+		encoder.Encode(Answer{Fault: err.Error()})
+		return err
+	}
+	defer hollow.Close()
+	if err := encoder.Encode(Answer{}); err != nil {
+		return errcode.Wrap("scaletest.serve", errcode.ConnectionLost, err)
+	}
+	for {
+		request := Request{}
+		if err := decoder.Decode(&request); err != nil {
+			return nil
+		}
+		if err := encoder.Encode(hollow.Do(request)); err != nil {
+			return nil
+		}
+	}
+}
--- a/internal/walkon/measure.go
+++ b/internal/scaletest/measure.go
@@ -1,16 +1,15 @@
-// This file measures one size after the other: a steady stretch, one with layout changes
+// This file measures one size after the other: a steady stretch, one with configuration changes
 // and one with restarts, each in several windows, for the spread. Rates are differences
-// of counters over a window. A usher's figure is the mean over the fleet, a core role's
-// that of its busiest seat.
-package walkon
+// of counters over a window. A proxy's figure is the mean over the fleet, a core role's
+// that of its busiest voter.
+package scaletest
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
-	"beaconvane/internal/notice"
-	"beaconvane/internal/script"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
 )
 
 // Row is one measure at one size, a value for each window.
@@ -27,8 +26,8 @@
 	Sizes    []int             `json:"sizes"`
 	Repeats  int               `json:"repeats"`
 	Window   time.Duration     `json:"window"`
-	Every    time.Duration     `json:"every"` // between two layout changes, or two restarts
-	Settle   time.Duration     `json:"settle"`
+	Every    time.Duration     `json:"every"` // between two configuration changes, or two restarts
+	Commit   time.Duration     `json:"settle"`
 	Limit    time.Duration     `json:"limit"` // of any wait
 	Phases   []string          `json:"phases"`
 	Progress func(text string) `json:"-"`
@@ -36,28 +35,28 @@
 
 // Phases that a course may have.
 const (
-	Steady   = "steady"
-	Layouts  = "layouts"
-	Restarts = "restarts"
+	Steady         = "steady"
+	Configurations = "configurations"
+	Restarts       = "restarts"
 )
 
 // parts of the control work, by the messages that belong to them.
 var partOf = map[string]string{
-	"Ping": "membership", "Ack": "membership", "PingFor": "membership", "JoinAsk": "membership", "JoinTold": "membership",
-	"NewsAsk": "news", "NewsTold": "news", "SheetSettled": "news",
-	"BeatBatch": "beats", "BeatTold": "beats", "ProbeAsk": "beats",
-	"UsageTold": "usage", "UsageRead": "usage", "UsageReadTold": "usage", "UsageSeal": "usage", "UsageSealTold": "usage",
-	"RosterChange": "roster", "RosterCheck": "roster", "RosterDigest": "roster", "RosterPull": "roster", "RosterView": "roster",
+	"Ping": "membership", "Ack": "membership", "PingFor": "membership", "JoinRequest": "membership", "JoinResponse": "membership",
+	"UpdatesRequest": "updates", "UpdatesResponse": "updates", "ConfigurationCommitted": "updates",
+	"HeartbeatBatch": "heartbeats", "HeartbeatResponse": "heartbeats", "ProbeRequest": "heartbeats",
+	"UsageUpdate": "usage", "UsageRead": "usage", "UsageReadResponse": "usage", "UsageSeal": "usage", "UsageSealResponse": "usage",
+	"WriteRequest": "config_log", "ReadRequest": "config_log", "StoreResponse": "config_log",
+	"LogPositionRequest": "config_log", "LogPositionResponse": "config_log", "LogSnapshotRequest": "config_log", "LogSnapshot": "config_log",
+	"LogRecommit": "config_log", "LogAppend": "config_log", "LogAppended": "config_log",
+	"RosterChange": "roster", "RosterCheck": "roster", "RosterDigest": "roster", "RosterPull": "roster", "RosterSnapshot": "roster",
 }
 
 func partName(kind string) string {
 	if part, known := partOf[kind]; known {
 		return part
 	}
-	if strings.HasPrefix(kind, "Book") {
-		return "book"
-	}
-	return "seats"
+	return "voters"
 }
 
 type rows struct {
@@ -77,13 +76,13 @@
 	r.list[index].Values = append(r.list[index].Values, value)
 }
 
-var roles = []string{script.RoleUsher, script.RoleCallboard, script.RolePromptbook}
+var roles = []string{message.RoleProxy, message.RoleRegistry, message.RoleConfigStore}
 
-func (f *Fleet) read(deed string) map[string][]Reading {
+func (f *Fleet) read(eventName string) map[string][]Reading {
 	readings := map[string][]Reading{}
 	for _, role := range roles {
 		for _, held := range f.hands[role] {
-			answer := held.do(Ask{Deed: deed})
+			answer := held.do(Request{EventName: eventName})
 			if answer.Reading == nil {
 				answer.Reading = &Reading{}
 			}
@@ -93,7 +92,7 @@
 	return readings
 }
 
-// rates are the differences of two readings of one troupe, a second.
+// rates are the differences of two readings of one hollow fleet, a second.
 func rates(before, after Reading) map[string]float64 {
 	seconds := (after.At - before.At).Seconds()
 	sums := map[string]float64{}
@@ -113,9 +112,9 @@
 			sums["bytes"] += sign * float64(passed.Bytes)
 		}
 		sums["processor"] += sign * reading.Processor.Seconds() * 100
-		sums["disk_syncs"] += sign * float64(reading.House["disk_syncs"])
-		sums["disk_bytes"] += sign * float64(reading.House["disk_bytes"])
-		sums["dropped"] += sign * float64(reading.House["sends_dropped"]+reading.House["datagrams_dropped"]+reading.House["control_pending_full"])
+		sums["disk_syncs"] += sign * float64(reading.Node["disk_syncs"])
+		sums["disk_bytes"] += sign * float64(reading.Node["disk_bytes"])
+		sums["dropped"] += sign * float64(reading.Node["sends_dropped"]+reading.Node["datagrams_dropped"]+reading.Node["control_queue_full"])
 	}
 	take(after, 1)
 	take(before, -1)
@@ -126,7 +125,7 @@
 }
 
 var metrics = []string{"messages", "bytes", "tcp_in_messages", "tcp_in_bytes", "tcp_out_messages", "tcp_out_bytes", "udp_in_messages", "udp_in_bytes",
-	"udp_out_messages", "udp_out_bytes", "bytes_membership", "bytes_news", "bytes_beats", "bytes_usage", "bytes_roster", "bytes_seats", "bytes_book",
+	"udp_out_messages", "udp_out_bytes", "bytes_membership", "bytes_updates", "bytes_heartbeats", "bytes_usage", "bytes_roster", "bytes_voters", "bytes_config_log",
 	"processor", "disk_syncs", "disk_bytes", "dropped"}
 
 func (f *Fleet) compare(sum *rows, phase string, before, after map[string][]Reading) {
@@ -139,8 +138,8 @@
 			}
 		}
 		for _, metric := range metrics {
-			if role == script.RoleUsher {
-				sum.add(phase, role, metric, whole[metric]/float64(f.plan.Ushers))
+			if role == message.RoleProxy {
+				sum.add(phase, role, metric, whole[metric]/float64(f.plan.Proxies))
 			} else {
 				sum.add(phase, role, metric, busiest[metric])
 			}
@@ -159,38 +158,38 @@
 
 // Measure runs one size and gives its rows.
 func Measure(plan Plan, course Course) ([]Row, error) {
-	sum := &rows{size: plan.Ushers, at: map[string]int{}}
+	sum := &rows{size: plan.Proxies, at: map[string]int{}}
 	began := time.Now()
-	fleet, err := Start(plan)
+	fleetRun, err := Start(plan)
 	if err != nil {
 		return nil, err
 	}
-	defer fleet.Stop()
+	defer fleetRun.Stop()
 	var failure error
-	if !until(course.Limit, 100*time.Millisecond, func() bool { _, failure = fleet.put(); return failure == nil }) {
+	if !until(course.Limit, 100*time.Millisecond, func() bool { _, failure = fleetRun.write(); return failure == nil }) {
 		return nil, failure
 	}
-	if !until(course.Limit, 100*time.Millisecond, fleet.whole) {
-		return nil, notice.Wrap("walkon.measure", notice.BusyNotReady, fmt.Errorf("the fleet did not become whole: %+v", fleet.state()))
+	if !until(course.Limit, 100*time.Millisecond, fleetRun.whole) {
+		return nil, errcode.Wrap("scaletest.measure", errcode.BusyNotReady, fmt.Errorf("the fleet did not become whole: %+v", fleetRun.state()))
 	}
 	sum.add(Steady, "fleet", "whole_ms", float64(time.Since(began).Milliseconds()))
-	pause(course.Settle)
+	pause(course.Commit)
 	for _, phase := range course.Phases {
 		for range course.Repeats {
-			before := fleet.read("read")
+			before := fleetRun.read("read")
 			switch phase {
 			case Steady:
 				pause(course.Window)
-			case Layouts:
-				err = fleet.changes(sum, course)
+			case Configurations:
+				err = fleetRun.changes(sum, course)
 			case Restarts:
-				err = fleet.restarts(sum, course)
+				err = fleetRun.restarts(sum, course)
 			}
 			if err != nil {
 				return nil, err
 			}
-			fleet.compare(sum, phase, before, fleet.read("read"))
-			state := fleet.state()
+			fleetRun.compare(sum, phase, before, fleetRun.read("read"))
+			state := fleetRun.state()
 			sum.add(phase, "fleet", "depth", float64(state.Depth))
 			sum.add(phase, "fleet", "mean_depth", state.MeanDepth)
 			sum.add(phase, "fleet", "age_ms", float64(state.Age))
@@ -198,11 +197,11 @@
 			sum.add(phase, "fleet", "ready", float64(state.Ready))
 		}
 		if phase == Steady {
-			for role, readings := range fleet.read("weigh") {
+			for role, readings := range fleetRun.read("weigh") {
 				live, held := 0.0, 0.0
 				for _, reading := range readings {
-					if role == script.RoleUsher {
-						live, held = live+float64(reading.Live)/float64(plan.Ushers), held+float64(reading.Resident)/float64(plan.Ushers)
+					if role == message.RoleProxy {
+						live, held = live+float64(reading.Live)/float64(plan.Proxies), held+float64(reading.Resident)/float64(plan.Proxies)
 					} else {
 						live, held = max(live, float64(reading.Live)), max(held, float64(reading.Resident))
 					}
@@ -215,48 +214,48 @@
 	return sum.list, nil
 }
 
-// changes puts layouts in a steady rhythm and waits for each to be in force everywhere.
+// changes puts configurations in a steady rhythm and waits for each to be in force everywhere.
 func (f *Fleet) changes(sum *rows, course Course) error {
 	for end := time.Now().Add(course.Window); time.Now().Before(end); {
-		began, err := f.put()
+		began, err := f.write()
 		if err != nil {
 			return err
 		}
-		sum.add(Layouts, "fleet", "settled_ms", float64(time.Since(began).Milliseconds()))
+		sum.add(Configurations, "fleet", "settled_ms", float64(time.Since(began).Milliseconds()))
 		var lastAt int64
 		reached := until(course.Limit, 20*time.Millisecond, func() bool {
 			number := 0
-			for _, held := range f.hands[script.RoleUsher] {
-				if answer := held.do(Ask{Deed: "reached"}); answer.State != nil {
+			for _, held := range f.hands[message.RoleProxy] {
+				if answer := held.do(Request{EventName: "reached"}); answer.State != nil {
 					number += answer.State.Reached[f.version]
 					lastAt = max(lastAt, answer.State.LastAt[f.version])
 				}
 			}
-			return number >= f.plan.Ushers
+			return number >= f.plan.Proxies
 		})
 		if !reached {
-			return notice.Wrap("walkon.changes", notice.LayoutLacking, fmt.Errorf("version %d", f.version))
+			return errcode.Wrap("scaletest.changes", errcode.ConfigurationLacking, fmt.Errorf("version %d", f.version))
 		}
-		sum.add(Layouts, "fleet", "in_force_ms", float64(lastAt-began.UnixNano())/1e6)
+		sum.add(Configurations, "fleet", "in_force_ms", float64(lastAt-began.UnixNano())/1e6)
 		pause(course.Every - time.Since(began))
 	}
 	return nil
 }
 
-// restarts ends ushers without a word, one after the other, begins each again at once,
+// restarts ends proxies without a word, one after the other, begins each again at once,
 // and waits until all are ready and know all.
 func (f *Fleet) restarts(sum *rows, course Course) error {
 	for end := time.Now().Add(course.Window); time.Now().Before(end); {
 		began := time.Now()
-		number := int(f.crew.Now()/time.Millisecond) % f.plan.Ushers
-		chosen := f.hands[script.RoleUsher][number/f.plan.Share]
-		for _, deed := range []string{"end", "begin"} {
-			if answer := chosen.do(Ask{Deed: deed, Index: number % f.plan.Share}); answer.Fault != "" {
-				return notice.Wrap("walkon.restarts", notice.Internal, fmt.Errorf("%s", answer.Fault))
+		number := int(f.goroutines.Now()/time.Millisecond) % f.plan.Proxies
+		chosen := f.hands[message.RoleProxy][number/f.plan.Share]
+		for _, eventName := range []string{"end", "begin"} {
+			if answer := chosen.do(Request{EventName: eventName, Index: number % f.plan.Share}); answer.Fault != "" {
+				return errcode.Wrap("scaletest.restarts", errcode.Internal, fmt.Errorf("%s", answer.Fault))
 			}
 		}
 		if !until(course.Limit, 50*time.Millisecond, f.whole) {
-			return notice.Wrap("walkon.restarts", notice.BusyNotReady, fmt.Errorf("not whole again: %+v", f.state()))
+			return errcode.Wrap("scaletest.restarts", errcode.BusyNotReady, fmt.Errorf("not whole again: %+v", f.state()))
 		}
 		sum.add(Restarts, "fleet", "restored_ms", float64(time.Since(began).Milliseconds()))
 		pause(course.Every - time.Since(began))
--- a/internal/walkon/walkon_test.go
+++ b/internal/scaletest/scaletest_test.go
@@ -1,5 +1,5 @@
 // The reckoning on made-up figures, and the smallest hollow fleet, in this process.
-package walkon
+package scaletest
 
 import (
 	"bytes"
@@ -13,15 +13,15 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"beaconvane/internal/script"
-	"beaconvane/internal/wings"
+	"beaconvane/internal/message"
+	"beaconvane/internal/transport"
 )
 
 func made(grows func(size float64) float64, scatter float64) []Row {
 	list := []Row{}
 	for _, size := range []int{16, 32, 64, 128, 256} {
 		value := grows(float64(size))
-		list = append(list, Row{Phase: Steady, Role: script.RoleUsher, Metric: "bytes", Size: size, Values: []float64{value * (1 - scatter), value, value * (1 + scatter)}})
+		list = append(list, Row{Phase: Steady, Role: message.RoleProxy, Metric: "bytes", Size: size, Values: []float64{value * (1 - scatter), value, value * (1 + scatter)}})
 	}
 	return list
 }
@@ -83,11 +83,11 @@
 func TestTableAndPlots(t *testing.T) {
 	c := qt.New(t)
 	table := Table{Course: Course{Sizes: []int{16, 32, 64, 128, 256}, Phases: []string{Steady}}, Target: 12000,
-		Rows: append(made(func(size float64) float64 { return 100 * size }, 0.1), Row{Phase: Steady, Role: script.RoleUsher, Metric: "dropped", Size: 16, Values: []float64{0}})}
+		Rows: append(made(func(size float64) float64 { return 100 * size }, 0.1), Row{Phase: Steady, Role: message.RoleProxy, Metric: "dropped", Size: 16, Values: []float64{0}})}
 	table.Reckon()
 	out := bytes.Buffer{}
 	table.Markdown(&out)
-	c.Assert(out.String(), qt.Contains, "| usher | bytes | 1600 ±160 | 3200 ±320 | 6400 ±640 | 12.8k ±1280 | 25.6k ±2560 | n | 0% | 1.2M (1.08M..1.32M) |")
+	c.Assert(out.String(), qt.Contains, "| proxy | bytes | 1600 ±160 | 3200 ±320 | 6400 ±640 | 12.8k ±1280 | 25.6k ±2560 | n | 0% | 1.2M (1.08M..1.32M) |")
 	c.Assert(strings.Contains(out.String(), "dropped"), qt.IsFalse)
 	body := bytes.Buffer{}
 	c.Assert(table.JSON(&body), qt.IsNil)
@@ -102,25 +102,25 @@
 }
 
 // Differences of two readings are a second's; a kind that is known to no part counts
-// with the seats.
+// with the voters.
 func TestRates(t *testing.T) {
 	c := qt.New(t)
-	before, after := Reading{At: time.Second, Processor: time.Second}, Reading{At: 3 * time.Second, Processor: 1500 * time.Millisecond, House: map[string]int64{"disk_syncs": 8}}
-	for _, kind := range []string{"Ping", "BeatBatch", "TenureAsk", "BookPut"} {
-		after.Counts = append(after.Counts, wings.Count{Way: "tcp", Out: true, Kind: kind, Messages: 10, Bytes: 100})
+	before, after := Reading{At: time.Second, Processor: time.Second}, Reading{At: 3 * time.Second, Processor: 1500 * time.Millisecond, Node: map[string]int64{"disk_syncs": 8}}
+	for _, kind := range []string{"Ping", "HeartbeatBatch", "LeaseRequest", "WriteRequest"} {
+		after.Counts = append(after.Counts, transport.Count{Way: "tcp", Out: true, Kind: kind, Messages: 10, Bytes: 100})
 	}
 	rate := rates(before, after)
-	for metric, value := range map[string]float64{"processor": 25, "disk_syncs": 4, "tcp_out_messages": 20, "bytes": 200, "bytes_membership": 50, "bytes_beats": 50, "bytes_seats": 50, "bytes_book": 50, "udp_in_bytes": 0} {
+	for metric, value := range map[string]float64{"processor": 25, "disk_syncs": 4, "tcp_out_messages": 20, "bytes": 200, "bytes_membership": 50, "bytes_heartbeats": 50, "bytes_voters": 50, "bytes_config_log": 50, "udp_in_bytes": 0} {
 		c.Assert(rate[metric], qt.Equals, value, qt.Commentf(metric))
 	}
 }
 
-// The smallest fleet in this process: whole, a layout in force everywhere, a usher that
+// The smallest fleet in this process: whole, a configuration in force everywhere, a proxy that
 // was ended and is back; every stretch leaves its rows.
 func TestTinyFleet(t *testing.T) {
 	c := qt.New(t)
-	plan := Plan{Ushers: 4, Districts: 2, Services: 3, Tenants: 2, Fanout: 2, Share: 2, Folder: t.TempDir()}
-	course := Course{Sizes: []int{4}, Repeats: 1, Limit: time.Minute, Window: time.Millisecond, Phases: []string{Steady, Layouts, Restarts}}
+	plan := Plan{Proxies: 4, Zones: 2, Services: 3, Tenants: 2, Fanout: 2, Share: 2, Folder: t.TempDir()}
+	course := Course{Sizes: []int{4}, Repeats: 1, Limit: time.Minute, Window: time.Millisecond, Phases: []string{Steady, Configurations, Restarts}}
 	list, err := Measure(plan, course)
 	c.Assert(err, qt.IsNil)
 	found := map[string]float64{}
@@ -128,25 +128,25 @@
 		found[row.Phase+" "+row.Role+" "+row.Metric] = row.Values[0]
 	}
 	c.Assert(found["steady fleet ready"], qt.Equals, 4.0)
-	c.Assert(found["layouts fleet in_force_ms"] > 0, qt.IsTrue)
+	c.Assert(found["configurations fleet in_force_ms"] > 0, qt.IsTrue)
 	c.Assert(found["restarts fleet restored_ms"] > 0, qt.IsTrue)
-	c.Assert(found["layouts promptbook disk_bytes"] > 0, qt.IsTrue)
-	c.Assert(found["layouts usher bytes_news"] > 0, qt.IsTrue)
-	c.Assert(found["steady usher resident"] > 0, qt.IsTrue)
+	c.Assert(found["configurations configstore disk_bytes"] > 0, qt.IsTrue)
+	c.Assert(found["configurations proxy bytes_updates"] > 0, qt.IsTrue)
+	c.Assert(found["steady proxy resident"] > 0, qt.IsTrue)
 }
 
-// A troupe's process answers line by line, names what it can't do, and ends with its input.
+// A hollow fleet's process answers line by line, names what it can't do, and ends with its input.
 func TestServe(t *testing.T) {
 	c := qt.New(t)
-	plan := Plan{Ushers: 1, Districts: 1, Services: 1, Fanout: 2, Folder: t.TempDir()}
+	plan := Plan{Proxies: 1, Zones: 1, Services: 1, Fanout: 2, Folder: t.TempDir()}
 	address, err := freeAddress("127.88.9.1")
 	c.Assert(err, qt.IsNil)
-	parts := []Part{{Role: script.RoleUsher, Service: "service-001", Config: plan.Config(script.RoleUsher, "edge", "", districtName(0), address, []string{address, address, address})}}
+	parts := []Part{{Role: message.RoleProxy, Service: "service-001", Settings: plan.Settings(message.RoleProxy, "edge", "", zoneName(0), address, []string{address, address, address})}}
 	input, output := bytes.Buffer{}, bytes.Buffer{}
 	encoder := json.NewEncoder(&input)
 	c.Assert(encoder.Encode(parts), qt.IsNil)
-	for _, ask := range []Ask{{Deed: "read"}, {Deed: "nothing"}, {Deed: "state", Index: 7}, {Deed: "weigh"}} {
-		c.Assert(encoder.Encode(ask), qt.IsNil)
+	for _, request := range []Request{{EventName: "read"}, {EventName: "nothing"}, {EventName: "state", Index: 7}, {EventName: "weigh"}} {
+		c.Assert(encoder.Encode(request), qt.IsNil)
 	}
 	c.Assert(Serve(&input, &output), qt.IsNil)
 	decoder, answers := json.NewDecoder(&output), make([]Answer, 5)
--- a/internal/walkon/slopes.go
+++ b/internal/scaletest/slopes.go
@@ -4,7 +4,7 @@
 // it misses clearly less than a flat one. The range of an extrapolated figure comes from
 // fitting each repeat alone and from the next best shape, so that it shows both
 // what the measuring scatters and what the choice of a shape decides.
-package walkon
+package scaletest
 
 import (
 	"math"
@@ -58,9 +58,9 @@
 		base = (sumY - rate*sumX) / sumW
 	}
 	for index, size := range sizes {
-		told := base + rate*shape.At(size)
+		response := base + rate*shape.At(size)
 		if values[index] != 0 {
-			miss += (told - values[index]) * (told - values[index]) / (values[index] * values[index])
+			miss += (response - values[index]) * (response - values[index]) / (values[index] * values[index])
 		}
 	}
 	return base, rate, math.Sqrt(miss / float64(len(sizes)))
--- a/internal/walkon/table.go
+++ b/internal/scaletest/table.go
@@ -1,6 +1,6 @@
 // This file prints: the table as markdown and as JSON, and the plots of cost against
 // the size of the fleet.
-package walkon
+package scaletest
 
 import (
 	"encoding/json"
@@ -17,7 +17,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"beaconvane/internal/notice"
+	"beaconvane/internal/errcode"
 )
 
 // Table is what a course has found.
@@ -144,23 +144,23 @@
 
 // Charts are those of the page.
 var Charts = []Chart{
-	{"capacity-bytes", "Control bytes a second of one usher, in and out, by part", "bytes a second", 3000, []Curve{
-		{Steady, "usher", "bytes", "all"}, {Steady, "usher", "bytes_membership", "membership"}, {Steady, "usher", "bytes_news", "news"},
-		{Steady, "usher", "bytes_beats", "beats"}, {Steady, "usher", "bytes_usage", "usage"}, {Layouts, "usher", "bytes", "all, one layout a second"}}, 1},
+	{"capacity-bytes", "Control bytes a second of one proxy, in and out, by part", "bytes a second", 3000, []Curve{
+		{Steady, "proxy", "bytes", "all"}, {Steady, "proxy", "bytes_membership", "membership"}, {Steady, "proxy", "bytes_updates", "updates"},
+		{Steady, "proxy", "bytes_heartbeats", "heartbeats"}, {Steady, "proxy", "bytes_usage", "usage"}, {Configurations, "proxy", "bytes", "all, one configuration a second"}}, 1},
 	{"capacity-processor", "Processor time", "% of a core", 3.1, []Curve{
-		{Steady, "usher", "processor", "usher"}, {Layouts, "usher", "processor", "usher, one layout a second"},
-		{Steady, "callboard", "processor", "busiest callboard"}, {Steady, "promptbook", "processor", "busiest promptbook"}}, 1},
+		{Steady, "proxy", "processor", "proxy"}, {Configurations, "proxy", "processor", "proxy, one configuration a second"},
+		{Steady, "registry", "processor", "busiest registry"}, {Steady, "configstore", "processor", "busiest configstore"}}, 1},
 	{"capacity-memory", "Memory in use", "MB", 128, []Curve{
-		{Steady, "usher", "live", "usher"}, {Steady, "callboard", "live", "largest callboard"}, {Steady, "promptbook", "live", "largest promptbook"}}, 1e-6},
-	{"capacity-in-force", "Until a layout is in force everywhere", "ms", 6000, []Curve{
-		{Layouts, "fleet", "in_force_ms", "in force everywhere"}, {Layouts, "fleet", "settled_ms", "settled"}, {Restarts, "fleet", "restored_ms", "a restarted usher is ready, all known"}}, 1},
+		{Steady, "proxy", "live", "proxy"}, {Steady, "registry", "live", "largest registry"}, {Steady, "configstore", "live", "largest configstore"}}, 1e-6},
+	{"capacity-in-force", "Until a configuration is in force everywhere", "ms", 6000, []Curve{
+		{Configurations, "fleet", "in_force_ms", "in force everywhere"}, {Configurations, "fleet", "settled_ms", "settled"}, {Restarts, "fleet", "restored_ms", "a restarted proxy is ready, all known"}}, 1},
 }
 
 // Plot draws the charts as PNG files into a folder.
 func (t *Table) Plot(folder string) error {
 	for _, chart := range Charts {
 		if err := t.draw(chart, folder); err != nil {
-			return notice.Wrap("walkon.plot", notice.Internal, err)
+			return errcode.Wrap("scaletest.plot", errcode.Internal, err)
 		}
 	}
 	return nil
@@ -168,7 +168,7 @@
 
 func (t *Table) draw(chart Chart, folder string) error {
 	drawing := plot.New()
-	drawing.Title.Text, drawing.X.Label.Text, drawing.Y.Label.Text = chart.Title, "ushers in the fleet", chart.Unit
+	drawing.Title.Text, drawing.X.Label.Text, drawing.Y.Label.Text = chart.Title, "proxies in the fleet", chart.Unit
 	drawing.X.Scale, drawing.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	drawing.X.Tick.Marker, drawing.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
 	drawing.Legend.Top, drawing.Legend.Left = true, true
--- a/internal/rehearsal/brief_test.go
+++ b/internal/simulation/brief_test.go
@@ -1,6 +1,6 @@
 // The ledger of the brief is held to what exists: each test, scenario and real run it
 // names is there, each of the twelve points and each failure of the brief has a row.
-package rehearsal
+package simulation
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"beaconvane/internal/stagehand"
+	"beaconvane/internal/fleet"
 )
 
 const ledgerPath = "../../docs/brief.md"
@@ -39,7 +39,7 @@
 // faultsOf lists what is wrong with a ledger.
 func faultsOf(ledger string, tests map[string]bool) []string {
 	faults := []string{}
-	real := strings.Split(stagehand.ScenarioNames(), ", ")
+	real := strings.Split(fleet.ScenarioNames(), ", ")
 	rows := map[string]string{}
 	for _, line := range strings.Split(ledger, "\n") {
 		cells := strings.Split(line, "|")
@@ -67,7 +67,7 @@
 	for point := range 12 {
 		wanted = append(wanted, fmt.Sprintf("never.%d", point+1))
 	}
-	for _, failure := range []string{"replaced", "answers", "nodes", "disks", "turn", "cuts", "slow", "seeds", "freeze", "seat", "sheets", "last"} {
+	for _, failure := range []string{"replaced", "answers", "nodes", "disks", "turn", "cuts", "slow", "seeds", "freeze", "voter", "configurations", "last"} {
 		wanted = append(wanted, "fails."+failure)
 	}
 	for _, id := range wanted {
--- a/internal/rehearsal/disk.go
+++ b/internal/simulation/disk.go
@@ -1,8 +1,8 @@
-// Package rehearsal is the simulator: whole deployments in one process and one
+// Package simulation is the simulator: whole deployments in one process and one
 // thread, on a simulated network, clock and disk, all from one seed. It runs the real
 // machines, desks and disk format; only sockets, files, timers and dice are its own.
 // This file is the disk: what was not synced may vanish or be torn at a crash.
-package rehearsal
+package simulation
 
 import (
 	"errors"
@@ -16,7 +16,7 @@
 	durable bool // its name is in the folder for good
 }
 
-// Disk is a simulated folder; it implements wardrobe.Folder.
+// Disk is a simulated folder; it implements storage.Folder.
 type Disk struct {
 	files map[string]*simFile
 	fail  bool
@@ -96,7 +96,7 @@
 }
 
 // Crash forgets what was not synced, or keeps a part of it.
-func (d *Disk) Crash(dice *rand.Rand) {
+func (d *Disk) Crash(random *rand.Rand) {
 	d.steps = -1
 	names := []string{}
 	for _, name := range []string{"slot.0", "slot.1", "log"} {
@@ -106,7 +106,7 @@
 	}
 	for _, name := range names {
 		file := d.files[name]
-		if !file.durable && dice.IntN(2) == 0 {
+		if !file.durable && random.IntN(2) == 0 {
 			delete(d.files, name)
 			continue
 		}
@@ -116,23 +116,23 @@
 		appended := len(file.current) > len(file.synced) && string(file.current[:len(file.synced)]) == string(file.synced)
 		switch {
 		case appended:
-			kept := len(file.synced) + dice.IntN(len(file.current)-len(file.synced)+1)
-			if dice.IntN(2) == 0 {
+			kept := len(file.synced) + random.IntN(len(file.current)-len(file.synced)+1)
+			if random.IntN(2) == 0 {
 				file.current = file.current[:kept]
 				break
 			}
 			// The length is there, and sectors of the new part in any order.
 			for at := len(file.synced); at < len(file.current); {
 				end := min(len(file.current), (at/512+1)*512)
-				if dice.IntN(2) == 0 {
+				if random.IntN(2) == 0 {
 					clear(file.current[at:end])
 				}
 				at = end
 			}
-		case dice.IntN(2) == 0:
+		case random.IntN(2) == 0:
 			file.current = append([]byte{}, file.synced...)
 		default:
-			file.current = file.current[:dice.IntN(len(file.current)+1)]
+			file.current = file.current[:random.IntN(len(file.current)+1)]
 		}
 		file.synced = append([]byte{}, file.current...)
 	}
--- /dev/null
+++ b/internal/simulation/linear.go
@@ -0,0 +1,100 @@
+// This file checks the operators' snapshot of the configuration log: every put and read, with when it
+// was asked and answered, must fit one order in which each takes effect at one moment
+// between the two. A put without a known outcome may have taken effect at any later
+// time, or never.
+package simulation
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"beaconvane/internal/checker"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/registry"
+)
+
+type configLogRequest struct {
+	write   bool
+	version int64
+	entry   string // version and digest of a put
+}
+
+type configLogAnswer struct {
+	code    errcode.Code
+	digest  string
+	unknown bool
+}
+
+type configLogOperation struct {
+	request  configLogRequest
+	answer   configLogAnswer
+	from, to time.Duration
+	answered bool
+}
+
+// readConfigLog has an operator read the current configuration at some registry now and then.
+func (w *World) readConfigLog(every, until time.Duration) {
+	if w.now > until {
+		return
+	}
+	if boards := w.alive(message.RoleRegistry); len(boards) > 0 {
+		operation := &configLogOperation{from: w.now}
+		boards[w.random.IntN(len(boards))].request(registry.GetConfiguration{ConfigName: "main"}, func(answer any) {
+			got := answer.(registry.Answer)
+			if got.Code == errcode.OK || got.Code == errcode.ConfigurationNotFound {
+				operation.answer = configLogAnswer{code: got.Code, digest: checker.Digest(got.Body)}
+				operation.to, operation.answered = w.now, true
+				w.operations = append(w.operations, operation)
+			}
+		})
+	}
+	w.after(every, func() { w.readConfigLog(every, until) })
+}
+
+// configLogModel: the state is the list of settled versions, oldest first.
+var configLogModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		committed, request, answer := state.(string), input.(configLogRequest), output.(configLogAnswer)
+		current, currentDigest := int64(0), ""
+		if entries := strings.Fields(committed); len(entries) > 0 {
+			fmt.Sscanf(entries[len(entries)-1], "%d:%s", &current, &currentDigest)
+		}
+		held := strings.Contains(" "+committed+" ", " "+request.entry+" ")
+		applied := strings.TrimSpace(committed + " " + request.entry)
+		switch {
+		case !request.write && answer.code == errcode.ConfigurationNotFound && committed == "", !request.write && answer.code == errcode.OK && answer.digest == currentDigest:
+			return []any{state}
+		case !request.write:
+			return nil
+		case answer.unknown && request.version > current:
+			return []any{state, applied}
+		case answer.unknown, answer.code == errcode.ConfigurationNoHolder, answer.code == errcode.OK && held:
+			return []any{state}
+		case answer.code == errcode.OK && request.version > current:
+			return []any{applied}
+		case answer.code == errcode.ConfigurationConflict && request.version <= current && !held:
+			return []any{state}
+		}
+		return nil
+	},
+	Equal: func(one, other any) bool { return one == other },
+}
+
+// linear checks the operations of a run; few runs take long, those are given up.
+func (w *World) linear() (bool, int) {
+	history := []porcupine.Operation{}
+	for index, operation := range w.operations {
+		answer, to := operation.answer, int64(operation.to)
+		if !operation.answered || answer.code == errcode.ConfigurationUnsure {
+			answer, to = configLogAnswer{unknown: true}, math.MaxInt64
+		}
+		history = append(history, porcupine.Operation{ClientId: index, Input: operation.request, Call: int64(operation.from), Output: answer, Return: to})
+	}
+	return porcupine.CheckOperationsTimeout(configLogModel.ToModel(), history, 20*time.Second) != porcupine.Illegal, len(history)
+}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/simulation/simulation_test.go
@@ -1,6 +1,6 @@
 // The fixed seeds: each was seen to fail before the round that mended it, or stands
-// for a scenario that must keep its promises. Wider sweeps are cmd/rehearse's.
-package rehearsal
+// for a scenario that must keep its promises. Wider sweeps are cmd/simulate's.
+package simulation
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"beaconvane/internal/repertoire"
+	"beaconvane/internal/workload"
 )
 
 const testRate = 60
@@ -22,21 +22,21 @@
 
 func play(t *testing.T, deployment, scenario string, seed uint64) Result {
 	oneThread(t)
-	d, known := repertoire.Named(deployment)
+	d, known := workload.Named(deployment)
 	qt.Assert(t, known, qt.IsTrue)
 	result := Run(d, scenario, seed, testRate, nil)
 	for _, violation := range result.Review.Violations {
 		t.Errorf("%s %s seed %d: %s: %s", deployment, scenario, seed, violation.Rule, violation.Detail)
 	}
 	if t.Failed() {
-		t.Logf("replay: rehearse --deployment %s --scenario %s --rate %d --count 1 --seed %d --log\n%v", deployment, scenario, testRate, seed, result.Plan)
+		t.Logf("replay: simulate --deployment %s --scenario %s --rate %d --count 1 --seed %d --log\n%v", deployment, scenario, testRate, seed, result.Plan)
 	}
 	return result
 }
 
 // One seed, one trace; another seed, another.
 func TestSameSeedSameTrace(t *testing.T) {
-	d, _ := repertoire.Named("small")
+	d, _ := workload.Named("small")
 	first, second, other := Run(d, "any", 3, testRate, nil), Run(d, "any", 3, testRate, nil), Run(d, "any", 4, testRate, nil)
 	qt.Assert(t, first.Trace, qt.Equals, second.Trace)
 	qt.Assert(t, first.Steps, qt.Equals, second.Steps)
@@ -57,24 +57,24 @@
 		deployment, scenario string
 		seed                 uint64
 	}{
-		{"umuyoboro", "disks-lost", 9},           // an epoch taken twice lost an acknowledged layout
-		{"umuyoboro", "freeze", 7},               // given up between verdict and judge: told busy, had run
-		{"umuyoboro", "core-cut", 20},            // children of a cut-off seat moved to others behind the same seat
+		{"umuyoboro", "disks-lost", 9},           // an epoch taken twice lost an acknowledged configuration
+		{"umuyoboro", "freeze", 7},               // given up between outcome and judge: told busy, had run
+		{"umuyoboro", "core-cut", 20},            // children of a cut-off voter moved to others behind the same voter
 		{"umuyoboro", "all-killed", 1},           // usage counts died with the whole fleet
 		{"umuyoboro", "core-cut", 9},             // the last resort chose the same stale root again
-		{"umuyoboro", "keeper-killed", 19},       // a split vote made the voters forget who had held the tag
+		{"umuyoboro", "holder-killed", 19},       // a split vote made the voters forget who had held the tag
 		{"umuyoboro", "any", 27},                 // acknowledged, then the holder died before its push was through
-		{"umuyoboro", "cut-and-killed", 2},       // a restarted home denied what its earlier life had started
-		{"umuyoboro", "upstreams", 5},            // an address taken over got the old owner's queries
-		{"umuyoboro", "two-disks-lost", 3},       // newcomers founded anew, and later filled two seats at once
+		{"umuyoboro", "cut-and-killed", 2},       // a restarted serving proxy denied what its earlier life had started
+		{"umuyoboro", "upstreams", 5},            // an address taken over got the old owner's requests
+		{"umuyoboro", "two-disks-lost", 3},       // newcomers founded anew, and later filled two voters at once
 		{"jendela", "usurped", 6},                // the shut-out machine was still taken for the holder
 		{"umuyoboro", "restarted-behind-cut", 1}, // stands for its scenario
 		{"jendela", "any", 2},                    // the same
-		{"umuyoboro", "stale-root", 1},           // a restarted usher took an older sheet from a cut-off relay
+		{"umuyoboro", "stale-root", 1},           // a restarted proxy took an older configuration from a cut-off relay
 		{"umuyoboro", "any", 1193},               // a restarted parent knew less than its children
-		{"umuyoboro", "any", 1119},               // a former keeper came back past voters that had missed its tenure
-		{"umuyoboro", "any", 2016},               // counts of a dead usher were with another seat only
-		{"umuyoboro", "two-disks-lost", 3001},    // a keeper that had reported nothing began an hour back
+		{"umuyoboro", "any", 1119},               // a former holder came back past voters that had missed its lease
+		{"umuyoboro", "any", 2016},               // counts of a dead proxy were with another voter only
+		{"umuyoboro", "two-disks-lost", 3001},    // a holder that had reported nothing began an hour back
 		{"umuyoboro", "away-and-swapped", 3000},  // back after a minute, all its seeds swapped: nobody looked for it
 	} {
 		t.Run(fmt.Sprintf("%s-%s-%d", fixed.deployment, fixed.scenario, fixed.seed), func(t *testing.T) {
@@ -84,31 +84,31 @@
 	}
 }
 
-// Core groups that find their seats: each run must have had the seats taken that it is
+// Core groups that find their voters: each run must have had the voters taken that it is
 // about, and no promise broken.
-func TestSeatsAreFound(t *testing.T) {
+func TestVotersAreFound(t *testing.T) {
 	for _, fixed := range []struct {
 		deployment, scenario string
 		seed                 uint64
 		taken                int
 	}{
-		{"seats-3", "calm", 1, 0},
-		{"seats-3", "core-replaced", 1, 2},
-		{"seats-3", "acked-and-wiped", 1, 4},
-		{"seats-3", "all-killed", 1, 0},
-		{"seats-3", "core-replaced-one-away", 2, 2},
-		{"seats-5", "calm", 1, 0},
-		{"seats-5", "core-replaced", 1, 2},
-		{"seats-5", "acked-and-wiped", 1, 4},
-		{"seats-5", "all-killed", 1, 0},
-		{"seats-5", "core-replaced-one-away", 1, 2},
-		{"seats-5", "core-replaced-all-killed", 1, 2},
-		{"seats-3-4", "core-replaced", 1, 2},
+		{"voters-3", "calm", 1, 0},
+		{"voters-3", "core-replaced", 1, 2},
+		{"voters-3", "acked-and-wiped", 1, 4},
+		{"voters-3", "all-killed", 1, 0},
+		{"voters-3", "core-replaced-one-away", 2, 2},
+		{"voters-5", "calm", 1, 0},
+		{"voters-5", "core-replaced", 1, 2},
+		{"voters-5", "acked-and-wiped", 1, 4},
+		{"voters-5", "all-killed", 1, 0},
+		{"voters-5", "core-replaced-one-away", 1, 2},
+		{"voters-5", "core-replaced-all-killed", 1, 2},
+		{"voters-3-4", "core-replaced", 1, 2},
 	} {
 		t.Run(fmt.Sprintf("%s-%s-%d", fixed.deployment, fixed.scenario, fixed.seed), func(t *testing.T) {
 			t.Parallel()
 			result := play(t, fixed.deployment, fixed.scenario, fixed.seed)
-			reached(t, "seats taken by an empty disk", result.Review.Seen["danger: seats taken by an empty disk"], fixed.taken)
+			reached(t, "voters taken by an empty disk", result.Review.Seen["danger: voters taken by an empty disk"], fixed.taken)
 		})
 	}
 }
--- a/internal/rehearsal/world.go
+++ b/internal/simulation/world.go
@@ -1,7 +1,7 @@
 // This file is the world: true time, the queue of events, the network between nodes
 // with delays, loss, cuts and one-way cuts, and the trace, a hash over every delivery
 // by which two runs of one seed are compared.
-package rehearsal
+package simulation
 
 import (
 	"container/heap"
@@ -12,10 +12,10 @@
 	"strings"
 	"time"
 
-	"beaconvane/internal/critic"
-	"beaconvane/internal/playbill"
-	"beaconvane/internal/repertoire"
-	"beaconvane/internal/script"
+	"beaconvane/internal/checker"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/workload"
 )
 
 type event struct {
@@ -43,7 +43,7 @@
 
 // Options shape a run.
 type Options struct {
-	Deployment repertoire.Deployment
+	Deployment workload.Deployment
 	Seed       uint64
 	Rate       float64
 	Load       time.Duration // how long callers ask, from the eighth second
@@ -54,7 +54,7 @@
 // World is one run.
 type World struct {
 	options Options
-	dice    *rand.Rand
+	random  *rand.Rand
 	now     time.Duration
 	number  int64
 	events  eventQueue
@@ -74,12 +74,12 @@
 	upOrder   []string
 	addresses map[string]*Upstream // who owns an upstream address now
 
-	record     critic.Record
-	asked      []*critic.Asked
+	record     checker.Record
+	asked      []*checker.Asked
 	versions   int64
 	serial     int // of machines added
-	tenants    int // how many tenants the newest sheet has
-	operations []*bookOperation
+	tenants    int // how many tenants the newest configuration has
+	operations []*configLogOperation
 	sent       map[int64]int // control messages by second
 	frameMax   int
 
@@ -87,8 +87,8 @@
 	collectorOdd  time.Duration
 	dangers       map[string]int // how often a dangerous moment was reached
 	readiness     map[string]*readiness
-	couldServe    map[string]bool // queries refused while some upstream could have run them
-	unvouched     map[string]bool // queries refused while no callboard in reach knew the sheet current
+	couldServe    map[string]bool // requests refused while some upstream could have run them
+	unvouched     map[string]bool // requests refused while no registry in reach knew the configuration current
 	broken        []string
 }
 
@@ -97,12 +97,12 @@
 
 // NewWorld builds a deployment; nothing runs yet.
 func NewWorld(options Options) *World {
-	w := &World{options: options, dice: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
+	w := &World{options: options, random: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
 		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
 		sent: map[int64]int{}, dangers: map[string]int{}, readiness: map[string]*readiness{}, couldServe: map[string]bool{}, unvouched: map[string]bool{}, loss: 0.002, delay: 300 * time.Microsecond}
-	w.record.Bounds = critic.BriefBounds(options.Deployment.Withdrawal)
-	w.record.Window, w.record.Epoch = time.Duration(playbill.Default().Bounds.UsageWindow)*time.Millisecond, epoch
-	w.record.KeptMost = int(playbill.Default().Limits.KeptLayouts)
+	w.record.Bounds = checker.BriefBounds(options.Deployment.Withdrawal)
+	w.record.Window, w.record.Epoch = time.Duration(settings.Default().Bounds.UsageWindow)*time.Millisecond, epoch
+	w.record.KeptMost = int(settings.Default().Limits.KeptConfigurations)
 	w.tenants = len(options.Deployment.Tenants())
 	w.build()
 	return w
@@ -147,7 +147,7 @@
 	for _, machine := range []string{from, to} {
 		healed := machine
 		if !w.cutOff(machine) {
-			// What waited on its wires is through a moment later.
+			// What waited on its connections is through a moment later.
 			w.after(time.Second, func() {
 				if !w.cutOff(healed) {
 					delete(w.cutSince, healed)
@@ -170,19 +170,19 @@
 }
 
 func (w *World) transit() time.Duration {
-	wait := w.delay + time.Duration(w.dice.Int64N(int64(w.delay)))
-	if w.dice.IntN(200) == 0 {
-		wait += time.Duration(w.dice.Int64N(int64(20 * time.Millisecond)))
+	wait := w.delay + time.Duration(w.random.Int64N(int64(w.delay)))
+	if w.random.IntN(200) == 0 {
+		wait += time.Duration(w.random.Int64N(int64(20 * time.Millisecond)))
 	}
 	return wait
 }
 
-// send carries a control message: in order on a wire. Over a cut it is kept back and
-// comes late, or is lost with the wire.
-func (w *World) send(from *Node, to string, message any) {
-	frame, err := script.Encode(message)
+// send carries a control message: in order on a connection. Over a cut it is kept back and
+// comes late, or is lost with the connection.
+func (w *World) send(from *Node, to string, msg any) {
+	frame, err := message.Encode(msg)
 	if err != nil {
-		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+		panic(fmt.Sprintf("simulation: %T: %v", msg, err))
 	}
 	w.sent[int64(w.now/time.Second)]++
 	w.frameMax = max(w.frameMax, len(frame))
@@ -199,7 +199,7 @@
 			return
 		}
 		if !w.linked(from, target) {
-			if w.dice.IntN(3) == 0 {
+			if w.random.IntN(3) == 0 {
 				return
 			}
 			w.after(200*time.Millisecond, deliver)
@@ -211,16 +211,16 @@
 	w.at(arrival, deliver)
 }
 
-func (w *World) datagram(from *Node, to string, message any) {
-	frame, err := script.Encode(message)
+func (w *World) datagram(from *Node, to string, msg any) {
+	frame, err := message.Encode(msg)
 	if err != nil {
-		panic(fmt.Sprintf("rehearsal: %T: %v", message, err))
+		panic(fmt.Sprintf("simulation: %T: %v", msg, err))
 	}
 	if len(frame) > 1400 {
-		w.broken = append(w.broken, fmt.Sprintf("datagram of %d bytes: %T", len(frame), message))
+		w.broken = append(w.broken, fmt.Sprintf("datagram of %d bytes: %T", len(frame), msg))
 	}
 	target, found := w.byAddress[to]
-	if !found || !w.linked(from, target) || w.dice.Float64() < w.loss {
+	if !found || !w.linked(from, target) || w.random.Float64() < w.loss {
 		return
 	}
 	w.after(w.transit(), func() {
@@ -243,17 +243,17 @@
 
 func (w *World) alive(role string) []*Node {
 	list := []*Node{}
-	for _, node := range w.of(role) {
-		if node.up && !node.frozen {
-			list = append(list, node)
+	for _, nodeName := range w.of(role) {
+		if nodeName.up && !nodeName.frozen {
+			list = append(list, nodeName)
 		}
 	}
 	return list
 }
 
-// Finish closes the record and gives the critic's review, with the simulator's own
+// Finish closes the record and gives the checker's review, with the simulator's own
 // findings.
-func (w *World) Finish() critic.Review {
+func (w *World) Finish() checker.Review {
 	for _, name := range w.order {
 		w.nodes[name].closeSpan()
 	}
@@ -263,10 +263,10 @@
 	}
 	for _, key := range w.upOrder {
 		w.record.Ran = append(w.record.Ran, w.upstreams[key].runs...)
-		w.record.Peaks = append(w.record.Peaks, critic.Peak{Instance: key, Most: w.upstreams[key].most, Slots: w.upstreams[key].slots})
+		w.record.Peaks = append(w.record.Peaks, checker.Peak{Instance: key, Most: w.upstreams[key].most, Slots: w.upstreams[key].slots})
 	}
 	sort.SliceStable(w.record.Keeping, func(i, j int) bool { return w.record.Keeping[i].At < w.record.Keeping[j].At })
-	review := critic.Check(w.record)
+	review := checker.Check(w.record)
 	sound, count := w.linear()
 	review.Seen["book operations"] = count
 	for second, messages := range w.sent {
@@ -279,10 +279,10 @@
 	}
 	review.Worst["largest-frame-bytes"] = float64(w.frameMax)
 	if !sound {
-		review.Violations = append(review.Violations, critic.Violation{Rule: "book-order", Detail: fmt.Sprintf("%d puts and reads fit no order", count)})
+		review.Violations = append(review.Violations, checker.Violation{Rule: "config-log-order", Detail: fmt.Sprintf("%d puts and reads fit no order", count)})
 	}
 	for _, text := range w.broken {
-		review.Violations = append(review.Violations, critic.Violation{Rule: "simulator", Detail: text})
+		review.Violations = append(review.Violations, checker.Violation{Rule: "simulator", Detail: text})
 	}
 	return review
 }
--- a/internal/wardrobe/ledger.go
+++ b/internal/storage/ledger.go
@@ -2,43 +2,43 @@
 // once each write is synced. State in memory runs ahead of the disk; whatever others
 // may rely on is sent only from the continuation. One failed write stops the ledger
 // for good: no continuation of a later write is told of success.
-package wardrobe
+package storage
 
 import (
-	"beaconvane/internal/cue"
-	"beaconvane/internal/script"
+	"beaconvane/internal/message"
+	"beaconvane/internal/statemachine"
 )
 
 // Then runs when a write is synced, or with the failure that prevented it.
-type Then func(s *cue.Stage, failure error)
+type Then func(s *statemachine.Env, failure error)
 
 // Ledger orders a machine's writes.
 type Ledger struct {
-	view    func() []byte
-	waiting map[int64]Then
-	failure error
-	bytes   int
-	limit   int
-	begun   bool
+	snapshot func() []byte
+	waiting  map[int64]Then
+	failure  error
+	bytes    int
+	limit    int
+	begun    bool
 }
 
-// NewLedger makes a ledger; view gives the machine's whole state, and the log is
+// NewLedger makes a ledger; snapshot gives the machine's whole state, and the log is
 // folded into a slot when it holds more than limit bytes. An empty disk gets a whole
-// view first, whatever is to be written.
-func NewLedger(limit int, view func() []byte, empty bool) *Ledger {
-	return &Ledger{view: view, waiting: map[int64]Then{}, limit: limit, begun: !empty}
+// snapshot first, whatever is to be written.
+func NewLedger(limit int, snapshot func() []byte, empty bool) *Ledger {
+	return &Ledger{snapshot: snapshot, waiting: map[int64]Then{}, limit: limit, begun: !empty}
 }
 
 // Failure is set once a write has failed.
 func (l *Ledger) Failure() error { return l.failure }
 
 // Persist appends a message as a record.
-func (l *Ledger) Persist(s *cue.Stage, record any, then Then) {
+func (l *Ledger) Persist(s *statemachine.Env, record any, then Then) {
 	if l.failure != nil {
 		then(s, l.failure)
 		return
 	}
-	body, err := script.Encode(record)
+	body, err := message.Encode(record)
 	if err != nil {
 		then(s, err)
 		return
@@ -51,26 +51,26 @@
 	l.waiting[s.Append(body)] = then
 }
 
-// Compact writes the whole view; the record in hand is part of it already.
-func (l *Ledger) Compact(s *cue.Stage, then Then) {
+// Compact writes the whole snapshot; the record in hand is part of it already.
+func (l *Ledger) Compact(s *statemachine.Env, then Then) {
 	if l.failure != nil {
 		then(s, l.failure)
 		return
 	}
 	l.bytes, l.begun = 0, true
-	l.waiting[s.Compact(l.view())] = then
+	l.waiting[s.Compact(l.snapshot())] = then
 }
 
 // Synced answers a ticket.
-func (l *Ledger) Synced(s *cue.Stage, ticket int64, failure error) {
-	then, found := l.waiting[ticket]
+func (l *Ledger) Synced(s *statemachine.Env, requestID int64, failure error) {
+	then, found := l.waiting[requestID]
 	if !found {
 		return
 	}
-	delete(l.waiting, ticket)
+	delete(l.waiting, requestID)
 	if failure != nil && l.failure == nil {
 		l.failure = failure
-		s.Note("disk-failed", 5003, 0, failure.Error())
+		s.Event("disk-failed", 5003, 0, failure.Error())
 	}
 	then(s, l.failure)
 }
--- a/internal/wardrobe/wardrobe.go
+++ b/internal/storage/storage.go
@@ -1,4 +1,4 @@
-// Package wardrobe keeps a machine's state on disk: two slots written in turn, each
+// Package storage keeps a machine's state on disk: two slots written in turn, each
 // with a generation and a checksum, and a short log between. A record counts only
 // once it is synced. After a crash a torn tail is cut; a record or slot that is
 // complete but fails its checksum is settled data gone bad, and opening refuses
@@ -11,7 +11,7 @@
 // sectors before earlier ones, some sector's part of it is all zero. A bad frame with a
 // good one behind it, or one without a lost sector, is settled data gone bad. A torn
 // tail is cut off the file where it stands; what is settled is never written again.
-package wardrobe
+package storage
 
 import (
 	"encoding/binary"
@@ -21,7 +21,7 @@
 	"os"
 	"path/filepath"
 
-	"beaconvane/internal/notice"
+	"beaconvane/internal/errcode"
 )
 
 // Folder is the disk port; the simulator has another one.
@@ -56,14 +56,14 @@
 	failure    error
 }
 
-// Open reads what is kept. A folder that never completed its first view is empty:
-// the view comes back nil.
+// Open reads what is kept. A folder that never completed its first snapshot is empty:
+// the snapshot comes back nil.
 func Open(folder Folder) (*Store, []byte, [][]byte, error) {
 	store := &Store{folder: folder}
 	corrupt := func(text string) (*Store, []byte, [][]byte, error) {
-		return nil, nil, nil, notice.Wrap("wardrobe.open", notice.DiskCorrupt, errors.New(text))
+		return nil, nil, nil, errcode.Wrap("storage.open", errcode.DiskCorrupt, errors.New(text))
 	}
-	var chosenView []byte
+	var chosenSnapshot []byte
 	slotsSeen := 0
 	for _, slotName := range slotNames {
 		body, err := folder.Read(slotName)
@@ -71,25 +71,25 @@
 			continue
 		}
 		if err != nil {
-			return nil, nil, nil, notice.Wrap("wardrobe.open", notice.DiskFault, err)
+			return nil, nil, nil, errcode.Wrap("storage.open", errcode.DiskFault, err)
 		}
 		slotsSeen++
-		generation, view, valid := parseSlot(body)
+		generation, snapshot, valid := parseSlot(body)
 		if valid && generation > store.generation {
-			store.generation, chosenView = generation, view
+			store.generation, chosenSnapshot = generation, snapshot
 		}
 	}
 	logBody, err := folder.Read(logName)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, nil, nil, notice.Wrap("wardrobe.open", notice.DiskFault, err)
+		return nil, nil, nil, errcode.Wrap("storage.open", errcode.DiskFault, err)
 	}
 	logGeneration, records, sound, state := parseLog(logBody)
 	switch {
 	case state == logBad:
 		return corrupt("a settled log record fails its checksum")
-	case chosenView == nil && state == logWhole:
+	case chosenSnapshot == nil && state == logWhole:
 		return corrupt("a log without a readable slot")
-	case chosenView == nil:
+	case chosenSnapshot == nil:
 		return store, nil, nil, nil
 	case state == logWhole && logGeneration > store.generation:
 		return corrupt("the newest slot is unreadable")
@@ -98,14 +98,14 @@
 		if err := store.resetLog(); err != nil {
 			return nil, nil, nil, err
 		}
-		return store, chosenView, nil, nil
+		return store, chosenSnapshot, nil, nil
 	}
 	if sound != len(logBody) {
 		if err := store.cut(int64(sound)); err != nil {
 			return nil, nil, nil, err
 		}
 	}
-	return store, chosenView, records, nil
+	return store, chosenSnapshot, records, nil
 }
 
 // cut takes a torn tail off for good, so that later frames don't stand behind it.
@@ -125,7 +125,7 @@
 		return s.failure
 	}
 	if s.generation == 0 {
-		return s.fail(errors.New("append before the first view"))
+		return s.fail(errors.New("append before the first snapshot"))
 	}
 	if err := s.folder.Append(logName, frameOf(records)); err != nil {
 		return s.fail(err)
@@ -136,21 +136,21 @@
 	return nil
 }
 
-// Compact writes a whole view to the other slot, then empties the log.
-func (s *Store) Compact(view []byte) error {
+// Compact writes a whole snapshot to the other slot, then empties the log.
+func (s *Store) Compact(snapshot []byte) error {
 	if s.failure != nil {
 		return s.failure
 	}
-	if err := s.writeSlot(view); err != nil {
+	if err := s.writeSlot(snapshot); err != nil {
 		return err
 	}
 	return s.resetLog()
 }
 
-func (s *Store) writeSlot(view []byte) error {
+func (s *Store) writeSlot(snapshot []byte) error {
 	generation := s.generation + 1
 	slotName := slotNames[generation%2]
-	if err := s.folder.Write(slotName, slotOf(generation, view)); err != nil {
+	if err := s.folder.Write(slotName, slotOf(generation, snapshot)); err != nil {
 		return s.fail(err)
 	}
 	if err := s.folder.Sync(slotName); err != nil {
@@ -179,18 +179,18 @@
 }
 
 func (s *Store) fail(cause error) error {
-	s.failure = notice.Wrap("wardrobe.write", notice.DiskFault, cause)
+	s.failure = errcode.Wrap("storage.write", errcode.DiskFault, cause)
 	return s.failure
 }
 
-func slotOf(generation uint64, view []byte) []byte {
-	body := make([]byte, slotHead, slotHead+len(view))
+func slotOf(generation uint64, snapshot []byte) []byte {
+	body := make([]byte, slotHead, slotHead+len(snapshot))
 	binary.BigEndian.PutUint32(body[0:], slotMagic)
 	binary.BigEndian.PutUint32(body[4:], formatNumber)
 	binary.BigEndian.PutUint64(body[8:], generation)
-	binary.BigEndian.PutUint64(body[16:], uint64(len(view)))
-	body = append(body, view...)
-	sum := crc32.Update(crc32.Checksum(body[:24], sumTable), sumTable, view)
+	binary.BigEndian.PutUint64(body[16:], uint64(len(snapshot)))
+	body = append(body, snapshot...)
+	sum := crc32.Update(crc32.Checksum(body[:24], sumTable), sumTable, snapshot)
 	binary.BigEndian.PutUint32(body[24:], sum)
 	return body
 }
@@ -200,12 +200,12 @@
 		return 0, nil, false
 	}
 	generation, size := binary.BigEndian.Uint64(body[8:]), binary.BigEndian.Uint64(body[16:])
-	view := body[slotHead:]
-	if uint64(len(view)) != size {
+	snapshot := body[slotHead:]
+	if uint64(len(snapshot)) != size {
 		return 0, nil, false
 	}
-	sum := crc32.Update(crc32.Checksum(body[:24], sumTable), sumTable, view)
-	return generation, view, sum == binary.BigEndian.Uint32(body[24:])
+	sum := crc32.Update(crc32.Checksum(body[:24], sumTable), sumTable, snapshot)
+	return generation, snapshot, sum == binary.BigEndian.Uint32(body[24:])
 }
 
 func logHeadOf(generation uint64) []byte {
@@ -327,7 +327,7 @@
 // NewDirFolder makes the folder if need be.
 func NewDirFolder(path string) (DirFolder, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
-		return DirFolder{}, notice.Wrap("wardrobe.folder", notice.DiskFault, err)
+		return DirFolder{}, errcode.Wrap("storage.folder", errcode.DiskFault, err)
 	}
 	return DirFolder{path}, nil
 }
--- a/internal/wardrobe/wardrobe_test.go
+++ b/internal/storage/storage_test.go
@@ -1,5 +1,5 @@
 // What a crash and a bad disk may do to a store.
-package wardrobe
+package storage
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"beaconvane/internal/notice"
+	"beaconvane/internal/errcode"
 )
 
 type memory struct {
@@ -60,9 +60,9 @@
 
 func written(c *qt.C) *memory {
 	disk := &memory{files: map[string][]byte{}}
-	store, view, _, err := Open(disk)
+	store, snapshot, _, err := Open(disk)
 	c.Assert(err, qt.IsNil)
-	c.Assert(view, qt.IsNil)
+	c.Assert(snapshot, qt.IsNil)
 	c.Assert(store.Compact([]byte("one")), qt.IsNil)
 	c.Assert(store.Append([][]byte{[]byte("a")}), qt.IsNil)
 	c.Assert(store.Compact([]byte("two")), qt.IsNil)
@@ -72,9 +72,9 @@
 
 func TestReopen(t *testing.T) {
 	c := qt.New(t)
-	_, view, records, err := Open(written(c))
+	_, snapshot, records, err := Open(written(c))
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(view), qt.Equals, "two")
+	c.Assert(string(snapshot), qt.Equals, "two")
 	c.Assert(records, qt.DeepEquals, [][]byte{[]byte("first record"), []byte("second record")})
 }
 
@@ -86,9 +86,9 @@
 	for size := range len(whole) {
 		torn := disk.copy()
 		torn.files[logName] = append([]byte{}, whole[:size]...)
-		store, view, records, err := Open(torn)
+		store, snapshot, records, err := Open(torn)
 		c.Assert(err, qt.IsNil, qt.Commentf("cut at %d", size))
-		c.Assert(string(view), qt.Equals, "two")
+		c.Assert(string(snapshot), qt.Equals, "two")
 		c.Assert(len(records) < 2, qt.IsTrue)
 		c.Assert(store.Append([][]byte{[]byte("later")}), qt.IsNil)
 		_, _, again, err := Open(torn)
@@ -103,7 +103,7 @@
 func TestSectorsOutOfOrder(t *testing.T) {
 	c := qt.New(t)
 	disk := written(c)
-	settled := len(disk.files[logName])
+	committed := len(disk.files[logName])
 	store, _, _, err := Open(disk)
 	c.Assert(err, qt.IsNil)
 	c.Assert(store.Append([][]byte{bytes.Repeat([]byte("long "), 300), []byte("x")}), qt.IsNil)
@@ -113,7 +113,7 @@
 		crashed := disk.copy()
 		lost := false
 		for number := range sectors {
-			for index := max(settled, number*sector); missing>>number&1 == 1 && index < min(whole, (number+1)*sector); index++ {
+			for index := max(committed, number*sector); missing>>number&1 == 1 && index < min(whole, (number+1)*sector); index++ {
 				crashed.files[logName][index], lost = 0, true
 			}
 		}
@@ -141,13 +141,13 @@
 		for index := range disk.files[name] {
 			flipped := disk.copy()
 			flipped.files[name][index] ^= 0x10
-			_, view, records, err := Open(flipped)
+			_, snapshot, records, err := Open(flipped)
 			if err != nil {
-				c.Assert(notice.CodeOf(err), qt.Equals, notice.DiskCorrupt)
+				c.Assert(errcode.CodeOf(err), qt.Equals, errcode.DiskCorrupt)
 				refused++
 				continue
 			}
-			c.Assert(fmt.Sprintf("%s %s", view, records), qt.Equals, "two [first record second record]", qt.Commentf("%s byte %d", name, index))
+			c.Assert(fmt.Sprintf("%s %s", snapshot, records), qt.Equals, "two [first record second record]", qt.Commentf("%s byte %d", name, index))
 		}
 	}
 	c.Assert(refused > 50, qt.IsTrue)
@@ -165,9 +165,9 @@
 	for size := range len(disk.files[next]) {
 		torn := before.copy()
 		torn.files[next] = append([]byte{}, disk.files[next][:size]...)
-		_, view, records, err := Open(torn)
+		_, snapshot, records, err := Open(torn)
 		c.Assert(err, qt.IsNil)
-		c.Assert(string(view), qt.Equals, "two")
+		c.Assert(string(snapshot), qt.Equals, "two")
 		c.Assert(records, qt.HasLen, 2)
 	}
 }
@@ -179,8 +179,8 @@
 	store, _, _, err := Open(disk)
 	c.Assert(err, qt.IsNil)
 	disk.fail = true
-	c.Assert(notice.CodeOf(store.Append([][]byte{[]byte("x")})), qt.Equals, notice.DiskFault)
+	c.Assert(errcode.CodeOf(store.Append([][]byte{[]byte("x")})), qt.Equals, errcode.DiskFault)
 	disk.fail = false
-	c.Assert(notice.CodeOf(store.Append([][]byte{[]byte("y")})), qt.Equals, notice.DiskFault)
-	c.Assert(notice.CodeOf(store.Compact([]byte("z"))), qt.Equals, notice.DiskFault)
+	c.Assert(errcode.CodeOf(store.Append([][]byte{[]byte("y")})), qt.Equals, errcode.DiskFault)
+	c.Assert(errcode.CodeOf(store.Compact([]byte("z"))), qt.Equals, errcode.DiskFault)
 }
--- a/internal/understudy/understudy.go
+++ b/internal/stubserver/stubserver.go
@@ -1,7 +1,7 @@
-// Package understudy is the stand-in upstream: it announces itself to a usher, runs
-// queries for a set time, keeps a record of every run, and can be told to misbehave:
+// Package stubserver is the stand-in upstream: it announces itself to a proxy, runs
+// requests for a set time, keeps a record of every run, and can be told to misbehave:
 // lose answers, send garbage, truncated or excess answers, be slow, warm up, leave.
-package understudy
+package stubserver
 
 import (
 	"bytes"
@@ -16,15 +16,15 @@
 	"sync"
 	"time"
 
-	"beaconvane/internal/crew"
-	"beaconvane/internal/critic"
-	"beaconvane/internal/foyer"
-	"beaconvane/internal/greenroom"
-	"beaconvane/internal/notice"
+	"beaconvane/internal/backend"
+	"beaconvane/internal/checker"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/goroutine"
 )
 
-// IDHeader bears the load generator's own id of a query.
-const IDHeader = "X-Claque-Id"
+// IDHeader bears the load generator's own id of a request.
+const IDHeader = "X-Loadgen-Id"
 
 // MarkHeader marks an answer as that of one run.
 const MarkHeader = "X-Run"
@@ -42,44 +42,44 @@
 	Slow     float64 // ten times the work
 }
 
-// Call is a further call that a run makes, with the pass of its query.
+// Call is a further call that a run makes, with the pass of its request.
 type Call struct {
 	Route, Service, Method, Path string
 	Once                         bool
 }
 
-// Understudy is one stand-in upstream.
-type Understudy struct {
-	Told   greenroom.Announcement
-	Ushers []string // outside addresses; the first that answers is announced to
-	Work   time.Duration
-	Keys   []string // keys that must never be seen
-	Base   time.Time
-	Every  time.Duration
-	Calls  map[string]Call // by path: what it calls in turn
-	Share  float64         // of the runs that do
+// Stubserver is one stand-in upstream.
+type StubServer struct {
+	Response backend.Announcement
+	Proxies  []string // outside addresses; the first that answers is announced to
+	Work     time.Duration
+	Keys     []string // keys that must never be seen
+	Base     time.Time
+	Every    time.Duration
+	Calls    map[string]Call // by path: what it calls in turn
+	Share    float64         // of the runs that do
 
-	crew     *crew.Crew
-	lock     sync.Mutex
-	faults   Faults
-	runs     []critic.Ran
-	running  int
-	most     int
-	listener net.Listener
-	client   *http.Client
-	caller   *http.Client // for further calls; never sends twice: a new wire each
-	cancel   context.CancelFunc
-	asked    []critic.Asked
-	home     string // the usher that took the last announcement
+	goroutines   *goroutine.Group
+	lock         sync.Mutex
+	faults       Faults
+	runs         []checker.Ran
+	running      int
+	most         int
+	listener     net.Listener
+	client       *http.Client
+	caller       *http.Client // for further calls; never sends twice: a new connection each
+	cancel       context.CancelFunc
+	asked        []checker.Asked
+	servingProxy string // the proxy that took the last announcement
 }
 
 // Start listens (Told.Address may have port 0) and begins to announce.
-func (u *Understudy) Start(members *crew.Crew) error {
-	listener, err := net.Listen("tcp", u.Told.Address)
+func (u *StubServer) Start(members *goroutine.Group) error {
+	listener, err := net.Listen("tcp", u.Response.Address)
 	if err != nil {
-		return notice.Wrap("understudy.listen", notice.WireLost, err)
+		return errcode.Wrap("stubserver.listen", errcode.ConnectionLost, err)
 	}
-	u.listener, u.Told.Address, u.crew = listener, listener.Addr().String(), members
+	u.listener, u.Response.Address, u.goroutines = listener, listener.Addr().String(), members
 	u.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{Proxy: nil}}
 	u.caller = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}
 	if u.Every == 0 {
@@ -88,53 +88,53 @@
 	server := &http.Server{Handler: http.HandlerFunc(u.serve)}
 	ctx, cancel := context.WithCancel(members.Context)
 	u.cancel = cancel
-	members.Go("understudy.serve", func(context.Context) { server.Serve(listener) })
-	members.Go("understudy.close", func(context.Context) { <-ctx.Done(); server.Close() })
-	members.Go("understudy.announce", func(context.Context) { u.announce(ctx) })
+	members.Go("stubserver.serve", func(context.Context) { server.Serve(listener) })
+	members.Go("stubserver.close", func(context.Context) { <-ctx.Done(); server.Close() })
+	members.Go("stubserver.announce", func(context.Context) { u.announce(ctx) })
 	return nil
 }
 
 // Kill ends it at once, as by a hard signal.
-func (u *Understudy) Kill() { u.cancel() }
+func (u *StubServer) Kill() { u.cancel() }
 
 // SetFaults changes its behaviour.
-func (u *Understudy) SetFaults(faults Faults) {
+func (u *StubServer) SetFaults(faults Faults) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	u.faults = faults
 }
 
 // Change alters what it announces, and announces at once.
-func (u *Understudy) Change(alter func(told *greenroom.Announcement)) {
+func (u *StubServer) Change(alter func(response *backend.Announcement)) {
 	u.lock.Lock()
-	alter(&u.Told)
+	alter(&u.Response)
 	u.lock.Unlock()
 	u.AnnounceOnce()
 }
 
 // SignOff says the last word.
-func (u *Understudy) SignOff() {
+func (u *StubServer) SignOff() {
 	u.lock.Lock()
-	told := u.Told
+	response := u.Response
 	u.lock.Unlock()
-	body, _ := json.Marshal(map[string]any{"service": told.Service, "instance": told.Instance, "incarnation": told.Incarnation})
+	body, _ := json.Marshal(map[string]any{"service": response.Service, "instance": response.Instance, "incarnation": response.Incarnation})
 	u.post("/beacon/signoff", body)
 }
 
 // Runs gives the record so far; Most is the most that ran at one time.
-func (u *Understudy) Runs() []critic.Ran {
+func (u *StubServer) Runs() []checker.Ran {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	return append([]critic.Ran{}, u.runs...)
+	return append([]checker.Ran{}, u.runs...)
 }
 
-func (u *Understudy) Most() int {
+func (u *StubServer) Most() int {
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	return u.most
 }
 
-func (u *Understudy) announce(ctx context.Context) {
+func (u *StubServer) announce(ctx context.Context) {
 	ticker := time.NewTicker(u.Every)
 	defer ticker.Stop()
 	u.AnnounceOnce()
@@ -148,17 +148,17 @@
 	}
 }
 
-// AnnounceOnce tells the first usher that takes it.
-func (u *Understudy) AnnounceOnce() {
+// AnnounceOnce tells the first proxy that takes it.
+func (u *StubServer) AnnounceOnce() {
 	u.lock.Lock()
-	body, _ := json.Marshal(u.Told)
+	body, _ := json.Marshal(u.Response)
 	u.lock.Unlock()
 	u.post("/beacon/announce", body)
 }
 
-func (u *Understudy) post(path string, body []byte) {
-	for _, usher := range u.Ushers {
-		response, err := u.client.Post("http://"+usher+path, "application/json", bytes.NewReader(body))
+func (u *StubServer) post(path string, body []byte) {
+	for _, proxyNode := range u.Proxies {
+		response, err := u.client.Post("http://"+proxyNode+path, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
 		}
@@ -166,32 +166,32 @@
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNotFound {
 			u.lock.Lock()
-			u.home = usher
+			u.servingProxy = proxyNode
 			u.lock.Unlock()
 			return
 		}
 	}
 }
 
-func (u *Understudy) since() time.Duration { return time.Since(u.Base) }
+func (u *StubServer) since() time.Duration { return time.Since(u.Base) }
 
-// callOn asks the usher beside it, as whoever's query it runs.
-func (u *Understudy) callOn(call Call, ran critic.Ran, index int, pass string) {
-	asked := critic.Asked{ID: fmt.Sprintf("%s~%s~%d", ran.ID, ran.Instance, index), Usher: ran.Home, Route: call.Route, Service: call.Service,
-		Tenant: ran.Tenant, Caller: ran.Service, Once: call.Once, Sent: u.since(), Intended: u.since(), Wire: true}
-	request, err := http.NewRequest(call.Method, "http://"+ran.Home+call.Path, http.NoBody)
+// callOn asks the proxy beside it, as whoever's request it runs.
+func (u *StubServer) callOn(call Call, ran checker.Ran, index int, pass string) {
+	asked := checker.Asked{ID: fmt.Sprintf("%s~%s~%d", ran.ID, ran.Instance, index), Proxy: ran.ServingProxy, Route: call.Route, Service: call.Service,
+		Tenant: ran.Tenant, Caller: ran.Service, Once: call.Once, Sent: u.since(), Intended: u.since(), Connection: true}
+	request, err := http.NewRequest(call.Method, "http://"+ran.ServingProxy+call.Path, http.NoBody)
 	if err != nil {
 		return
 	}
 	request.Header.Set(IDHeader, asked.ID)
-	request.Header.Set(greenroom.PassHeader, pass)
-	request.Header.Set(greenroom.CallerHeader, "somebody")
+	request.Header.Set(backend.PassHeader, pass)
+	request.Header.Set(backend.CallerHeader, "somebody")
 	if response, err := u.caller.Do(request); err == nil {
 		body, err := io.ReadAll(response.Body)
 		response.Body.Close()
-		asked.Wire, asked.Status, asked.Body = err != nil, response.StatusCode, string(body)
+		asked.Connection, asked.Status, asked.Body = err != nil, response.StatusCode, string(body)
 		asked.Mark, asked.Retry = response.Header.Get(MarkHeader), response.Header.Get("Retry-After") != ""
-		fmt.Sscan(response.Header.Get(foyer.CodeHeader), &asked.Code)
+		fmt.Sscan(response.Header.Get(frontend.CodeHeader), &asked.Code)
 	}
 	asked.Done = u.since()
 	u.lock.Lock()
@@ -200,13 +200,13 @@
 }
 
 // Asked gives the further calls so far.
-func (u *Understudy) Asked() []critic.Asked {
+func (u *StubServer) Asked() []checker.Asked {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	return append([]critic.Asked{}, u.asked...)
+	return append([]checker.Asked{}, u.asked...)
 }
 
-func (u *Understudy) keySeen(in *http.Request, body []byte) bool {
+func (u *StubServer) keySeen(in *http.Request, body []byte) bool {
 	text := bytes.Buffer{}
 	in.Header.Write(&text)
 	text.WriteString(in.URL.String())
@@ -218,15 +218,15 @@
 	return false
 }
 
-func (u *Understudy) serve(out http.ResponseWriter, in *http.Request) {
+func (u *StubServer) serve(out http.ResponseWriter, in *http.Request) {
 	body, err := io.ReadAll(in.Body)
 	if err != nil {
 		return
 	}
 	u.lock.Lock()
 	faults, work := u.faults, u.Work
-	ran := critic.Ran{ID: in.Header.Get(IDHeader), Service: u.Told.Service, Instance: u.Told.Instance, Address: u.Told.Address, Path: in.URL.Path,
-		Tenant: in.Header.Get(greenroom.TenantHeader), Caller: in.Header.Get(greenroom.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since(), Life: u.Told.Incarnation, Home: u.home}
+	ran := checker.Ran{ID: in.Header.Get(IDHeader), Service: u.Response.Service, Instance: u.Response.Instance, Address: u.Response.Address, Path: in.URL.Path,
+		Tenant: in.Header.Get(backend.TenantHeader), Caller: in.Header.Get(backend.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since(), Life: u.Response.Incarnation, ServingProxy: u.servingProxy}
 	index := len(u.runs)
 	u.runs = append(u.runs, ran)
 	u.running++
@@ -239,7 +239,7 @@
 	defer timer.Stop()
 	<-timer.C
 	if call, calls := u.Calls[in.URL.Path]; calls && rand.Float64() < u.Share {
-		u.callOn(call, ran, index, in.Header.Get(greenroom.PassHeader))
+		u.callOn(call, ran, index, in.Header.Get(backend.PassHeader))
 	}
 	answer := fmt.Sprintf("%s ran at %s as run %d, %d bytes", ran.ID, ran.Instance, index, len(body))
 	defer func() {
@@ -248,14 +248,14 @@
 		u.lock.Unlock()
 	}()
 	raw := ""
-	switch roll := rand.Float64(); {
-	case roll < faults.Lose:
+	switch memberList := rand.Float64(); {
+	case memberList < faults.Lose:
 		raw = " "
-	case roll < faults.Lose+faults.Garbage:
+	case memberList < faults.Lose+faults.Garbage:
 		raw = "\x00\x01 this is no answer\r\n\r\n"
-	case roll < faults.Lose+faults.Garbage+faults.Truncate:
+	case memberList < faults.Lose+faults.Garbage+faults.Truncate:
 		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer)+50, answer)
-	case roll < faults.Lose+faults.Garbage+faults.Truncate+faults.Excess:
+	case memberList < faults.Lose+faults.Garbage+faults.Truncate+faults.Excess:
 		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s and more", len(answer), answer)
 	}
 	status := OwnStatus[min(len(OwnStatus)-1, rand.IntN(10*len(OwnStatus)))]
@@ -275,7 +275,7 @@
 	out.Header().Set(MarkHeader, answer)
 	if index%10 == 0 {
 		// Not its word to give: the mesh must not let it through.
-		out.Header().Set(foyer.CodeHeader, "3101")
+		out.Header().Set(frontend.CodeHeader, "3101")
 	}
 	out.WriteHeader(status)
 	io.WriteString(out, answer)
--- a/internal/wings/tally.go
+++ b/internal/transport/tally.go
@@ -1,12 +1,12 @@
 // This file counts the frames of a process by way (tcp or udp), direction and kind of
-// message, with their bytes as they stand on the wire, frame heads included. The counts
+// message, with their bytes as they stand on the connection, frame heads included. The counts
 // only grow; whoever wants a rate reads them twice.
-package wings
+package transport
 
 import (
 	"go.uber.org/atomic"
 
-	"beaconvane/internal/script"
+	"beaconvane/internal/message"
 )
 
 // Count is how much of one kind has passed.
@@ -38,14 +38,14 @@
 }
 
 // Counts lists what has passed so far.
-func (w *Wings) Counts() []Count {
+func (w *Transport) Counts() []Count {
 	list := []Count{}
 	for way := range w.tally.passed {
 		for direction := range w.tally.passed[way] {
 			for kind := range w.tally.passed[way][direction] {
 				held := &w.tally.passed[way][direction][kind]
 				if messages := held.messages.Load(); messages > 0 {
-					list = append(list, Count{wayNames[way], direction == outward, script.KindName(byte(kind)), messages, held.bytes.Load()})
+					list = append(list, Count{wayNames[way], direction == outward, message.KindName(byte(kind)), messages, held.bytes.Load()})
 				}
 			}
 		}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,335 @@
+// Package transport carries frames between processes: control messages over TCP connections
+// that are opened on demand and dropped when their pending queue is full, probes
+// over UDP, and traffic frames over connections of their own so that a large answer never
+// delays a vote. A frame is a four-byte length, then script's encoding. Nothing here
+// promises delivery; the machines ask again.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+)
+
+// bufferSize of a connection, each way: some frames.
+const bufferSize = 8 << 10
+
+// Inbound takes what arrives. Back answers on the same connection, for traffic frames.
+type Inbound func(from string, msg any, back func(msg any) error)
+
+// Transport is the transport of one process.
+type Transport struct {
+	goroutines    *goroutine.Group
+	address       string
+	frameCap      int64
+	queue         int
+	dialLimit     time.Duration
+	inbound       Inbound
+	listener      net.Listener
+	packets       net.PacketConn
+	lock          sync.Mutex
+	connections   map[string]*Connection
+	inConnections map[net.Conn]bool
+	broke         func(address string)
+	tally         tally
+}
+
+// OnBroke is told of control connections that ended.
+func (w *Transport) OnBroke(broke func(address string)) { w.broke = broke }
+
+// New binds the address on TCP and UDP.
+func New(members *goroutine.Group, address string, frameCap int64, queue int, dialLimit time.Duration, inbound Inbound) (*Transport, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errcode.Wrap("transport.listen", errcode.ConnectionLost, err)
+	}
+	packets, err := net.ListenPacket("udp", listener.Addr().String())
+	if err != nil {
+		listener.Close()
+		return nil, errcode.Wrap("transport.listen", errcode.ConnectionLost, err)
+	}
+	return &Transport{goroutines: members, address: listener.Addr().String(), frameCap: frameCap, queue: queue, dialLimit: dialLimit,
+		inbound: inbound, listener: listener, packets: packets, connections: map[string]*Connection{}, inConnections: map[net.Conn]bool{}}, nil
+}
+
+// Start begins to accept.
+func (w *Transport) Start() {
+	w.goroutines.Go("transport.accept", func(ctx context.Context) {
+		for {
+			conn, err := w.listener.Accept()
+			if err != nil {
+				return
+			}
+			w.lock.Lock()
+			w.inConnections[conn] = true
+			w.lock.Unlock()
+			w.goroutines.Go("transport.serve", func(context.Context) { w.serve(conn) })
+		}
+	})
+	w.goroutines.Go("transport.packets", func(ctx context.Context) {
+		buffer := make([]byte, 65536)
+		for {
+			size, from, err := w.packets.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			if msg, err := message.Decode(buffer[:size]); err == nil {
+				w.tally.add(wayUDP, inward, buffer[0], size)
+				w.inbound(from.String(), msg, nil)
+			}
+		}
+	})
+}
+
+// Close ends the listeners and every connection.
+func (w *Transport) Close() {
+	w.listener.Close()
+	w.packets.Close()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, connection := range w.connections {
+		connection.Close()
+	}
+	for conn := range w.inConnections {
+		conn.Close()
+	}
+}
+
+func (w *Transport) serve(conn net.Conn) {
+	connection := newConnection(w, conn, conn.RemoteAddr().String())
+	defer func() {
+		connection.Close()
+		w.lock.Lock()
+		delete(w.inConnections, conn)
+		w.lock.Unlock()
+	}()
+	w.goroutines.Go("transport.back", connection.write)
+	from := connection.peer
+	connection.read(func(msg any) {
+		if hello, isHello := msg.(message.Hello); isHello {
+			from = hello.Address
+			return
+		}
+		w.inbound(from, msg, connection.Post)
+	})
+}
+
+// Datagram sends over UDP.
+func (w *Transport) Datagram(to string, msg any) error {
+	frame, err := message.Encode(msg)
+	if err != nil {
+		return err
+	}
+	target, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return errcode.Wrap("transport.datagram", errcode.ConnectionLost, err)
+	}
+	if _, err := w.packets.WriteTo(frame, target); err != nil {
+		return errcode.Wrap("transport.datagram", errcode.ConnectionLost, err)
+	}
+	w.tally.add(wayUDP, outward, frame[0], len(frame))
+	return nil
+}
+
+// Send queues a control message on the connection to an address, opening it if need be.
+func (w *Transport) Send(to string, msg any) error {
+	w.lock.Lock()
+	connection := w.connections[to]
+	if connection == nil || connection.Broken() {
+		connection = w.open(to, func(any) {}, w.broke)
+		w.connections[to] = connection
+	}
+	w.lock.Unlock()
+	return connection.Post(msg)
+}
+
+// Open makes a connection of its own for traffic; heard gets what comes back.
+func (w *Transport) Open(to string, received func(msg any)) *Connection {
+	return w.open(to, received, nil)
+}
+
+func (w *Transport) open(to string, received func(msg any), broke func(address string)) *Connection {
+	connection := newConnection(w, nil, to)
+	_ = connection.Post(message.Hello{Address: w.address})
+	w.goroutines.Go("transport.dial", func(ctx context.Context) {
+		dialer := net.Dialer{Timeout: w.dialLimit, Control: w.impatient}
+		conn, err := dialer.DialContext(ctx, "tcp", to)
+		defer func() {
+			if broke != nil && ctx.Err() == nil {
+				broke(to)
+			}
+		}()
+		if err != nil {
+			connection.Close()
+			return
+		}
+		if !connection.attach(conn) {
+			conn.Close()
+			return
+		}
+		w.goroutines.Go("transport.read", func(context.Context) {
+			connection.read(received)
+			connection.Close()
+		})
+		connection.write(ctx)
+	})
+	return connection
+}
+
+// impatient bounds how long what was sent may stay unanswered by the other kernel: after
+// a cut the kernel would go on with a connection that it tries seldom, long after a new one
+// would do.
+func (w *Transport) impatient(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(w.dialLimit*unheardDials/time.Millisecond))
+	})
+	return errors.Join(err, failure)
+}
+
+// tcpUserTimeout is the option's number in the kernel; unheardDials its value, in times
+// that a dial may take.
+const (
+	tcpUserTimeout = 18
+	unheardDials   = 6
+)
+
+// Connection is one TCP stream of frames with a bounded pending queue.
+type Connection struct {
+	transport *Transport
+	peer      string
+	lock      sync.Mutex
+	conn      net.Conn
+	queue     chan []byte
+	closed    chan struct{}
+	once      sync.Once
+}
+
+func newConnection(w *Transport, conn net.Conn, peer string) *Connection {
+	return &Connection{transport: w, peer: peer, conn: conn, queue: make(chan []byte, w.queue), closed: make(chan struct{})}
+}
+
+func (connection *Connection) attach(conn net.Conn) bool {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	if connection.Broken() {
+		return false
+	}
+	connection.conn = conn
+	return true
+}
+
+// Broken says that the connection carries nothing any more.
+func (connection *Connection) Broken() bool {
+	select {
+	case <-connection.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Attached says that the connection was ever made; before that nothing was sent on it.
+func (connection *Connection) Attached() bool {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	return connection.conn != nil
+}
+
+// Closed is closed when the connection breaks.
+func (connection *Connection) Closed() <-chan struct{} { return connection.closed }
+
+// Close breaks the connection.
+func (connection *Connection) Close() {
+	connection.once.Do(func() {
+		close(connection.closed)
+		connection.lock.Lock()
+		defer connection.lock.Unlock()
+		if connection.conn != nil {
+			connection.conn.Close()
+		}
+	})
+}
+
+// Post queues a frame; a full queue refuses at once and the frame was not sent.
+func (connection *Connection) Post(msg any) error {
+	frame, err := message.Encode(msg)
+	if err != nil {
+		return err
+	}
+	if int64(len(frame)) > connection.transport.frameCap {
+		return errcode.Wrap("transport.post", errcode.FrameBad, fmt.Errorf("frame of %d bytes", len(frame)))
+	}
+	if connection.Broken() {
+		return errcode.Wrap("transport.post", errcode.ConnectionLost, nil)
+	}
+	select {
+	case connection.queue <- frame:
+		return nil
+	default:
+		return errcode.Wrap("transport.post", errcode.ConnectionFull, nil)
+	}
+}
+
+func (connection *Connection) write(ctx context.Context) {
+	defer connection.Close()
+	writer := bufio.NewWriterSize(connection.conn, bufferSize)
+	var head [4]byte
+	for {
+		select {
+		case frame := <-connection.queue:
+			binary.BigEndian.PutUint32(head[:], uint32(len(frame)))
+			if _, err := writer.Write(head[:]); err != nil {
+				return
+			}
+			if _, err := writer.Write(frame); err != nil {
+				return
+			}
+			connection.transport.tally.add(wayTCP, outward, frame[0], len(head)+len(frame))
+			if len(connection.queue) == 0 {
+				if err := writer.Flush(); err != nil {
+					return
+				}
+			}
+		case <-connection.closed:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (connection *Connection) read(received func(msg any)) {
+	reader := bufio.NewReaderSize(connection.conn, bufferSize)
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(reader, head[:]); err != nil {
+			return
+		}
+		size := int64(binary.BigEndian.Uint32(head[:]))
+		if size == 0 || size > connection.transport.frameCap {
+			return
+		}
+		frame := make([]byte, size)
+		if _, err := io.ReadFull(reader, frame); err != nil {
+			return
+		}
+		msg, err := message.Decode(frame)
+		if err != nil {
+			return
+		}
+		connection.transport.tally.add(wayTCP, inward, frame[0], len(head)+len(frame))
+		received(msg)
+	}
+}
--- a/internal/repertoire/repertoire.go
+++ b/internal/workload/workload.go
@@ -1,15 +1,15 @@
-// Package repertoire has the two deployments as data: machines, districts, upstreams,
-// tenants, rates and sheets, for the fleet runner and the simulator.
-package repertoire
+// Package workload has the two deployments as data: machines, zones, upstreams,
+// tenants, rates and configurations, for the fleet runner and the simulator.
+package workload
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"beaconvane/internal/claque"
-	"beaconvane/internal/playbill"
-	"beaconvane/internal/script"
+	"beaconvane/internal/loadgen"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
 )
 
 // Service is a kind of upstream.
@@ -19,29 +19,29 @@
 	Slots int64
 	Work  time.Duration
 	Load  bool
-	// Closes: it closes its wire after each answer.
+	// Closes: it closes its connection after each answer.
 	Closes bool
 }
 
 // Deployment is one of the brief's two.
 type Deployment struct {
 	Name       string
-	Districts  []string
-	Ushers     int
+	Zones      []string
+	Proxies    int
 	Services   []Service
-	Kinds      []claque.Kind
+	Kinds      []loadgen.Kind
 	Rate       float64
 	Withdrawal bool
 	DiskDelay  time.Duration
 	Cores      int   // core machines; 0 is three
-	SeatCount  int64 // the processes find their seats; 0: the settings name them
+	VoterCount int64 // the processes find their voters; 0: the settings name them
 }
 
 // Umuyoboro sends patient messages in Kigali.
 func Umuyoboro() Deployment {
-	return Deployment{Name: "umuyoboro", Districts: []string{"gasabo", "kicukiro", "nyarugenge"}, Ushers: 10, Rate: 540, DiskDelay: 2 * time.Millisecond,
+	return Deployment{Name: "umuyoboro", Zones: []string{"gasabo", "kicukiro", "nyarugenge"}, Proxies: 10, Rate: 540, DiskDelay: 2 * time.Millisecond,
 		Services: []Service{{"dispatch", 7, 24, 25 * time.Millisecond, false, false}, {"registry", 3, 32, 10 * time.Millisecond, false, true}},
-		Kinds: []claque.Kind{
+		Kinds: []loadgen.Kind{
 			{Route: "send", Service: "dispatch", Method: "POST", Path: "/messages", Caller: "clinic", Once: true, Body: 400, Weight: 5, Calls: "contacts"},
 			{Route: "sent", Service: "dispatch", Method: "GET", Path: "/messages/state", Caller: "nurse", Weight: 3, Calls: "templates"},
 			{Route: "contacts", Service: "registry", Method: "POST", Path: "/contacts", Caller: "clinic", Once: true, Body: 4000, Weight: 1},
@@ -51,9 +51,9 @@
 
 // Jendela prices windows in the Klang Valley.
 func Jendela() Deployment {
-	return Deployment{Name: "jendela", Districts: []string{"klang", "petaling", "shah-alam"}, Ushers: 11, Rate: 510, Withdrawal: true, DiskDelay: 20 * time.Millisecond,
+	return Deployment{Name: "jendela", Zones: []string{"klang", "petaling", "shah-alam"}, Proxies: 11, Rate: 510, Withdrawal: true, DiskDelay: 20 * time.Millisecond,
 		Services: []Service{{"quoting", 5, 24, 20 * time.Millisecond, true, false}, {"booking", 3, 24, 25 * time.Millisecond, true, true}, {"factory", 3, 24, 30 * time.Millisecond, true, false}},
-		Kinds: []claque.Kind{
+		Kinds: []loadgen.Kind{
 			{Route: "quote", Service: "quoting", Method: "GET", Path: "/quotes/window", Caller: "showroom", Weight: 5, Calls: "catalogue"},
 			{Route: "deposit", Service: "booking", Method: "POST", Path: "/deposits", Caller: "showroom", Once: true, Body: 300, Weight: 2, Calls: "order"},
 			{Route: "order", Service: "factory", Method: "POST", Path: "/orders", Caller: "showroom", Once: true, Body: 600, Weight: 1},
@@ -66,8 +66,8 @@
 func (d Deployment) Vanish() time.Duration { return 150 * time.Millisecond }
 
 // Named finds a deployment; "small" is Umuyoboro with few machines, for quick runs;
-// "seats-3" and "seats-5" are small ones whose core groups find their seats, "seats-3-4" has
-// a core machine more than seats.
+// "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has
+// a core machine more than voters.
 func Named(name string) (Deployment, bool) {
 	switch name {
 	case "umuyoboro":
@@ -76,33 +76,33 @@
 		return Jendela(), true
 	case "small":
 		small := Umuyoboro()
-		small.Name, small.Ushers, small.Rate = "small", 3, 120
+		small.Name, small.Proxies, small.Rate = "small", 3, 120
 		small.Services[0].Count, small.Services[1].Count = 3, 2
 		return small, true
-	case "seats-3", "seats-5", "seats-3-4":
-		sought, _ := Named("small")
-		sought.Name, sought.Cores, sought.SeatCount = name, 3, 3
-		if name == "seats-5" {
-			sought.Cores, sought.SeatCount = 5, 5
-		} else if name == "seats-3-4" {
-			sought.Cores = 4
+	case "voters-3", "voters-5", "voters-3-4":
+		discovered, _ := Named("small")
+		discovered.Name, discovered.Cores, discovered.VoterCount = name, 3, 3
+		if name == "voters-5" {
+			discovered.Cores, discovered.VoterCount = 5, 5
+		} else if name == "voters-3-4" {
+			discovered.Cores = 4
 		}
-		return sought, true
+		return discovered, true
 	}
 	return Deployment{}, false
 }
 
 // Tenants are the deployment's eight, each with a key.
-func (d Deployment) Tenants() []claque.Tenant {
-	tenants := []claque.Tenant{}
+func (d Deployment) Tenants() []loadgen.Tenant {
+	tenants := []loadgen.Tenant{}
 	for number := range 8 {
-		tenants = append(tenants, claque.Tenant{Name: fmt.Sprintf("tenant-%d", number), Key: fmt.Sprintf("key-%s-%d-secret", d.Name, number)})
+		tenants = append(tenants, loadgen.Tenant{Name: fmt.Sprintf("tenant-%d", number), Key: fmt.Sprintf("key-%s-%d-secret", d.Name, number)})
 	}
 	return tenants
 }
 
-// Sheet writes a route sheet for some tenants; more is the number of filler routes.
-func (d Deployment) Sheet(tenants []claque.Tenant, more int) []byte {
+// Configuration writes a configuration for some tenants; more is the number of filler routes.
+func (d Deployment) ConfigName(tenants []loadgen.Tenant, more int) []byte {
 	services, routes, listed := []string{}, []map[string]any{}, []map[string]any{}
 	for _, service := range d.Services {
 		services = append(services, service.Name)
@@ -120,7 +120,7 @@
 	}
 	body, err := json.Marshal(map[string]any{"services": services, "tenants": listed, "routes": routes})
 	if err != nil {
-		panic("repertoire: " + err.Error())
+		panic("workload: " + err.Error())
 	}
 	return body
 }
@@ -128,14 +128,14 @@
 // CallShare is the share of runs that call on.
 const CallShare = 0.3
 
-// Kind finds a kind of query by its route.
-func (d Deployment) Kind(route string) (claque.Kind, bool) {
+// Kind finds a kind of request by its route.
+func (d Deployment) Kind(route string) (loadgen.Kind, bool) {
 	for _, kind := range d.Kinds {
 		if kind.Route == route {
 			return kind, true
 		}
 	}
-	return claque.Kind{}, false
+	return loadgen.Kind{}, false
 }
 
 // callersOf lists the services whose upstreams call a route.
@@ -149,13 +149,13 @@
 	return callers
 }
 
-// Seats of the core.
-var Seats = []string{"core-1", "core-2", "core-3"}
+// Voters of the core.
+var Voters = []string{"core-1", "core-2", "core-3"}
 
 // CoreNames lists the core machines.
 func (d Deployment) CoreNames() []string {
 	if d.Cores == 0 {
-		return Seats
+		return Voters
 	}
 	names := []string{}
 	for number := range d.Cores {
@@ -164,24 +164,24 @@
 	return names
 }
 
-// Config gives the settings of one process of the deployment; place gives addresses.
-func (d Deployment) Config(role, node, seat, district, address, outside string, seeds []string, data string) playbill.Config {
-	config := playbill.Default()
-	config.Node, config.Seat, config.Seats, config.District, config.Districts = node, seat, Seats, district, d.Districts
-	config.Address, config.Outside, config.Seeds, config.Data = address, outside, seeds, data
-	config.Active = map[string]string{playbill.BookTag: Seats[0], playbill.UsageTag: Seats[2]}
-	for index, name := range d.Districts {
-		config.Active[name] = Seats[index%len(Seats)]
+// Settings gives the settings of one process of the deployment; place gives addresses.
+func (d Deployment) Settings(role, nodeName, voter, zone, address, outside string, seeds []string, data string) settings.Settings {
+	cfg := settings.Default()
+	cfg.Node, cfg.Voter, cfg.Voters, cfg.Zone, cfg.Zones = nodeName, voter, Voters, zone, d.Zones
+	cfg.Address, cfg.Outside, cfg.Seeds, cfg.Data = address, outside, seeds, data
+	cfg.Active = map[string]string{settings.ConfigLogTag: Voters[0], settings.UsageTag: Voters[2]}
+	for index, name := range d.Zones {
+		cfg.Active[name] = Voters[index%len(Voters)]
 	}
-	if d.SeatCount > 0 {
-		config.Seat, config.Seats, config.SeatCount = "", playbill.SeatNames(d.SeatCount), d.SeatCount
-		config.Active, config.Found = map[string]string{}, true
+	if d.VoterCount > 0 {
+		cfg.Voter, cfg.Voters, cfg.VoterCount = "", settings.VoterNames(d.VoterCount), d.VoterCount
+		cfg.Active, cfg.Found = map[string]string{}, true
 	}
 	if d.Withdrawal {
-		config.Bounds.KeyWithdrawal = 5000
+		cfg.Bounds.KeyWithdrawal = 5000
 	}
-	if role == script.RoleUsher {
-		config.Seat, config.Data = "", ""
+	if role == message.RoleProxy {
+		cfg.Voter, cfg.Data = "", ""
 	}
-	return config
+	return cfg
 }
