--- /dev/null
+++ b/internal/tools/days/main.go
@@ -0,0 +1,139 @@
+// Command days plays the day files of docs/days on the users' bench and prints one table
+// of what each play gave. It is a tool for developers; no product program needs it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	if newCommand().Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+// options are the flags of the command.
+type options struct {
+	bench   string
+	sites   []string
+	folder  string
+	only    []string
+	seeds   string
+	jobs    int
+	why     string
+	reports string
+}
+
+func newCommand() *cobra.Command {
+	var chosen options
+	command := &cobra.Command{
+		Use:          "days",
+		Short:        "play the day files over sites and seeds, and print one table",
+		SilenceUsage: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			matrix, err := chosen.matrix()
+			if err != nil {
+				return err
+			}
+			reports, err := chosen.reportFolder()
+			if err != nil {
+				return err
+			}
+			player := &bench{path: chosen.bench, why: chosen.why, reports: reports}
+			results := playAll(matrix, chosen.jobs, player.play, command.ErrOrStderr())
+			printTable(command.OutOrStdout(), results)
+			return verdict(results)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&chosen.bench, "bench", "", "path of the bench's program")
+	flags.StringArrayVar(&chosen.sites, "site", nil, "path of a site file; may stand more than once")
+	flags.StringVar(&chosen.folder, "days", "docs/days", "folder of the day files")
+	flags.StringSliceVar(&chosen.only, "only", nil, "only days whose names begin so")
+	flags.StringVar(&chosen.seeds, "seeds", "1", "seeds, separated by commas")
+	flags.IntVar(&chosen.jobs, "jobs", 1, "plays at one time")
+	flags.StringVar(&chosen.why, "why", "", "a line for the bench's journal")
+	flags.StringVar(&chosen.reports, "reports", "", "folder that keeps the reports (default: a temporary one)")
+	for _, required := range []string{"bench", "site", "why"} {
+		_ = command.MarkFlagRequired(required)
+	}
+	return command
+}
+
+// matrix lists every play that the options ask for: site by site, day by day.
+func (o options) matrix() ([]play, error) {
+	days, err := dayFiles(o.folder, o.only)
+	if err != nil {
+		return nil, err
+	}
+	seeds, err := parseSeeds(o.seeds)
+	if err != nil {
+		return nil, err
+	}
+	var matrix []play
+	for _, site := range o.sites {
+		for _, day := range days {
+			for _, seed := range seeds {
+				matrix = append(matrix, play{site: site, day: day, seed: seed})
+			}
+		}
+	}
+	return matrix, nil
+}
+
+func (o options) reportFolder() (string, error) {
+	if o.reports == "" {
+		return os.MkdirTemp("", "days-")
+	}
+	return o.reports, os.MkdirAll(o.reports, 0o755)
+}
+
+// dayFiles finds the day files of a folder, in the order of their names.
+func dayFiles(folder string, only []string) ([]string, error) {
+	all, err := filepath.Glob(filepath.Join(folder, "*.toml"))
+	if err != nil {
+		return nil, err
+	}
+	var chosen []string
+	for _, path := range all {
+		if beginsWithAny(baseName(path), only) {
+			chosen = append(chosen, path)
+		}
+	}
+	if len(chosen) == 0 {
+		return nil, fmt.Errorf("no day files in %s", folder)
+	}
+	return chosen, nil
+}
+
+func beginsWithAny(name string, prefixes []string) bool {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return len(prefixes) == 0
+}
+
+func parseSeeds(text string) ([]uint64, error) {
+	var seeds []uint64
+	for _, word := range strings.Split(text, ",") {
+		seed, err := strconv.ParseUint(strings.TrimSpace(word), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q is not a number", word)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+// baseName is a file's name without its folder and ending.
+func baseName(path string) string {
+	return strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+}
