--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -1,7 +1,7 @@
-// Package notice holds the numbered result codes of the whole system and the
-// one helper that wraps and names errors. A code is what a person or a program
-// outside sees; the text behind it is for the log. The table in docs/codes.md is
-// checked against this list by a test, so a code can't be added in one place only.
+// Package errcode holds the numbered result codes of the whole system and the error type that
+// carries them. A code is what a person or a program outside sees; the text behind it is for the
+// log. A test compares the table in docs/codes.md with Entries, so that a code is never added in
+// one place only.
 package errcode
 
 import (
@@ -13,25 +13,39 @@
 // Code is a numbered result, stable across versions.
 type Code int
 
+// OK is the code of whatever went well.
+const OK Code = 0
+
+// Settings: seen in logs and at start only.
+const (
+	ConfigUnknownKey  Code = 1001
+	ConfigBadValue    Code = 1002
+	ConfigMissing     Code = 1003
+	ConfigBoundsClash Code = 1004
+	ConfigUnreadable  Code = 1005
+)
+
+// Announcements of upstreams.
+const (
+	AnnounceBad     Code = 2001
+	AnnounceUnknown Code = 2002
+)
+
+// Requests that are refused; nothing ran.
+const (
+	RequestNoKey         Code = 3001
+	RequestKeyUnknown    Code = 3002
+	RequestCallerRefused Code = 3003
+	RequestNoRoute       Code = 3004
+	RequestTooLarge      Code = 3005
+	RequestBadPath       Code = 3006
+	RequestPassInvalid   Code = 3007
+	RequestUnreadable    Code = 3008
+	RequestRouteClosed   Code = 3009
+)
+
+// Busy: nothing ran, and the caller may try again.
 const (
-	OK Code = 0
-
-	ConfigUnknownKey         Code = 1001
-	ConfigBadValue           Code = 1002
-	ConfigMissing            Code = 1003
-	ConfigBoundsClash        Code = 1004
-	ConfigUnreadable         Code = 1005
-	AnnounceBad              Code = 2001
-	AnnounceUnknown          Code = 2002
-	RequestNoKey             Code = 3001
-	RequestKeyUnknown        Code = 3002
-	RequestCallerRefused     Code = 3003
-	RequestNoRoute           Code = 3004
-	RequestTooLarge          Code = 3005
-	RequestBadPath           Code = 3006
-	RequestPassInvalid       Code = 3007
-	RequestUnreadable        Code = 3008
-	RequestRouteClosed       Code = 3009
 	BusyQueueFull            Code = 3101
 	BusyNoUpstream           Code = 3102
 	BusySlotsFull            Code = 3103
@@ -44,37 +58,61 @@
 	BusyBudget               Code = 3110
 	BusyDeadline             Code = 3111
 	BusyUnproven             Code = 3112
-	UnknownOutcome           Code = 3201
-	UnknownTimeout           Code = 3202
-	AnswerMalformed          Code = 3203
-	AnswerTooLarge           Code = 3204
-	ConfigurationBad         Code = 4001
-	ConfigurationTooLarge    Code = 4002
-	ConfigurationConflict    Code = 4003
-	ConfigurationNotFound    Code = 4004
-	ConfigurationNoHolder    Code = 4005
-	ConfigurationUnsure      Code = 4006
-	ConfigurationLacking     Code = 4008
-	ConfigurationBehind      Code = 4007
-	UsageNotFound            Code = 4101
-	VoterShutOut             Code = 5001
-	VoterRecovering          Code = 5002
-	DiskFault                Code = 5003
-	DiskCorrupt              Code = 5004
-	ConnectionLost           Code = 6001
-	ConnectionFull           Code = 6002
-	FrameBad                 Code = 6003
-	Internal                 Code = 9001
+)
+
+// Started, and without a whole answer of the upstream.
+const (
+	UnknownOutcome  Code = 3201
+	UnknownTimeout  Code = 3202
+	AnswerMalformed Code = 3203
+	AnswerTooLarge  Code = 3204
+)
+
+// Configurations.
+const (
+	ConfigurationBad      Code = 4001
+	ConfigurationTooLarge Code = 4002
+	ConfigurationConflict Code = 4003
+	ConfigurationNotFound Code = 4004
+	ConfigurationNoHolder Code = 4005
+	ConfigurationUnsure   Code = 4006
+	ConfigurationBehind   Code = 4007
+	ConfigurationLacking  Code = 4008
+)
+
+// Usage.
+const (
+	UsageNotFound Code = 4101
+)
+
+// Voters and their disks.
+const (
+	VoterShutOut    Code = 5001
+	VoterRecovering Code = 5002
+	DiskFault       Code = 5003
+	DiskCorrupt     Code = 5004
+)
+
+// Connections between processes.
+const (
+	ConnectionLost Code = 6001
+	ConnectionFull Code = 6002
+	FrameBad       Code = 6003
+)
+
+// Faults of the program itself.
+const (
+	Internal Code = 9001
 )
 
 // Entry describes one code for the table and for HTTP.
 type Entry struct {
 	Name   string
-	Status int
+	Status int // of an HTTP answer; 0: the code is never answered over HTTP
 	Text   string
 }
 
-// Entries is the whole table.
+// Entries describes each code.
 var Entries = map[Code]Entry{
 	OK:                       {"OK", 200, "done"},
 	ConfigUnknownKey:         {"ConfigUnknownKey", 0, "the settings hold a key that no program knows"},
@@ -128,7 +166,7 @@
 	Internal:                 {"Internal", 500, "a fault of beaconvane's own"},
 }
 
-// Status gives the HTTP status for a code.
+// Status returns the HTTP status of an answer with this code; 500 for codes without one.
 func (c Code) Status() int {
 	if entry, found := Entries[c]; found && entry.Status != 0 {
 		return entry.Status
@@ -136,15 +174,17 @@
 	return http.StatusInternalServerError
 }
 
+// String returns the code's name, or "" for an unknown code.
 func (c Code) String() string { return Entries[c].Name }
 
-// Fault is an error with a code and the operation it came from.
+// Fault is an error with a code and the operation that it came from.
 type Fault struct {
 	Code  Code
-	Where string
-	Cause error
+	Where string // "package.operation"
+	Cause error  // may be nil
 }
 
+// Error returns operation, code and cause.
 func (f *Fault) Error() string {
 	if f.Cause == nil {
 		return fmt.Sprintf("%s: %s (%d)", f.Where, f.Code, int(f.Code))
@@ -152,14 +192,16 @@
 	return fmt.Sprintf("%s: %s (%d): %v", f.Where, f.Code, int(f.Code), f.Cause)
 }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (f *Fault) Unwrap() error { return f.Cause }
 
-// Wrap names an error: where it happened and which code it answers to.
+// Wrap returns a Fault: the operation in which an error happened and its code.
 func Wrap(where string, code Code, cause error) error {
 	return &Fault{Code: code, Where: where, Cause: cause}
 }
 
-// CodeOf digs the code out of an error; Internal when it bears none.
+// CodeOf returns the code of the first Fault in an error's chain: OK for nil, Internal for an error
+// without a code.
 func CodeOf(err error) Code {
 	var fault *Fault
 	if errors.As(err, &fault) {
--- a/internal/goroutine/goroutine.go
+++ b/internal/goroutine/goroutine.go
@@ -1,6 +1,6 @@
-// Package goroutine is the one place where goroutines start. Every one has a name, is
-// counted while it runs, and is waited for when the process stops. It also has the
-// process clock: time since start, monotonic, so that durations never jump.
+// Package goroutine starts the goroutines of a process. Every one has a name, is counted while it
+// runs, and is waited for when the process stops. The package also has the process clock: the time
+// since start, monotonic, so that durations never jump.
 package goroutine
 
 import (
@@ -11,45 +11,50 @@
 	"go.uber.org/atomic"
 )
 
-// Goroutine starts and counts the goroutines of a process.
+// Group starts, counts and stops the goroutines of a process.
 type Group struct {
-	Context  context.Context
-	cancel   context.CancelFunc
-	waiting  sync.WaitGroup
-	running  atomic.Int64
-	startsAt time.Time
+	Context   context.Context // ends on Stop
+	cancel    context.CancelFunc
+	waiting   sync.WaitGroup
+	running   atomic.Int64
+	startedAt time.Time
 }
 
-// New makes a goroutine; its context ends on Stop.
+// New returns an empty group.
 func New() *Group {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Group{Context: ctx, cancel: cancel, startsAt: time.Now()}
+	return &Group{Context: ctx, cancel: cancel, startedAt: time.Now()}
 }
 
-// Go starts work; the name serves the counters and a reader of the code.
-func (c *Group) Go(name string, work func(ctx context.Context)) {
-	c.waiting.Add(1)
-	c.running.Inc()
+// Go starts work in a goroutine of the group, with the group's context. The name says in the code
+// what is started; work should return soon after its context has ended.
+func (g *Group) Go(_ string, work func(ctx context.Context)) {
+	g.waiting.Add(1)
+	g.running.Inc()
 	go func() {
 		defer func() {
-			c.running.Dec()
-			c.waiting.Done()
+			g.running.Dec()
+			g.waiting.Done()
 		}()
-		work(c.Context)
+		work(g.Context)
 	}()
 }
 
-// Now is the process clock.
-func (c *Group) Now() time.Duration { return time.Since(c.startsAt) }
+// Now returns the process clock: the time since the group was made.
+func (g *Group) Now() time.Duration { return time.Since(g.startedAt) }
 
-// Running counts live goroutines of the goroutine.
-func (c *Group) Running() int64 { return c.running.Load() }
+// Running returns the number of goroutines that have not returned yet.
+func (g *Group) Running() int64 { return g.running.Load() }
 
-// Stop cancels the context and waits at most the given time.
-func (c *Group) Stop(limit time.Duration) bool {
-	c.cancel()
+// Stop cancels the context and waits for the goroutines, at most for the given time. It reports
+// whether all have returned.
+func (g *Group) Stop(limit time.Duration) bool {
+	g.cancel()
 	done := make(chan struct{})
-	go func() { c.waiting.Wait(); close(done) }()
+	go func() {
+		g.waiting.Wait()
+		close(done)
+	}()
 	select {
 	case <-done:
 		return true
