A leaving voter hands over before it ends, and a lost one is replaced in time

A loss in either span left no majority. The lease of a stopping holder was free for half a lease (serving again 0.85 s after the signal).

Ruled out: the reading of the state (30 ms), the disk (5 ms a sync). The time went into finding the loss (1.6 to 3.3 s), a wait of a whole lease before a claim, and in the planned case into the polite end itself, which took the voter away at once.

A stopping voter names a newcomer its successor, votes on, may be one of the f+1 that grant (it has written its own end down by then), and ends when it is released or after a quarter of the grace. Bound catch_up_ms (from the platform's settings); probes, suspicion and the wait before a claim are ratios to it. A stopping lease holder names an heir, never the former holder within its rest. The simulator's polite end waits for the machine's answer as the programs do.

--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -703,8 +703,7 @@
 	if _, isStop := question.(Stop); isStop {
 		m.stopping = true
 		m.leases.Yield(s)
-		m.membership.Leave(s)
-		s.Reply(requestID, errcode.OK)
+		m.Depart(s, requestID, errcode.OK)
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -268,13 +268,35 @@
 // Yield hands every tag over, at a polite stop: to whom is left open.
 func (t *Leases) Yield(s *statemachine.Env) {
 	for _, tag := range t.order {
-		if t.tags[tag].holding {
-			t.yieldTo(s, tag, t.tags[tag], "")
+		if state := t.tags[tag]; state.holding {
+			t.yieldTo(s, tag, state, t.heir(s, state))
 		}
 		t.tags[tag].tryAt = s.Now + t.settings.Lease()*1000
 	}
 }
 
+// heir names the voter that a stopping holder hands its tag to, so that nobody waits
+// for a campaign; "" leaves it open. The former holder is passed over within its rest,
+// or the tag would go back and forth.
+func (t *Leases) heir(s *statemachine.Env, state *tagState) string {
+	heirs := []string{}
+	for _, peer := range t.host.Peers() {
+		status, _, told := t.quorum.LastStatus(peer.Voter)
+		resting := peer.Voter == state.vote.Former && s.Now-state.changedAt < t.settings.HolderRest()
+		if peer.Voter == "" || peer.Voter == t.quorum.Voter || peer.State != message.Alive || resting {
+			continue
+		}
+		if told && (!status.Voting || status.Successor != "") {
+			continue
+		}
+		heirs = append(heirs, peer.Voter)
+	}
+	if len(heirs) == 0 {
+		return ""
+	}
+	return heirs[s.Random.IntN(len(heirs))]
+}
+
 func (t *Leases) handBack(s *statemachine.Env, tag string, state *tagState) {
 	wanted := t.settings.Active[tag]
 	if wanted == "" || wanted == t.quorum.Voter || s.Now-state.heldAt < t.settings.MoveBack() {
--- a/internal/message/quorum.go
+++ b/internal/message/quorum.go
@@ -13,6 +13,7 @@
 	Founder    bool              // takes part in forming the group
 	Round      int64             // of the proposal
 	Free       []string          // voters whose holders are dead or have left, as far as the sender knows
+	Successor  string            // the node to which this voter hands its place over, as it leaves
 }
 
 // VoterClaim asks the other voters to let a new disk replace the holder of a voter.
--- a/internal/message/updates.go
+++ b/internal/message/updates.go
@@ -21,9 +21,9 @@
 // UpdateItem is what a parent has of one topic.
 type UpdateItem struct {
 	Mark     Mark
-	Age      int64 // nanoseconds since the parent's content was known current; negative: not known
-	Known    bool  // the parent has content of the topic
-	Snapshot bool  // Body is a snapshot, or a part of one
+	Age      int64  // nanoseconds since the parent's content was known current; negative: not known
+	Known    bool   // the parent has content of the topic
+	Snapshot bool   // Body is a snapshot, or a part of one
 	Body     []byte // of a snapshot; a configuration's is compressed by package delta
 	Total    int64  // whole length in bytes of a snapshot that is sent in parts
 	Offset   int64
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -26,6 +26,15 @@
 	seen       []string
 	seenAt     time.Duration
 	sync       time.Duration // how long writes take, smoothed
+	quorum     *Quorum
+	departure  *departure
+}
+
+// departure is a polite stop under way: the answer waits for the hand-over.
+type departure struct {
+	requestID int64
+	answer    any
+	until     time.Duration
 }
 
 // NewCore makes the shared part; snapshot gives the machine's whole state; empty says
@@ -70,6 +79,7 @@
 
 // UseVoters has the peers' voters told by the quorum.
 func (c *Core) UseVoters(quorum *Quorum) {
+	c.quorum = quorum
 	if quorum.Discovered() {
 		c.voterAt = quorum.VoterAt
 	}
@@ -81,6 +91,26 @@
 // Superseded: this node's name lives on elsewhere.
 func (c *Core) Superseded() bool { return c.membership.Superseded() }
 
+// Depart begins a polite stop: the voter is handed over to a newcomer, where there is
+// one, before the others are told that this node leaves. The answer goes out when the
+// process may end.
+func (c *Core) Depart(s *statemachine.Env, requestID int64, answer any) {
+	c.departure = &departure{requestID: requestID, answer: answer, until: s.Now}
+	if c.quorum.HandOver(s) {
+		c.departure.until = s.Now + c.settings.HandOverLimit()
+	}
+	c.depart(s)
+}
+
+func (c *Core) depart(s *statemachine.Env) {
+	if c.departure == nil || s.Now < c.departure.until && !c.quorum.HandedOver() {
+		return
+	}
+	c.membership.Leave(s)
+	s.Reply(c.departure.requestID, c.departure.answer)
+	c.departure = nil
+}
+
 // Gone says that a node is dead or has left. One that was never heard of is gone only
 // to a node that has been up, among others, for long enough to have heard of it.
 func (c *Core) Gone(s *statemachine.Env, nodeName string) bool {
@@ -96,6 +126,7 @@
 	if !c.born {
 		c.born, c.bornAt = true, s.Now
 	}
+	c.depart(s)
 	if shutOut && !c.membership.HasLeft() {
 		// Nobody should look here for the voter any more.
 		c.membership.Leave(s)
--- a/internal/quorum/discovery.go
+++ b/internal/quorum/discovery.go
@@ -144,9 +144,13 @@
 
 func (g *Quorum) tickDiscovered(s *statemachine.Env) {
 	if g.State.Identity == "" {
+		g.forgetReleased(s)
 		g.begin(s, g.settings.Found)
 		return
 	}
+	if g.silent() {
+		return
+	}
 	if g.differs && s.Now >= g.differsAt {
 		g.differs, g.differsAt, g.nextAt = false, s.Now+g.settings.DigestEvery()/4, s.Now
 	}
@@ -211,9 +215,12 @@
 }
 
 func (g *Quorum) handleStatusDiscovered(s *statemachine.Env, from string, response message.VoterStatus) {
-	if g.State.Identity == "" || g.writing {
+	if g.State.Identity == "" || g.writing || g.silent() {
 		return
 	}
+	if response.Successor == g.settings.Node {
+		g.nextAt = s.Now
+	}
 	if response.Answer {
 		s.Send(from, g.response(s, false))
 	}
@@ -381,7 +388,7 @@
 
 // seek looks for a voter, or holds on to the claim on one.
 func (g *Quorum) seek(s *statemachine.Env) {
-	if g.State.Formed || g.State.Founder || g.writing || g.host.Superseded() {
+	if g.State.Formed || g.State.Founder || g.writing || g.leaving() || g.host.Superseded() {
 		return
 	}
 	memberList, tellers := g.known(s)
@@ -406,10 +413,10 @@
 			delete(g.freeSince, voter)
 		} else if since, before := g.freeSince[voter]; !before {
 			g.freeSince[voter] = s.Now
-		} else if s.Now-since >= g.settings.Lease() {
+		} else if s.Now-since >= g.settings.ClaimAfter() {
 			open = append(open, voter)
 		}
-		if nodeOf(memberList[voter]) == g.settings.Node {
+		if nodeOf(memberList[voter]) == g.settings.Node || g.offered(s, voter, memberList[voter]) {
 			wanted = voter
 		}
 	}
@@ -419,6 +426,7 @@
 	if wanted == "" {
 		return
 	}
+	g.predecessor = memberList[wanted]
 	g.State.Voter, g.State.Identity = wanted, NewIdentity(editionOf(memberList[wanted])+1, s.Random.Uint64(), s.Random.Uint64(), g.settings.Node)
 	g.grants, g.freeSince = map[string]message.VoterGrant{}, map[string]time.Duration{}
 	g.writing = true
@@ -439,6 +447,9 @@
 }
 
 func (g *Quorum) handleClaimDiscovered(s *statemachine.Env, from string, claim message.VoterClaim) {
+	if g.release(s, from, claim) {
+		return
+	}
 	holder, listed := g.State.MemberList[claim.Voter]
 	if !g.Voting() || g.rolling > 0 || !listed {
 		return
@@ -446,8 +457,7 @@
 	switch {
 	case claim.Identity == holder:
 		g.grantDiscovered(s, from, claim)
-	case claim.Identity < holder, claim.Voter == g.Voter,
-		nodeOf(claim.Identity) != nodeOf(holder) && !g.host.Gone(s, nodeOf(holder)):
+	case claim.Identity < holder, claim.Voter == g.Voter, !g.vacated(s, holder, claim):
 		s.Send(from, message.VoterGrant{Group: g.Group, Voter: g.Voter, Identity: g.State.Identity, To: claim.Identity,
 			Refused: true, MemberList: maps.Clone(g.State.MemberList), State: []byte{}})
 	default:
@@ -473,7 +483,7 @@
 	states := [][]byte{}
 	for _, voter := range g.settings.Voters {
 		held, granted := g.grants[voter]
-		if granted && maps.Equal(held.MemberList, grant.MemberList) && grant.MemberList[voter] == held.Identity {
+		if granted && maps.Equal(held.MemberList, grant.MemberList) && g.mayGrant(voter, held) {
 			states = append(states, held.State)
 		}
 	}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -68,6 +68,11 @@
 	differs   bool   // another's signature was of another member list
 	differsAt time.Duration
 	freeSince map[string]time.Duration
+
+	successor   string              // the node to which this leaving voter hands over
+	released    *message.VoterGrant // its own grant to the successor, once it is synced
+	predecessor string              // the identity whose voter this newcomer claims
+	forget      bool                // what the disk holds rests on a voter that was handed over
 }
 
 // NewQuorum restores a quorum; an empty state gets an identity from the dice on
@@ -84,7 +89,13 @@
 		founders: map[string]receivedVoter{}, freeSince: map[string]time.Duration{}, proposed: len(state.Proposal) > 0}
 	if g.Discovered() {
 		g.takeMemberList(g.State.MemberList)
-		if state.Formed {
+		switch {
+		case state.Formed && state.MemberList[state.Voter] != state.Identity:
+			// It had handed its voter over: it is a newcomer now.
+			g.forget = true
+			g.State = message.VoterState{Proposal: map[string]string{}, MemberList: map[string]string{}}
+			g.takeMemberList(g.State.MemberList)
+		case state.Formed:
 			g.Voter = state.Voter
 			host.HoldVoter(g.Voter)
 		}
@@ -128,7 +139,7 @@
 
 func (g *Quorum) response(s *statemachine.Env, answer bool) message.VoterStatus {
 	response := message.VoterStatus{Group: g.Group, Voter: g.Voter, Identity: g.State.Identity, Formed: g.State.Formed,
-		Voting: g.Voting(), Proposal: map[string]string{}, MemberList: map[string]string{}, Answer: answer, Founder: g.State.Founder && !g.State.Formed, Round: g.State.Round, Free: g.free(s)}
+		Voting: g.Voting(), Proposal: map[string]string{}, MemberList: map[string]string{}, Answer: answer, Founder: g.State.Founder && !g.State.Formed, Round: g.State.Round, Free: g.free(s), Successor: g.successor}
 	if g.rolling > 0 {
 		response.Formed = false
 		response.Founder = false
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -113,8 +113,7 @@
 	case Stop:
 		m.stopping = true
 		m.leases.Yield(s)
-		m.membership.Leave(s)
-		s.Reply(requestID, answerCode(errcode.OK, "stopping"))
+		m.Depart(s, requestID, answerCode(errcode.OK, "stopping"))
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,7 +33,8 @@
 	UsageLate            int64   `json:"usage_late_ms"`
 	UsageWindow          int64   `json:"usage_window_ms"`
 	HolderRest           int64   `json:"holder_rest_ms"`
-	Lease                int64   `json:"lease_ms"` // 0: half of holder_rest_ms
+	Lease                int64   `json:"lease_ms"`    // 0: half of holder_rest_ms
+	CatchUp              int64   `json:"catch_up_ms"` // within which a new core machine is a full voter
 	Restore              int64   `json:"restore_ms"`
 	Heartbeat            int64   `json:"heartbeat_ms"`
 	Sync                 int64   `json:"sync_ms"`
@@ -108,7 +109,7 @@
 		Fields:      FieldsRefuse, Counted: CountAnswered,
 		Bounds: Bounds{
 			ConfigurationInForce: 2000, KeyWithdrawal: 0, Drain: 2000, SlipBack: 250, AnswerHold: 200,
-			UsageLate: 10000, UsageWindow: 5000, HolderRest: 3000, Restore: 15000, Heartbeat: 3000,
+			UsageLate: 10000, UsageWindow: 5000, HolderRest: 3000, CatchUp: 4000, Restore: 15000, Heartbeat: 3000,
 			Sync: 50, RetryShare: 0.2, RetryWindow: 10000, RetryAllowance: 10,
 		},
 		Limits: Limits{
@@ -333,7 +334,7 @@
 	b := c.Bounds
 	for path, value := range map[string]int64{
 		"configuration_in_force_ms": b.ConfigurationInForce, "drain_ms": b.Drain, "slip_back_ms": b.SlipBack, "answer_hold_ms": b.AnswerHold,
-		"usage_late_ms": b.UsageLate, "usage_window_ms": b.UsageWindow, "holder_rest_ms": b.HolderRest, "restore_ms": b.Restore,
+		"usage_late_ms": b.UsageLate, "usage_window_ms": b.UsageWindow, "holder_rest_ms": b.HolderRest, "catch_up_ms": b.CatchUp, "restore_ms": b.Restore,
 		"heartbeat_ms": b.Heartbeat, "sync_ms": b.Sync, "retry_window_ms": b.RetryWindow,
 	} {
 		if value <= 0 {
@@ -446,16 +447,27 @@
 func (c Settings) DialFresh() time.Duration      { return c.HeartbeatBound() / 30 }
 func (c Settings) ConnectionIdle() time.Duration { return c.HeartbeatBound() * 2 / 3 }
 func (c Settings) LookAgain() time.Duration      { return ms(c.Bounds.Restore) / 6 }
-func (c Settings) ProbeEvery() time.Duration     { return ms(c.Bounds.Restore) / 60 }
-func (c Settings) ProbeLimit() time.Duration     { return ms(c.Bounds.Restore) / 150 }
-func (c Settings) SuspectFor() time.Duration     { return ms(c.Bounds.Restore) / 12 }
-func (c Settings) ForgetAfter() time.Duration    { return ms(c.Bounds.Restore) * 4 }
-func (c Settings) JoinEvery() time.Duration      { return ms(c.Bounds.Restore) / 30 }
-func (c Settings) SealAfter() time.Duration      { return ms(c.Bounds.UsageLate) * 6 / 10 }
-func (c Settings) UsageLate() time.Duration      { return ms(c.Bounds.UsageLate) }
-func (c Settings) UsageWindow() time.Duration    { return ms(c.Bounds.UsageWindow) }
-func (c Settings) SaveEvery() time.Duration      { return ms(c.Bounds.Sync) / 5 }
-func (c Settings) SlowSync() time.Duration       { return ms(c.Bounds.Sync) }
+
+// A lost voter is found, suspected and replaced within the time that a new core machine
+// has to catch up.
+func (c Settings) ProbeEvery() time.Duration {
+	return min(ms(c.Bounds.Restore)/60, ms(c.Bounds.CatchUp)/16)
+}
+func (c Settings) ProbeLimit() time.Duration { return c.ProbeEvery() * 2 / 5 }
+func (c Settings) SuspectFor() time.Duration { return c.ProbeEvery() * 5 }
+
+// ClaimAfter is how long a voter has to be free before a newcomer claims it.
+func (c Settings) ClaimAfter() time.Duration { return ms(c.Bounds.CatchUp) / 10 }
+
+// HandOverLimit is how long a leaving voter waits for its successor.
+func (c Settings) HandOverLimit() time.Duration { return c.Grace() / 4 }
+func (c Settings) ForgetAfter() time.Duration   { return ms(c.Bounds.Restore) * 4 }
+func (c Settings) JoinEvery() time.Duration     { return ms(c.Bounds.Restore) / 30 }
+func (c Settings) SealAfter() time.Duration     { return ms(c.Bounds.UsageLate) * 6 / 10 }
+func (c Settings) UsageLate() time.Duration     { return ms(c.Bounds.UsageLate) }
+func (c Settings) UsageWindow() time.Duration   { return ms(c.Bounds.UsageWindow) }
+func (c Settings) SaveEvery() time.Duration     { return ms(c.Bounds.Sync) / 5 }
+func (c Settings) SlowSync() time.Duration      { return ms(c.Bounds.Sync) }
 
 // CountEvery: counts begun at serving proxies are told once a fortieth of their window; a serving proxy's
 // death loses no more.
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -373,11 +373,9 @@
 			wait()
 		})
 	case message.RoleRegistry:
-		n.request(registry.Stop{}, func(any) {})
-		n.world.after(n.settings.UpdatesEvery(), restart)
+		n.request(registry.Stop{}, func(any) { n.world.after(n.settings.UpdatesEvery(), restart) })
 	default:
-		n.request(configstore.Stop{}, func(any) {})
-		n.world.after(n.settings.UpdatesEvery(), restart)
+		n.request(configstore.Stop{}, func(any) { n.world.after(n.settings.UpdatesEvery(), restart) })
 	}
 }
 
