cli is the command line, api the HTTP interface; their JSON answers are structs

internal/cli held both, with map[string]any answers and functions named after the withdrawn words (thrift, persist, manners, faces). Now internal/api has the HTTP servers and handlers of registry and proxy, and internal/cli reads flags and settings, builds the programs, runs them, and has the operators' commands. Paths, statuses, JSON fields and command lines are the same; field order within a JSON object too, where maps had sorted it.

--- a/cmd/configstore/main.go
+++ b/cmd/configstore/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	cli.Main(cli.Program{Role: "configstore", Short: "the configuration store on each core voter", Module: cli.ConfigStoreModule, More: cli.Voter("configstore"), Platform: platform.Adapter{}})
+	cli.Main(cli.Program{Role: "configstore", Short: "the configuration store on each core voter", Module: cli.ConfigStoreModule, AddCommands: cli.AddVoterCommands("configstore"), Platform: platform.Adapter{}})
 }
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	cli.Main(cli.Program{Role: "registry", Short: "the registry on each core voter; takes outside calls", Module: cli.RegistryModule, More: cli.Operator, Platform: platform.Adapter{}})
+	cli.Main(cli.Program{Role: "registry", Short: "the registry on each core voter; takes outside calls", Module: cli.RegistryModule, AddCommands: cli.AddOperatorCommands, Platform: platform.Adapter{}})
 }
--- /dev/null
+++ b/internal/api/announcements.go
@@ -0,0 +1,149 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+// Limits of announcements.
+const (
+	maxAnnouncementBytes = 16 << 10
+	maxNameBytes         = 128
+	maxSlots             = 1 << 20
+)
+
+// announce takes an announcement whose body names the instance and its incarnation.
+func (p *Proxy) announce(out http.ResponseWriter, in *http.Request) {
+	announcement := backend.Announcement{}
+	decoder := json.NewDecoder(http.MaxBytesReader(out, in.Body, maxAnnouncementBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&announcement); err != nil {
+		WriteCode(out, errcode.AnnounceBad, err.Error())
+		return
+	}
+	if err := checkAnnouncement(p.settings, announcement); err != nil {
+		WriteCode(out, errcode.AnnounceBad, err.Error())
+		return
+	}
+	if p.leaving() {
+		WriteCode(out, errcode.BusyLeaving, "announce to another proxy")
+		return
+	}
+	if !p.stages.Announce(announcement) {
+		WriteCode(out, errcode.AnnounceBad, "an incarnation higher than this one has announced")
+		return
+	}
+	WriteCode(out, errcode.OK, "")
+}
+
+// leaving says that announcements are for another proxy; one that lingers still takes them.
+func (p *Proxy) leaving() bool {
+	return p.closed.Load() || p.stopping.Load() && p.settings.Linger() == 0
+}
+
+// announceNamed takes an announcement whose instance is named by the path and whose state by a
+// word. Unknown fields are ignored. An instance's name is of one life, so there is no incarnation.
+func (p *Proxy) announceNamed(out http.ResponseWriter, in *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(out, in.Body, maxAnnouncementBytes))
+	if err != nil {
+		WriteCode(out, errcode.AnnounceBad, err.Error())
+		return
+	}
+	announcement, err := parseNamedAnnouncement(mux.Vars(in)["instance"], body)
+	if err == nil {
+		err = checkAnnouncement(p.settings, announcement)
+	}
+	if err != nil {
+		WriteCode(out, errcode.AnnounceBad, err.Error())
+		return
+	}
+	if p.leaving() {
+		WriteCode(out, errcode.BusyLeaving, "")
+		return
+	}
+	p.stages.Announce(announcement)
+	WriteCode(out, errcode.OK, "")
+}
+
+func parseNamedAnnouncement(instance string, body []byte) (backend.Announcement, error) {
+	state := struct {
+		State string `json:"state"`
+	}{}
+	announcement := backend.Announcement{}
+	if err := errors.Join(json.Unmarshal(body, &announcement), json.Unmarshal(body, &state)); err != nil {
+		return announcement, err
+	}
+	announcement.Instance = instance
+	announcement.Incarnation = 1
+	switch state.State {
+	case message.StateReady:
+	case message.StateWarming:
+		announcement.Warming = true
+	case message.StateLeaving:
+		announcement.Leaving = true
+	default:
+		return announcement, errors.New("state wants ready, warming or leaving")
+	}
+	return announcement, nil
+}
+
+// checkAnnouncement returns what is wrong with an announcement; nil when it is valid.
+func checkAnnouncement(cfg settings.Settings, announcement backend.Announcement) error {
+	host, port, err := net.SplitHostPort(announcement.Address)
+	switch {
+	case !validName(announcement.Service) || !validName(announcement.Instance):
+		return fmt.Errorf("service and instance want a name without slash or white space, at most %d bytes", maxNameBytes)
+	case announcement.Incarnation <= 0:
+		return errors.New("incarnation wants a number above 0")
+	case err != nil || net.ParseIP(host) == nil || port == "" || port == "0":
+		return errors.New("address wants an IP number and a port")
+	case !slices.Contains(cfg.Zones, announcement.Zone):
+		return errors.New("unknown zone")
+	case announcement.Slots < 1 || announcement.Slots > maxSlots:
+		return errors.New("slots want 1 or more")
+	case announcement.Load < 0:
+		return errors.New("load wants 0 or more")
+	}
+	return nil
+}
+
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && !strings.ContainsAny(name, "/ \t\r\n")
+}
+
+// signOffNamed ends the instance that the path names.
+func (p *Proxy) signOffNamed(out http.ResponseWriter, in *http.Request) {
+	p.stages.Dismiss(mux.Vars(in)["instance"])
+	WriteCode(out, errcode.OK, "")
+}
+
+// signOff ends one incarnation of an instance.
+func (p *Proxy) signOff(out http.ResponseWriter, in *http.Request) {
+	end := struct {
+		Service     string `json:"service"`
+		Instance    string `json:"instance"`
+		Incarnation int64  `json:"incarnation"`
+	}{}
+	if err := json.NewDecoder(http.MaxBytesReader(out, in.Body, maxAnnouncementBytes)).Decode(&end); err != nil {
+		WriteCode(out, errcode.AnnounceBad, err.Error())
+		return
+	}
+	if !p.stages.SignOff(end.Service, end.Instance, end.Incarnation) {
+		WriteCode(out, errcode.AnnounceUnknown, "")
+		return
+	}
+	WriteCode(out, errcode.OK, "")
+}
--- /dev/null
+++ b/internal/api/answers.go
@@ -0,0 +1,43 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+)
+
+// retryAfterSeconds is what answers say with which nothing was done yet.
+const retryAfterSeconds = "1"
+
+// codeAnswer is the body of an answer that is only a result code.
+type codeAnswer struct {
+	Code   errcode.Code `json:"code"`
+	Detail string       `json:"detail"`
+	Result string       `json:"result"`
+}
+
+// WriteCode answers with a result code: its HTTP status, its header and a JSON body.
+func WriteCode(out http.ResponseWriter, code errcode.Code, detail string) {
+	setCodeHeaders(out, code)
+	writeJSON(out, code.Status(), codeAnswer{Code: code, Detail: detail, Result: code.String()})
+}
+
+// setCodeHeaders sets the header fields of a refusal.
+func setCodeHeaders(out http.ResponseWriter, code errcode.Code) {
+	if code == errcode.OK {
+		return
+	}
+	out.Header().Set(frontend.CodeHeader, strconv.Itoa(int(code)))
+	if code.Status() == http.StatusServiceUnavailable {
+		out.Header().Set("Retry-After", retryAfterSeconds)
+	}
+}
+
+func writeJSON(out http.ResponseWriter, status int, body any) {
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	json.NewEncoder(out).Encode(body)
+}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"beaconvane/internal/api"
 	"beaconvane/internal/errcode"
 )
 
@@ -22,7 +23,7 @@
 		body := bytes.Buffer{}
 		body.ReadFrom(in.Body)
 		*writes = append(*writes, in.Method+" "+in.URL.Path+" "+body.String())
-		writeCode(out, codes[min(len(*writes), len(codes))-1], "")
+		api.WriteCode(out, codes[min(len(*writes), len(codes))-1], "")
 	}))
 	c.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://"), writes
@@ -48,13 +49,13 @@
 			c := qt.New(t)
 			at, writes := board(c, tried.codes...)
 			says, out := bytes.Buffer{}, bytes.Buffer{}
-			response := persist(func() outcome { return asked(at, http.MethodPut, "/v1/configurations/main/1", []byte("configuration")) }, tried.patience, time.Millisecond, &says)
+			response := retryWhileTooEarly(func() outcome { return call(at, http.MethodPut, "/v1/configurations/main/1", []byte("configuration")) }, tried.patience, time.Millisecond, &says)
 			c.Assert(*writes, qt.HasLen, tried.writes)
 			for _, write := range *writes {
 				c.Assert(write, qt.Equals, "PUT /v1/configurations/main/1 configuration")
 			}
 			c.Assert(response.status, qt.Equals, tried.last.Status())
-			c.Assert(response.show(&out) == nil, qt.Equals, tried.last == errcode.OK)
+			c.Assert(response.print(&out) == nil, qt.Equals, tried.last == errcode.OK)
 			c.Assert(out.String(), qt.Contains, tried.last.String())
 			c.Assert(strings.Count(says.String(), "waiting up to"), qt.Equals, tried.says, qt.Commentf(says.String()))
 		})
@@ -66,7 +67,7 @@
 	c := qt.New(t)
 	at, writes := board(c, errcode.ConfigurationNoHolder)
 	says := bytes.Buffer{}
-	response := persist(func() outcome { return asked(at, http.MethodPut, "/", nil) }, 30*time.Millisecond, time.Millisecond, &says)
+	response := retryWhileTooEarly(func() outcome { return call(at, http.MethodPut, "/", nil) }, 30*time.Millisecond, time.Millisecond, &says)
 	c.Assert(response.code, qt.Equals, "4005")
 	c.Assert(len(*writes) > 1, qt.IsTrue)
 	c.Assert(says.String(), qt.Equals, "waiting up to 30ms for the group of voters: ConfigurationNoHolder (4005)\n")
@@ -76,7 +77,7 @@
 	nobody := listener.Addr().String()
 	listener.Close()
 	says.Reset()
-	response = persist(func() outcome { return asked(nobody, http.MethodPut, "/", nil) }, 30*time.Millisecond, time.Millisecond, &says)
+	response = retryWhileTooEarly(func() outcome { return call(nobody, http.MethodPut, "/", nil) }, 30*time.Millisecond, time.Millisecond, &says)
 	c.Assert(errcode.CodeOf(response.err), qt.Equals, errcode.ConnectionLost)
 	c.Assert(says.String(), qt.Equals, "waiting up to 30ms for the group of voters: nobody listens yet\n")
 }
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -59,7 +59,7 @@
 			return changed, nil
 		}
 	}
-	hangups := listen()
+	hangups := notifyHangups()
 	defer signal.Stop(hangups)
 	hangUp := func() { c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil) }
 	hangUp()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,8 +108,8 @@
 	h.traffic = traffic
 }
 
-// DressReports sets what else the collector is told in a report's head.
-func (h *Node) DressReports(dress func(header http.Header, nodeName string, epoch int64)) {
+// SetReportHeaders sets what else the collector is told in a report's head.
+func (h *Node) SetReportHeaders(dress func(header http.Header, nodeName string, epoch int64)) {
 	h.dress = dress
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -309,7 +309,7 @@
 	case ReadSealed:
 		s.Reply(requestID, m.SealedBelow())
 	case ReadStatus:
-		s.Reply(requestID, m.Status(s.Now))
+		s.Reply(requestID, m.status(s.Now))
 	case Stop:
 		m.stopping = true
 		m.membership.Leave(s)
@@ -341,21 +341,5 @@
 	return highest
 }
 
-// Status is for the counters page.
-func (m *Machine) Status(now time.Duration) map[string]any {
-	ages := map[string]int64{}
-	for _, mark := range m.distribution.Marks() {
-		if age, known := m.distribution.Age(mark.Topic, now); known {
-			ages[mark.Topic] = age.Milliseconds()
-		}
-	}
-	parent, path, moves := m.distribution.Parent()
-	versions := map[string]int64{}
-	for configName, configuration := range m.configurations {
-		versions[configName] = configuration.Version
-	}
-	return map[string]any{"parent": parent, "path": path, "moves": moves, "configurations": versions, "ages_ms": ages, "members": len(m.membership.Alive("")) + 1}
-}
-
 // Synced never comes: nothing is written.
 func (m *Machine) Synced(*statemachine.Env, int64, error) {}
