checker: one file a promise, long checks in steps; behaviour unchanged

checker.go held records, bounds and all checks in 687 lines; requests, configurations, retries and usage were functions of up to 80. Now record, bounds, checker and one file a subject. Each rule keeps its name, its condition and its words; the test that plants one fault a rule is unchanged and passes.

--- /dev/null
+++ b/internal/checker/bounds.go
@@ -0,0 +1,38 @@
+package checker
+
+import "time"
+
+// Bounds are the promises to hold a record against. A KeyWithdrawal of 0 is not checked.
+type Bounds struct {
+	ConfigurationInForce time.Duration // from its acknowledgement to each node
+	SlipBack             time.Duration // for which an older version may be in force again
+	KeyWithdrawal        time.Duration // for which a withdrawn key may still work
+	Drain                time.Duration // for which a leaving upstream may still get requests
+	AnswerHold           time.Duration // for which a whole answer may be held back
+	HolderRest           time.Duration // before a lease may go back to its former holder
+	UsageLate            time.Duration // from a window's end to its report
+	UsageOff             float64       // share of a window's counts that may be off
+	RetryShare           float64       // retries against first tries in RetryWindow
+	RetryWindow          time.Duration
+	RetryMore            int // retries in RetryWindow that the share is not held against
+}
+
+// BriefBounds returns the promised bounds; withdrawal says whether withdrawn keys have one.
+func BriefBounds(withdrawal bool) Bounds {
+	bounds := Bounds{ConfigurationInForce: 2 * time.Second, SlipBack: 250 * time.Millisecond, Drain: 2 * time.Second, AnswerHold: 200 * time.Millisecond,
+		HolderRest: 3 * time.Second, UsageLate: 10 * time.Second, UsageOff: 0.05, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryMore: 10}
+	if withdrawal {
+		bounds.KeyWithdrawal = 5 * time.Second
+	}
+	return bounds
+}
+
+// Stretch returns bounds that are looser in time, for a smoke test on a machine of unknown speed;
+// what must never happen at all stays as it is.
+func (b Bounds) Stretch(by float64) Bounds {
+	for _, bound := range []*time.Duration{&b.ConfigurationInForce, &b.SlipBack, &b.KeyWithdrawal, &b.Drain, &b.AnswerHold, &b.UsageLate} {
+		*bound = time.Duration(float64(*bound) * by)
+	}
+	b.UsageOff *= by
+	return b
+}
--- /dev/null
+++ b/internal/checker/record.go
@@ -0,0 +1,165 @@
+package checker
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+)
+
+// Asked is one request as its caller saw it. Times are since the start of the run.
+type Asked struct {
+	ID         string        `json:"id"`
+	Proxy      string        `json:"proxy"`
+	Route      string        `json:"route"`
+	Service    string        `json:"service"`
+	Tenant     string        `json:"tenant"`
+	Caller     string        `json:"caller"`
+	Key        string        `json:"-"`
+	Once       bool          `json:"once"`
+	Intended   time.Duration `json:"intended"`
+	Sent       time.Duration `json:"sent"`
+	Done       time.Duration `json:"done"`
+	Status     int           `json:"status"`
+	Code       int           `json:"code"`
+	Retry      bool          `json:"retry_after"`
+	Connection bool          `json:"connection_error"` // no answer at all
+	Body       string        `json:"body"`
+	Mark       string        `json:"mark"` // the header by which an upstream marks its answer
+}
+
+// Ran is one run at an upstream.
+type Ran struct {
+	ID           string        `json:"id"`
+	Service      string        `json:"service"`
+	Instance     string        `json:"instance"`
+	Address      string        `json:"address"`
+	Path         string        `json:"path"`
+	Tenant       string        `json:"tenant"`
+	Caller       string        `json:"caller"`
+	KeySeen      bool          `json:"key_seen"`
+	At           time.Duration `json:"at"`
+	Whole        time.Duration `json:"whole"` // when the answer was sent whole; 0: never
+	Answer       string        `json:"answer"`
+	Status       int           `json:"status"`
+	Mark         string        `json:"mark"`
+	Life         int64         `json:"incarnation"`
+	ServingProxy string        `json:"serving_proxy"` // machine of the serving proxy, where known
+}
+
+// Write is an acknowledged version of a configuration: what it allows from then on.
+type Write struct {
+	ConfigName string
+	Version    int64
+	At         time.Duration
+	Services   map[string]string // route to service
+	Keys       map[string]string // key to tenant
+	Digest     string            // of its bytes
+}
+
+// Digest returns a short digest of bytes, to compare them by.
+func Digest(body []byte) string {
+	hash := fnv.New64a()
+	hash.Write(body)
+	return fmt.Sprintf("%x", hash.Sum64())
+}
+
+// Kept is a version as a voter returns it at the end of the run.
+type Kept struct {
+	Voter      string
+	ConfigName string
+	Version    int64
+	Digest     string
+}
+
+// Attempt is one try of a request that left a proxy towards a serving proxy; Again says that it was
+// not the request's first.
+type Attempt struct {
+	Service string
+	At      time.Duration
+	Again   bool
+}
+
+// Force is a node taking a version into force.
+type Force struct {
+	Node       string
+	ConfigName string
+	Version    int64
+	At         time.Duration
+}
+
+// Span is a stretch of time of a node or upstream.
+type Span struct {
+	Name string
+	From time.Duration
+	To   time.Duration
+	Born time.Duration // when this life of the node began, before From after a cut
+}
+
+// Within says whether a machine has a span that touches a stretch of time.
+func Within(spans []Span, machine string, from, to time.Duration) bool {
+	for _, span := range spans {
+		if span.Name == machine && span.From <= to && span.To >= from {
+			return true
+		}
+	}
+	return false
+}
+
+// Peak is the most that an upstream ran at one time, against its slots.
+type Peak struct {
+	Instance string
+	Most     int
+	Slots    int
+}
+
+// Leaving is an upstream that said it leaves.
+type Leaving struct {
+	Service  string
+	Instance string
+	Life     int64
+	At       time.Duration
+}
+
+// Reported is a usage window as the collector got it.
+type Reported struct {
+	Window int64
+	From   string
+	Counts map[string]int64
+	At     time.Duration
+	End    time.Duration // end of the window on the same clock
+}
+
+// Keeping is one voter acting as the holder of a lease.
+type Keeping struct {
+	Tag   string
+	Voter string
+	Epoch int64
+	At    time.Duration
+}
+
+// Record is all that a run left.
+type Record struct {
+	Asked      []Asked
+	Ran        []Ran
+	Writes     []Write
+	Forced     []Force
+	Up         []Span // nodes alive and connected to the core, by name
+	Held       []Span // machines frozen or cut off, by name
+	Peaks      []Peak // the most that ran at one time, by upstream
+	Hurt       []Span // hard ends of machines and upstreams, by name
+	Stopped    []Span // polite stops of proxies, from the signal to the exit
+	Untold     []Span // stretches whose counts died with a proxy that was cut off
+	Leaving    []Leaving
+	Reported   []Reported
+	Reread     []Reported // windows as the voters give them back
+	Attempts   []Attempt
+	Kept       []Kept
+	ReadyAsked int // how often the platform asked a node whether it is ready
+	KeptMost   int // how many versions a voter must keep
+	End        time.Duration
+	Keeping    []Keeping
+	Acts       []Keeping     // changes made by a holder, with the epoch
+	Window     time.Duration // length of a usage window; 0: counts are not checked
+	Epoch      time.Duration // time of day at time 0
+	Bounds     Bounds
+}
