One founding whatever is heard, voters spread over zones, and tight bounds no longer refused

Cause: fault-budget was read for machines only, and the first n names founded the group. With one voter each machine that heard nobody founded a group of its own; with 7 machines and 3 voters two parts could each found one; names of one zone took all voters, so that a tolerated loss of that zone took the majority. A machine whose quorum-member is false could hold a voter.

Change: every proposal names the anchor, the first seed that may vote; voters are chosen over zones and regions; a spare leaves a voter that would crowd its zone; the group's size comes from its member list. settings.Fit derives the lease from every bound that a takeover has to fit in (also contact and acknowledgement times) and warns at start of what can't be kept. check is split by matter, its faults are typed; ratios have a file.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -41,6 +41,9 @@
 		return errcode.Wrap("cli.start", errcode.Internal, err)
 	}
 	group.Go("cli.reload", func(ctx context.Context) { reload(ctx, cfg, process, load, hangups) })
+	for _, warning := range cfg.Warnings {
+		process.Log.Info("warning: a bound can't be kept", "bound", warning.Path, "cause", warning.Text)
+	}
 	process.Log.Info("started", "address", cfg.Address, "outside", cfg.Outside, "version", Version)
 	<-signals
 	process.Log.Info("stopping")
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -395,7 +395,7 @@
 		return
 	}
 	best := m.reads[m.quorum.Voter]
-	for _, voter := range m.settings.Voters {
+	for _, voter := range m.quorum.VoterNames() {
 		response, read := m.reads[voter]
 		if read && m.quorum.Holds(voter, response.Identity) && (position{best.AtEpoch, best.AtSeq, 0}).before(position{response.AtEpoch, response.AtSeq, 0}) {
 			best = response
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -208,7 +208,7 @@
 			}
 			continue
 		}
-		if (len(t.host.Peers())+1)*2 <= len(t.settings.Voters) {
+		if (len(t.host.Peers())+1)*2 <= t.quorum.Size() {
 			// Too few are known to be granted by; a trial now would only cost time.
 			continue
 		}
--- a/internal/message/quorum.go
+++ b/internal/message/quorum.go
@@ -14,6 +14,8 @@
 	Round      int64             // of the proposal
 	Free       []string          // voters whose holders are dead or have left, as far as the sender knows
 	Successor  string            // the node to which this voter hands its place over, as it leaves
+	// NonVoter: the teller never holds a voter.
+	NonVoter bool
 }
 
 // VoterClaim asks the other voters to let a new disk replace the holder of a voter.
--- a/internal/quorum/discovery.go
+++ b/internal/quorum/discovery.go
@@ -57,7 +57,8 @@
 }
 
 func nodeOf(identity string) string {
-	_, nodeName, _ := strings.Cut(identity, "@")
+	_, place, _ := strings.Cut(identity, "@")
+	nodeName, _, _ := strings.Cut(place, zoneMark)
 	return nodeName
 }
 
@@ -81,7 +82,7 @@
 func (g *Quorum) Discovered() bool { return g.settings.VoterCount > 0 }
 
 // needed is how many grants of others a newcomer needs, and how many voters decide.
-func (g *Quorum) needed() int { return len(g.settings.Voters)/2 + 1 }
+func (g *Quorum) needed() int { return g.Size()/2 + 1 }
 
 // Signature is what this voter signs with: its identity and, where voters are sought, the
 // member list that it has synced; nothing while a newer member list is being written.
@@ -112,7 +113,7 @@
 
 // VoterAt is the voter that is held at an address, as last heard.
 func (g *Quorum) VoterAt(address string) string {
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		if received, known := g.received[voter]; known && received.from == address {
 			return voter
 		}
@@ -134,7 +135,7 @@
 }
 
 func (g *Quorum) begin(s *statemachine.Env, founder bool) {
-	g.State = message.VoterState{Identity: NewIdentity(0, s.Random.Uint64(), s.Random.Uint64(), g.settings.Node), Founder: founder,
+	g.State = message.VoterState{Identity: g.newIdentity(s, 0), Founder: founder,
 		Proposal: map[string]string{}, MemberList: map[string]string{}, Former: []string{}}
 	g.Voter, g.proposed, g.rolling = "", false, 0
 	g.writing = true
@@ -145,7 +146,7 @@
 func (g *Quorum) tickDiscovered(s *statemachine.Env) {
 	if g.State.Identity == "" {
 		g.forgetReleased(s)
-		g.begin(s, g.settings.Found)
+		g.begin(s, g.settings.Found && !g.settings.NonVoter)
 		return
 	}
 	if g.silent() {
@@ -176,7 +177,7 @@
 
 // allStand: every other voter was heard to stand, not long ago.
 func (g *Quorum) allStand(s *statemachine.Env) bool {
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		received, known := g.received[voter]
 		if voter != g.Voter && (!known || !received.response.Voting || s.Now-received.at > g.settings.DigestEvery()*15) {
 			return false
@@ -191,7 +192,7 @@
 	if !g.Discovered() || !g.Voting() || g.rolling > 0 {
 		return list
 	}
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		if voter != g.Voter && g.host.Gone(s, nodeOf(g.State.MemberList[voter])) {
 			list = append(list, voter)
 		}
@@ -224,6 +225,10 @@
 	if response.Answer {
 		s.Send(from, g.response(s, false))
 	}
+	if response.NonVoter {
+		g.nonVoters[from] = true
+		return
+	}
 	if !response.Formed {
 		g.founders[nodeOf(response.Identity)] = receivedVoter{from, response, s.Now}
 		g.foundDiscovered(s)
@@ -305,20 +310,8 @@
 	}
 	round := int64(0)
 	if len(g.State.Proposal) > 0 {
-		alike, beaten := 1, false
-		for _, identity := range g.State.Proposal {
-			received, known := g.founders[nodeOf(identity)]
-			if !known || received.response.Identity != identity || len(received.response.Proposal) == 0 {
-				continue
-			}
-			switch {
-			case received.response.Round == g.State.Round && maps.Equal(received.response.Proposal, g.State.Proposal):
-				alike++
-			case received.response.Round >= g.State.Round:
-				beaten = true
-			}
-		}
-		if alike == len(g.settings.Voters) {
+		alike, beaten := g.countAlike()
+		if alike == len(g.State.Proposal) {
 			g.form(s, g.State.Proposal)
 			return
 		}
@@ -327,6 +320,36 @@
 		}
 		round = g.State.Round
 	}
+	memberList := g.nextProposal(s)
+	if memberList == nil {
+		return
+	}
+	g.propose(s, memberList, g.roundFor(memberList, round))
+}
+
+// countAlike counts the members of this process's proposal that hold the same one at the
+// same round, itself among them; beaten: one of them holds another, at this round or a
+// later one.
+func (g *Quorum) countAlike() (alike int, beaten bool) {
+	alike = 1
+	for _, identity := range g.State.Proposal {
+		received, known := g.founders[nodeOf(identity)]
+		if !known || received.response.Identity != identity || len(received.response.Proposal) == 0 {
+			continue
+		}
+		switch {
+		case received.response.Round == g.State.Round && maps.Equal(received.response.Proposal, g.State.Proposal):
+			alike++
+		case received.response.Round >= g.State.Round:
+			beaten = true
+		}
+	}
+	return alike, beaten
+}
+
+// nextProposal is the member list that this process would found the group with, from the
+// founders that it hears; nil while there is none, or it isn't in it itself.
+func (g *Quorum) nextProposal(s *statemachine.Env) map[string]string {
 	identities := map[string]string{g.settings.Node: g.State.Identity}
 	for nodeName, received := range g.founders {
 		if received.response.Founder && g.fresh(s, received) && nodeName != g.settings.Node {
@@ -337,16 +360,27 @@
 	if listed := strings.Join(nodes, " "); listed != g.listed {
 		g.listed, g.listedAt = listed, s.Now
 	}
-	if len(nodes) < len(g.settings.Voters) || s.Now-g.listedAt < g.settings.DigestEvery()*2 {
-		return
+	anchor, anchored := g.anchor(s)
+	if len(nodes) < len(g.settings.Voters) || !anchored || s.Now-g.listedAt < g.settings.DigestEvery()*2 {
+		return nil
+	}
+	chosen := g.chooseFounders(slices.Collect(maps.Values(identities)), anchor, len(g.settings.Voters))
+	if !slices.Contains(chosen, g.State.Identity) {
+		return nil
+	}
+	if !g.outlives(chosen) && s.Now-g.listedAt < g.patience() {
+		return nil
 	}
 	memberList := map[string]string{}
 	for index, voter := range g.settings.Voters {
-		memberList[voter] = identities[nodes[index]]
-	}
-	if !slices.Contains(nodes[:len(g.settings.Voters)], g.settings.Node) {
-		return
+		memberList[voter] = chosen[index]
 	}
+	return memberList
+}
+
+// roundFor is the round of a proposal: the highest that was heard where others propose
+// the same there, and else one more.
+func (g *Quorum) roundFor(memberList map[string]string, round int64) int64 {
 	highest, same := round, false
 	for _, received := range g.founders {
 		if received.response.Round > highest {
@@ -358,10 +392,17 @@
 	if !same {
 		highest++
 	}
-	g.State.Proposal, g.State.Round, g.proposed = memberList, highest, false
-	s.Event("voter-proposed", 0, highest, strings.Join(nodes, " "))
+	return highest
+}
+
+func (g *Quorum) propose(s *statemachine.Env, memberList map[string]string, round int64) {
+	g.State.Proposal, g.State.Round, g.proposed = memberList, round, false
+	s.Event("voter-proposed", 0, round, g.listed)
+	if !g.outlives(slices.Collect(maps.Values(memberList))) {
+		s.Event("voter-spread-lacking", 0, round, "the machines that were heard don't allow the spread over zones that the settings want")
+	}
 	g.host.Persist(s, g.State, func(s *statemachine.Env, failure error) {
-		if failure == nil && g.State.Round == highest && maps.Equal(memberList, g.State.Proposal) {
+		if failure == nil && g.State.Round == round && maps.Equal(memberList, g.State.Proposal) {
 			g.proposed, g.nextAt = true, s.Now
 			g.foundDiscovered(s)
 		}
@@ -371,14 +412,14 @@
 // known joins the member lists of those that stand and were heard lately, and lists them.
 func (g *Quorum) known(s *statemachine.Env) (map[string]string, []receivedVoter) {
 	memberList, tellers := map[string]string{}, []receivedVoter{}
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		if received, known := g.received[voter]; known && g.fresh(s, received) {
 			for listed, identity := range received.response.MemberList {
 				memberList[listed] = max(memberList[listed], identity)
 			}
 		}
 	}
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		if received, known := g.received[voter]; known && g.fresh(s, received) && received.response.Voting && memberList[voter] == received.response.Identity {
 			tellers = append(tellers, received)
 		}
@@ -388,7 +429,7 @@
 
 // seek looks for a voter, or holds on to the claim on one.
 func (g *Quorum) seek(s *statemachine.Env) {
-	if g.State.Formed || g.State.Founder || g.writing || g.leaving() || g.host.Superseded() {
+	if g.State.Formed || g.State.Founder || g.writing || g.settings.NonVoter || g.leaving() || g.host.Superseded() {
 		return
 	}
 	memberList, tellers := g.known(s)
@@ -402,7 +443,7 @@
 		return
 	}
 	wanted, open := "", []string{}
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		count := 0
 		for _, received := range tellers {
 			if slices.Contains(received.response.Free, voter) {
@@ -413,7 +454,7 @@
 			delete(g.freeSince, voter)
 		} else if since, before := g.freeSince[voter]; !before {
 			g.freeSince[voter] = s.Now
-		} else if s.Now-since >= g.settings.ClaimAfter() {
+		} else if s.Now-since >= g.settings.ClaimAfter() && g.keepsSpread(memberList, voter, g.settings.Zone) {
 			open = append(open, voter)
 		}
 		if nodeOf(memberList[voter]) == g.settings.Node || g.offered(s, voter, memberList[voter]) {
@@ -427,7 +468,7 @@
 		return
 	}
 	g.predecessor = memberList[wanted]
-	g.State.Voter, g.State.Identity = wanted, NewIdentity(editionOf(memberList[wanted])+1, s.Random.Uint64(), s.Random.Uint64(), g.settings.Node)
+	g.State.Voter, g.State.Identity = wanted, g.newIdentity(s, editionOf(memberList[wanted])+1)
 	g.grants, g.freeSince = map[string]message.VoterGrant{}, map[string]time.Duration{}
 	g.writing = true
 	s.Event("voter-claimed", 0, int64(editionOf(g.State.Identity)), wanted)
@@ -481,7 +522,7 @@
 	}
 	g.grants[grant.Voter] = grant
 	states := [][]byte{}
-	for _, voter := range g.settings.Voters {
+	for _, voter := range g.voterNames() {
 		held, granted := g.grants[voter]
 		if granted && maps.Equal(held.MemberList, grant.MemberList) && g.mayGrant(voter, held) {
 			states = append(states, held.State)
--- a/internal/quorum/handover.go
+++ b/internal/quorum/handover.go
@@ -50,7 +50,8 @@
 	for _, node := range slices.Sorted(maps.Keys(g.founders)) {
 		received := g.founders[node]
 		told := received.response
-		if told.Voter == "" && !told.Founder && g.fresh(s, received) && !g.host.Gone(s, node) {
+		spread := g.keepsSpread(g.State.MemberList, g.Voter, zoneOf(told.Identity))
+		if told.Voter == "" && !told.Founder && spread && g.fresh(s, received) && !g.host.Gone(s, node) {
 			names = append(names, node)
 		}
 	}
--- /dev/null
+++ b/internal/quorum/placement_test.go
@@ -0,0 +1,160 @@
+// Where voters are placed: one group whoever is heard at the start, voters spread over
+// zones and regions, and processes that never vote.
+package quorum
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+// formedGroups counts the distinct groups that voters stand in.
+func (t *fleet) formedGroups() int {
+	groups := map[string]bool{}
+	for _, address := range t.order {
+		if p := t.players[address]; p.up && p.quorum.Voting() {
+			groups[digestOf(p.quorum.State.MemberList)] = true
+		}
+	}
+	return len(groups)
+}
+
+// Machines that hear nothing of each other for the first seconds found one group at the
+// most: the first anchor is in every founding.
+func TestFoundingIsOnceAcrossPartsThatHearNothingOfEachOther(t *testing.T) {
+	c := qt.New(t)
+	for _, made := range []struct {
+		machines int
+		voters   int64
+		anchors  []string
+	}{{2, 1, []string{"a1", "a2"}}, {3, 1, []string{"a1", "a2", "a3"}}, {7, 3, []string{"a1", "a2", "a3"}}, {9, 3, []string{"a5", "a6", "a7"}}} {
+		hollow := newFleet(c, made.voters)
+		hollow.parts = map[string]int{}
+		for number := range made.machines {
+			address := fmt.Sprintf("a%d", number+1)
+			hollow.parts[address] = number * 2 / made.machines
+			hollow.joinConfigured(fmt.Sprintf("n%d", number+1), address, true, func(cfg *settings.Settings) { cfg.Anchors = made.anchors })
+		}
+		hollow.run(4 * time.Second)
+		c.Check(hollow.formedGroups() <= 1, qt.IsTrue, qt.Commentf("%d machines, %d voters: %v", made.machines, made.voters, hollow.notes))
+		clear(hollow.parts)
+		hollow.run(4 * time.Second)
+		c.Check(hollow.formedGroups(), qt.Equals, 1, qt.Commentf("%d machines, %d voters: %v", made.machines, made.voters, hollow.notes))
+		c.Check(hollow.voters(), qt.HasLen, int(made.voters))
+	}
+}
+
+// zoned makes a fleet whose machine number k stands in zones[k].
+func zoned(c *qt.C, voters int64, zones []string, tolerated settings.Tolerated, regions map[string]string) (*fleet, []*player) {
+	hollow := newFleet(c, voters)
+	players := []*player{}
+	for number, zone := range zones {
+		players = append(players, hollow.joinConfigured(fmt.Sprintf("n%d", number+1), fmt.Sprintf("a%d", number+1), true, inZone(zone, tolerated, regions)))
+	}
+	hollow.run(6 * time.Second)
+	return hollow, players
+}
+
+func inZone(zone string, tolerated settings.Tolerated, regions map[string]string) func(cfg *settings.Settings) {
+	return func(cfg *settings.Settings) {
+		cfg.Zone, cfg.Tolerated, cfg.Regions = zone, tolerated, regions
+		cfg.Zones, cfg.Anchors = []string{"x", "y", "z", "w"}, []string{"a1", "a2", "a3"}
+	}
+}
+
+// perZone counts the voters that stand in each zone.
+func (t *fleet) perZone() map[string]int {
+	counts := map[string]int{}
+	for _, address := range t.order {
+		if p := t.players[address]; p.up && p.quorum.Voting() {
+			counts[p.quorum.settings.Zone]++
+		}
+	}
+	return counts
+}
+
+func TestVotersAreSpreadOverZonesAndRegions(t *testing.T) {
+	c := qt.New(t)
+	regions := map[string]string{"x": "east", "y": "east", "z": "west", "w": "south"}
+	for _, made := range []struct {
+		name      string
+		voters    int64
+		zones     []string
+		tolerated settings.Tolerated
+		wanted    map[string]int
+	}{
+		{"two machines a zone", 3, []string{"x", "x", "y", "y", "z", "z"}, settings.Tolerated{Zones: 1}, map[string]int{"x": 1, "y": 1, "z": 1}},
+		{"first names in one zone", 5, []string{"x", "x", "x", "y", "y", "z", "z"}, settings.Tolerated{Machines: 2, Zones: 1}, map[string]int{"x": 2, "y": 2, "z": 1}},
+		{"four zones", 3, []string{"x", "x", "y", "z", "w"}, settings.Tolerated{Zones: 1}, map[string]int{"x": 1, "y": 1, "z": 1}},
+		{"a region", 3, []string{"x", "y", "z", "w"}, settings.Tolerated{Regions: 1}, map[string]int{"x": 1, "z": 1, "w": 1}},
+		{"machines only", 3, []string{"x", "x", "y", "z"}, settings.Tolerated{Machines: 1}, map[string]int{"x": 1, "y": 1, "z": 1}},
+		{"a zone of all machines", 3, []string{"x", "x", "x"}, settings.Tolerated{Zones: 1}, map[string]int{"x": 3}},
+	} {
+		hollow, _ := zoned(c, made.voters, made.zones, made.tolerated, regions)
+		c.Check(hollow.perZone(), qt.DeepEquals, made.wanted, qt.Commentf(made.name))
+	}
+}
+
+// A spare in another zone leaves a dead voter alone where its own zone's loss would then
+// take the majority, and takes it where it would not.
+func TestSpareKeepsTheSpreadOverZones(t *testing.T) {
+	c := qt.New(t)
+	for _, tried := range []struct {
+		tolerated settings.Tolerated
+		voters    int
+	}{{settings.Tolerated{Zones: 1}, 2}, {settings.Tolerated{Machines: 1}, 3}} {
+		hollow, players := zoned(c, 3, []string{"x", "y", "z"}, tried.tolerated, nil)
+		hollow.joinConfigured("fresh-y", "b1", false, inZone("y", tried.tolerated, nil))
+		hollow.kill(players[0], false)
+		hollow.state["n1"] = message.Dead
+		hollow.run(8 * time.Second)
+		c.Assert(hollow.voters(), qt.HasLen, tried.voters, qt.Commentf("%v", hollow.notes))
+		if tried.voters == 2 {
+			hollow.joinConfigured("fresh-x", "b2", false, inZone("x", tried.tolerated, nil))
+			hollow.run(8 * time.Second)
+			c.Assert(hollow.voters()["1"], qt.Equals, "fresh-x")
+		}
+	}
+}
+
+// A process that is said never to vote founds nothing and takes no voter, also where it
+// is the first anchor.
+func TestNonVoterNeverHoldsAVoter(t *testing.T) {
+	c := qt.New(t)
+	hollow := newFleet(c, 3)
+	players := []*player{}
+	for number := range 4 {
+		players = append(players, hollow.joinConfigured(fmt.Sprintf("n%d", number+1), fmt.Sprintf("a%d", number+1), number > 0, func(cfg *settings.Settings) {
+			cfg.Anchors, cfg.NonVoter = []string{"a1", "a2", "a3"}, number == 0
+		}))
+	}
+	hollow.run(3 * time.Second)
+	c.Assert(hollow.voters(), qt.DeepEquals, map[string]string{"1": "n2", "2": "n3", "3": "n4"})
+	hollow.kill(players[3], true)
+	hollow.state["n4"] = message.Dead
+	hollow.run(8 * time.Second)
+	c.Assert(players[0].quorum.Voting(), qt.IsFalse)
+	c.Assert(players[0].quorum.Spare(players[0].env), qt.IsTrue)
+}
+
+// How many voters there are is the group's own knowledge once it is founded: a newcomer
+// whose settings count others takes the group's count.
+func TestCountOfVotersComesFromTheGroup(t *testing.T) {
+	c := qt.New(t)
+	for _, counted := range []int64{1, 5} {
+		hollow, players := founded(c, 3, 3)
+		hollow.kill(players[2], true)
+		hollow.state["n3"] = message.Dead
+		newcomer := hollow.joinConfigured("fresh", "b1", false, func(cfg *settings.Settings) {
+			cfg.VoterCount, cfg.Voters = counted, settings.VoterNames(counted)
+		})
+		hollow.run(6 * time.Second)
+		c.Assert(hollow.voters(), qt.HasLen, 3, qt.Commentf("settings count %d: %v", counted, hollow.notes))
+		c.Assert(newcomer.quorum.Majority(map[string]string{newcomer.quorum.Voter: newcomer.quorum.Signature()}), qt.IsFalse)
+	}
+}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -61,6 +61,7 @@
 	beginVoting func(s *statemachine.Env, fresh bool)
 
 	founders  map[string]receivedVoter // by node
+	nonVoters map[string]bool          // addresses of processes that never vote
 	listed    string
 	listedAt  time.Duration
 	digest    string // of the member list
@@ -86,7 +87,7 @@
 	}
 	g := &Quorum{Group: group, Voter: cfg.Voter, State: state, settings: cfg, host: host,
 		received: map[string]receivedVoter{}, grants: map[string]message.VoterGrant{}, beginVoting: beginVoting,
-		founders: map[string]receivedVoter{}, freeSince: map[string]time.Duration{}, proposed: len(state.Proposal) > 0}
+		founders: map[string]receivedVoter{}, nonVoters: map[string]bool{}, freeSince: map[string]time.Duration{}, proposed: len(state.Proposal) > 0}
 	if g.Discovered() {
 		g.takeMemberList(g.State.MemberList)
 		switch {
@@ -134,12 +135,12 @@
 			count++
 		}
 	}
-	return count*2 > len(g.settings.Voters)
+	return count*2 > g.Size()
 }
 
 func (g *Quorum) response(s *statemachine.Env, answer bool) message.VoterStatus {
 	response := message.VoterStatus{Group: g.Group, Voter: g.Voter, Identity: g.State.Identity, Formed: g.State.Formed,
-		Voting: g.Voting(), Proposal: map[string]string{}, MemberList: map[string]string{}, Answer: answer, Founder: g.State.Founder && !g.State.Formed, Round: g.State.Round, Free: g.free(s), Successor: g.successor}
+		Voting: g.Voting(), Proposal: map[string]string{}, MemberList: map[string]string{}, Answer: answer, Founder: g.State.Founder && !g.State.Formed, Round: g.State.Round, Free: g.free(s), NonVoter: g.settings.NonVoter, Successor: g.successor}
 	if g.rolling > 0 {
 		response.Formed = false
 		response.Founder = false
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -268,7 +268,7 @@
 				s.Send(peer.Address, message.RosterCheck{Tag: tag, Round: m.round, Voter: m.quorum.Voter, Mark: m.slices[tag].Mark})
 			}
 		}
-		if !m.whole[tag] && (len(m.unwhole[tag]) >= len(m.settings.Voters)-1 || s.Now-m.bootAt > m.settings.TakeOver()) {
+		if !m.whole[tag] && (len(m.unwhole[tag]) >= m.quorum.Size()-1 || s.Now-m.bootAt > m.settings.TakeOver()) {
 			m.whole[tag] = true
 		}
 	}
--- /dev/null
+++ b/internal/settings/fit.go
@@ -0,0 +1,153 @@
+// This file fits timers to bounds that leave little room. A rule is kept in any case:
+// where two bounds can't both be kept, what is given up is a price, and a warning says
+// which. Nothing here refuses.
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// What the programs need, whatever the bounds say.
+const (
+	// syncsInLease is how many syncs of a disk a lease has to hold.
+	syncsInLease = 4
+	// syncsInForce is how many syncs fit in the time for a configuration to be in force.
+	syncsInForce = 8
+	// shortestLease is the shortest lease that is granted and renewed over links between
+	// regions and disks with a full queue, in milliseconds.
+	shortestLease = 400
+	// shortestInForce keeps the tick, an eightieth of it, at 5 ms or more, in milliseconds.
+	shortestInForce = 400
+	// The floors of other bounds, in milliseconds: below them a timer that is a part of the
+	// bound would be 0.
+	shortestWindow    = 400
+	shortestRestore   = 1500
+	shortestHeartbeat = 300
+	shortestCatchUp   = 200
+	shortestOther     = 1
+	// mostRetryShare is the largest share of further tries that is ever spent.
+	mostRetryShare = 0.99
+)
+
+// Warning says that a bound is not kept, or what was given up for it.
+type Warning struct {
+	Path string
+	Text string
+}
+
+// String gives the line of the log.
+func (w Warning) String() string { return w.Path + ": " + w.Text }
+
+// Expected are bounds of the surroundings that no timer keeps, but that say by when a
+// takeover has to be over; 0: not told.
+type Expected struct {
+	Contact   time.Duration // from the end of a trouble until calm is taken for granted
+	WriteAcks time.Duration // by when a write is acknowledged in calm times
+}
+
+// Fit gives settings whose bounds pass the check, whatever figures they came with, and
+// lists in Warnings what can't be kept.
+func (c Settings) Fit(expected Expected) Settings {
+	c.Warnings = nil
+	c.raiseFloors()
+	c.Bounds.Sync = min(c.Bounds.Sync, c.Bounds.ConfigurationInForce/syncsInForce)
+	// A longer rest between holders keeps a shorter bound too.
+	c.Bounds.HolderRest = max(c.Bounds.HolderRest, shortestLease*2)
+	c.fitLease(expected)
+	return c
+}
+
+// raiseFloors lifts bounds to what the programs can do at all.
+func (c *Settings) raiseFloors() {
+	b := &c.Bounds
+	for _, floor := range []struct {
+		path  string
+		value *int64
+		least int64
+	}{
+		{"bounds.configuration_in_force_ms", &b.ConfigurationInForce, shortestInForce},
+		{"bounds.restore_ms", &b.Restore, shortestRestore},
+		{"bounds.catch_up_ms", &b.CatchUp, shortestCatchUp},
+		{"bounds.usage_window_ms", &b.UsageWindow, shortestWindow},
+		{"bounds.heartbeat_ms", &b.Heartbeat, shortestHeartbeat},
+		{"bounds.drain_ms", &b.Drain, shortestOther},
+		{"bounds.slip_back_ms", &b.SlipBack, shortestOther},
+		{"bounds.answer_hold_ms", &b.AnswerHold, shortestOther},
+		{"bounds.usage_late_ms", &b.UsageLate, shortestOther},
+		{"bounds.retry_window_ms", &b.RetryWindow, shortestOther},
+		{"bounds.sync_ms", &b.Sync, shortestOther},
+		{"bounds.holder_rest_ms", &b.HolderRest, shortestOther},
+		{"bounds.retry_allowance", &b.RetryAllowance, 0},
+		{"bounds.key_withdrawal_ms", &b.KeyWithdrawal, 0},
+	} {
+		if *floor.value < floor.least {
+			c.warn(floor.path, fmt.Sprintf("%d is below what can be kept, which is %d", *floor.value, floor.least))
+			*floor.value = floor.least
+		}
+	}
+	if b.RetryShare < 0 || b.RetryShare > mostRetryShare {
+		b.RetryShare = min(max(b.RetryShare, 0), mostRetryShare)
+	}
+}
+
+func (c *Settings) warn(path, text string) {
+	c.Warnings = append(c.Warnings, Warning{path, text})
+}
+
+// limitOfTakeOver is a bound by which a takeover has to be over, and what it costs
+// where it isn't.
+type limitOfTakeOver struct {
+	path string
+	room time.Duration
+	cost string
+}
+
+// fitLease takes the longest lease, up to half of the rest between holders, with which a
+// takeover is over in time for every bound. The shortest lease stands where that leaves
+// too little.
+func (c *Settings) fitLease(expected Expected) {
+	b := &c.Bounds
+	limits := c.takeOverLimits(expected)
+	b.Lease = 0
+	longest := c.Lease()
+	for _, limit := range limits {
+		longest = min(longest, (limit.room-ms(b.Sync)*syncsInLease)*9/20)
+	}
+	if longest < ms(shortestLease) {
+		longest = ms(shortestLease)
+	}
+	if longest < c.Lease() {
+		b.Lease = longest.Milliseconds()
+	}
+	for _, limit := range limits {
+		if c.TakeOver() >= limit.room {
+			c.warn(limit.path, fmt.Sprintf("a takeover takes up to %v and leaves it no room: %s", c.TakeOver(), limit.cost))
+		}
+	}
+}
+
+func (c *Settings) takeOverLimits(expected Expected) []limitOfTakeOver {
+	b := c.Bounds
+	limits := []limitOfTakeOver{
+		{"bounds.usage_late_ms", ms(b.UsageLate) - c.SealAfter(), "usage reports may be late after one"},
+		{"bounds.restore_ms", ms(b.Restore) / 2, "service may come back late after the loss of all machines"},
+	}
+	if b.KeyWithdrawal > 0 {
+		limits = append(limits, limitOfTakeOver{"bounds.key_withdrawal_ms", c.StaleAdmit(), "requests are refused meanwhile, as keys may have been withdrawn"})
+	}
+	if calm := expected.Contact + expected.WriteAcks; expected.WriteAcks > 0 {
+		limits = append(limits, limitOfTakeOver{"acknowledgement of writes", calm * 6 / 10, "orders may be acknowledged late after one"})
+	}
+	return limits
+}
+
+// VotersFor is how many voters a core group seeks: two for each machine, zone or region
+// that may go at once and one more, and at least three, so that one machine's stop is no
+// pause. A core with fewer than three machines, which its seeds show, has one.
+func VotersFor(tolerated Tolerated, seeds int) int64 {
+	if seeds < namedVoters {
+		return 1
+	}
+	return min(max(2*max(tolerated.Machines, tolerated.Zones, tolerated.Regions)+1, namedVoters), maxVoters)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,10 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
-	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -19,7 +16,6 @@
 	"github.com/tidwall/gjson"
 
 	"beaconvane/internal/errcode"
-	"beaconvane/internal/message"
 	"beaconvane/internal/routeconfig"
 )
 
@@ -43,6 +39,14 @@
 	RetryAllowance       int64   `json:"retry_allowance"`
 }
 
+// Tolerated is what may be lost at once, with a majority of the voters left: so many
+// machines, or zones, or regions.
+type Tolerated struct {
+	Machines int64 `json:"machines"`
+	Zones    int64 `json:"zones"`
+	Regions  int64 `json:"regions"`
+}
+
 // Limits are sizes and counts.
 type Limits struct {
 	Queue              int64   `json:"queue"`
@@ -78,6 +82,10 @@
 	Voters      []string          `json:"voters"`
 	VoterCount  int64             `json:"voter_count"` // instead of voter and voters: how many, found by the processes themselves
 	Found       bool              `json:"found"`       // this start, with an empty disk, may found the group
+	NonVoter    bool              `json:"non_voter"`   // this process never holds a voter
+	Anchors     []string          `json:"anchors"`     // core addresses of which the first that may vote is among the founders; alike on all at the first start
+	Regions     map[string]string `json:"regions"`     // the region of each zone; default: one for all
+	Tolerated   Tolerated         `json:"tolerated"`   // what voters are placed to outlive
 	Zone        string            `json:"zone"`
 	Zones       []string          `json:"zones"`
 	Address     string            `json:"address"`
@@ -97,6 +105,10 @@
 	Counted     string            `json:"counted"` // for usage: requests "answered", or "begun" by an upstream
 	Bounds      Bounds            `json:"bounds"`
 	Limits      Limits            `json:"limits"`
+
+	// Warnings say which bounds the settings leave no room to keep together; they are
+	// logged at start.
+	Warnings []Warning `json:"-"`
 }
 
 // Default gives the values that stand when the file is silent.
@@ -105,6 +117,8 @@
 		ConfigNames: []string{"main"},
 		Writes:      WritesRising,
 		Active:      map[string]string{},
+		Anchors:     []string{},
+		Regions:     map[string]string{},
 		Proof:       ProofConnection,
 		Fields:      FieldsRefuse, Counted: CountAnswered,
 		Bounds: Bounds{
@@ -125,9 +139,6 @@
 	ConfigLogTag = "config-log"
 )
 
-// maxVoters bounds a group; its member list goes with every telling.
-const maxVoters = 99
-
 // How puts are taken.
 const (
 	WritesRising  = "rising"
@@ -147,44 +158,39 @@
 // flag's name and value go over the file before the check.
 func Read(role string, body []byte, flags map[string]string) (Settings, []string) {
 	cfg := Default()
-	faults := []string{}
+	unknown := Faults{}
 	if len(body) > 0 {
 		if !gjson.ValidBytes(body) {
-			return cfg, []string{fault(errcode.ConfigUnreadable, "$", "not JSON")}
+			return cfg, Faults{{errcode.ConfigUnreadable, "$", "not JSON"}}.Lines()
 		}
-		faults = append(faults, unknownKeys(body)...)
+		unknown = unknownKeys(body)
 		if err := json.Unmarshal(body, &cfg); err != nil {
-			return cfg, append(faults, fault(errcode.ConfigBadValue, "$", err.Error()))
+			return cfg, append(unknown, Fault{errcode.ConfigBadValue, "$", err.Error()}).Lines()
 		}
 	}
+	cfg.takeFlags(flags)
+	faults := append(unknown, cfg.Check(role)...)
+	if cfg.VoterCount > 0 {
+		cfg.Voters = VoterNames(cfg.VoterCount)
+	}
+	return cfg, faults.Lines()
+}
+
+// takeFlags lays the command line's values over the file's.
+func (c *Settings) takeFlags(flags map[string]string) {
+	texts := map[string]*string{"node": &c.Node, "voter": &c.Voter, "zone": &c.Zone, "address": &c.Address,
+		"outside": &c.Outside, "data": &c.Data, "collector": &c.Collector}
 	for name, value := range flags {
-		switch name {
-		case "node":
-			cfg.Node = value
-		case "voter":
-			cfg.Voter = value
-		case "found":
-			cfg.Found = value == "true"
-		case "zone":
-			cfg.Zone = value
-		case "address":
-			cfg.Address = value
-		case "outside":
-			cfg.Outside = value
-		case "data":
-			cfg.Data = value
-		case "collector":
-			cfg.Collector = value
-		case "seeds":
-			cfg.Seeds = strings.Split(value, ",")
+		if text, known := texts[name]; known {
+			*text = value
 		}
 	}
-	faults = append(faults, cfg.check(role)...)
-	if cfg.VoterCount > 0 {
-		cfg.Voters = VoterNames(cfg.VoterCount)
+	if value, given := flags["found"]; given {
+		c.Found = value == "true"
+	}
+	if value, given := flags["seeds"]; given {
+		c.Seeds = strings.Split(value, ",")
 	}
-	sort.Strings(faults)
-	return cfg, faults
 }
 
 // Load is Read from a path.
@@ -204,181 +210,6 @@
 	return cfg, nil
 }
 
-func fault(code errcode.Code, path, text string) string {
-	return fmt.Sprintf("%s: %s (%d)", path, text, int(code))
-}
-
-func unknownKeys(body []byte) []string {
-	known := func(sample any) map[string]bool {
-		names := map[string]bool{}
-		text, _ := json.Marshal(sample)
-		gjson.ParseBytes(text).ForEach(func(key, _ gjson.Result) bool { names[key.String()] = true; return true })
-		return names
-	}
-	faults := []string{}
-	walk := func(path string, value gjson.Result, names map[string]bool) {
-		seen := map[string]bool{}
-		value.ForEach(func(key, _ gjson.Result) bool {
-			if !names[key.String()] {
-				faults = append(faults, fault(errcode.ConfigUnknownKey, path+key.String(), "unknown key"))
-			}
-			if seen[key.String()] {
-				faults = append(faults, fault(errcode.ConfigBadValue, path+key.String(), "key stands twice"))
-			}
-			seen[key.String()] = true
-			return true
-		})
-	}
-	root := gjson.ParseBytes(body)
-	walk("", root, known(Default()))
-	walk("bounds.", root.Get("bounds"), known(Bounds{}))
-	walk("limits.", root.Get("limits"), known(Limits{}))
-	return faults
-}
-
-func (c Settings) check(role string) []string {
-	faults := []string{}
-	add := func(code errcode.Code, path, text string) { faults = append(faults, fault(code, path, text)) }
-	needAddress := func(path, value string) {
-		if value == "" {
-			add(errcode.ConfigMissing, path, "missing")
-			return
-		}
-		host, port, err := net.SplitHostPort(value)
-		if err != nil || net.ParseIP(host) == nil || port == "" {
-			add(errcode.ConfigBadValue, path, "want an IP number and a port, have "+value)
-		}
-	}
-	if c.Node == "" {
-		add(errcode.ConfigMissing, "node", "missing")
-	}
-	if c.Zone == "" {
-		add(errcode.ConfigMissing, "zone", "missing")
-	}
-	needAddress("address", c.Address)
-	if role != message.RoleConfigStore {
-		needAddress("outside", c.Outside)
-	}
-	switch {
-	case c.VoterCount > 0 && len(c.Seeds) == 0:
-		add(errcode.ConfigMissing, "seeds", "want at least one address")
-	case c.VoterCount == 0 && len(c.Seeds) != 3:
-		add(errcode.ConfigBadValue, "seeds", "want three addresses")
-	}
-	for index, address := range c.Beacon {
-		needAddress(fmt.Sprintf("beacon.%d", index), address)
-	}
-	if c.Proof != ProofConnection && c.Proof != ProofTarget {
-		add(errcode.ConfigBadValue, "proof", "want connection or target")
-	}
-	if c.Fields != FieldsRefuse && c.Fields != FieldsKeep {
-		add(errcode.ConfigBadValue, "fields", "want refuse or keep")
-	}
-	if c.Counted != CountAnswered && c.Counted != CountBegun {
-		add(errcode.ConfigBadValue, "counted", "want answered or begun")
-	}
-	if c.Limits.Linger < 0 || c.Limits.Memory < 0 || c.Limits.Linger >= c.Limits.Grace {
-		add(errcode.ConfigBadValue, "limits", "linger_ms and memory_mb want 0 or more, linger_ms less than grace_ms")
-	}
-	for index, seed := range c.Seeds {
-		needAddress(fmt.Sprintf("seeds.%d", index), seed)
-	}
-	if len(c.Zones) == 0 {
-		add(errcode.ConfigMissing, "zones", "missing: the names of all zones")
-	}
-	if c.Zone != "" && len(c.Zones) > 0 && !slices.Contains(c.Zones, c.Zone) {
-		add(errcode.ConfigBadValue, "zone", "not among zones")
-	}
-	for _, slice := range c.Slices {
-		if !slices.Contains(c.Zones, slice) {
-			add(errcode.ConfigBadValue, "slices", "not among zones: "+slice)
-		}
-	}
-	if len(c.ConfigNames) == 0 {
-		add(errcode.ConfigMissing, "configurations", "want at least one")
-	}
-	if c.Writes != WritesRising && c.Writes != WritesHighest {
-		add(errcode.ConfigBadValue, "puts", "want rising or highest")
-	}
-	voters := c.Voters
-	if c.VoterCount != 0 {
-		voters = VoterNames(min(c.VoterCount, maxVoters))
-		if c.VoterCount < 1 || c.VoterCount > maxVoters || c.VoterCount%2 == 0 {
-			add(errcode.ConfigBadValue, "voter_count", fmt.Sprintf("want an odd number from 1 to %d", maxVoters))
-		}
-		if c.Voter != "" || len(c.Voters) > 0 {
-			add(errcode.ConfigBadValue, "voter_count", "stands instead of voter and voters, not beside them")
-		}
-	} else if c.Found {
-		add(errcode.ConfigBadValue, "found", "goes with voter_count only")
-	}
-	if role != message.RoleProxy {
-		if c.VoterCount == 0 && len(c.Voters) != 3 {
-			add(errcode.ConfigBadValue, "voters", "want the names of the three voters")
-		}
-		if c.VoterCount == 0 && (c.Voter == "" || !slices.Contains(c.Voters, c.Voter)) {
-			add(errcode.ConfigMissing, "voter", "want one of voters")
-		}
-		if c.Data == "" {
-			add(errcode.ConfigMissing, "data", "missing: the data folder")
-		}
-	}
-	for tag, voter := range c.Active {
-		if tag != UsageTag && tag != ConfigLogTag && !slices.Contains(c.Zones, tag) {
-			add(errcode.ConfigBadValue, "active."+tag, "no such tag")
-		}
-		if role != message.RoleProxy && !slices.Contains(voters, voter) {
-			add(errcode.ConfigBadValue, "active."+tag, "no such voter: "+voter)
-		}
-	}
-	b := c.Bounds
-	for path, value := range map[string]int64{
-		"configuration_in_force_ms": b.ConfigurationInForce, "drain_ms": b.Drain, "slip_back_ms": b.SlipBack, "answer_hold_ms": b.AnswerHold,
-		"usage_late_ms": b.UsageLate, "usage_window_ms": b.UsageWindow, "holder_rest_ms": b.HolderRest, "catch_up_ms": b.CatchUp, "restore_ms": b.Restore,
-		"heartbeat_ms": b.Heartbeat, "sync_ms": b.Sync, "retry_window_ms": b.RetryWindow,
-	} {
-		if value <= 0 {
-			add(errcode.ConfigBadValue, "bounds."+path, "want more than 0")
-		}
-	}
-	if b.Lease < 0 || b.Lease > b.HolderRest/2 {
-		add(errcode.ConfigBadValue, "bounds.lease_ms", "want at most half of holder_rest_ms, or 0")
-	}
-	if b.KeyWithdrawal < 0 || b.RetryAllowance < 0 || b.RetryShare < 0 || b.RetryShare >= 1 {
-		add(errcode.ConfigBadValue, "bounds", "key_withdrawal_ms and retry_allowance want 0 or more, retry_share 0 to below 1")
-	}
-	for path, value := range map[string]int64{
-		"queue": c.Limits.Queue, "body_bytes": c.Limits.Body, "answer_bytes": c.Limits.Answer, "configuration_bytes": c.Limits.Configuration,
-		"configuration_entries": c.Limits.Entries, "kept_configurations": c.Limits.KeptConfigurations, "fanout": c.Limits.Fanout,
-		"frame_bytes": c.Limits.Frame, "request_ms": c.Limits.Request, "grace_ms": c.Limits.Grace,
-	} {
-		if value <= 0 {
-			add(errcode.ConfigBadValue, "limits."+path, "want more than 0")
-		}
-	}
-	if c.Limits.Frame > 256<<20 {
-		add(errcode.ConfigBadValue, "limits.frame_bytes", "want at most 268435456")
-	}
-	if c.Limits.Frame > 0 && (c.Limits.Frame < c.Limits.Body+65536 || c.Limits.Frame < c.Limits.Answer+65536 || c.Limits.Frame < c.Limits.Configuration+65536) {
-		add(errcode.ConfigBoundsClash, "limits.frame_bytes", "must hold a body, an answer or a configuration and 64 KiB more")
-	}
-	if c.Limits.Frame < int64(len(c.ConfigNames)+1)*(c.Limits.Configuration+65536) {
-		add(errcode.ConfigBoundsClash, "limits.frame_bytes", "must hold the largest configuration of every configuration and one more")
-	}
-	sound := len(faults) == 0 // ratios of broken bounds would only confuse
-	clash := func(wrong bool, path, text string) {
-		if wrong && sound {
-			add(errcode.ConfigBoundsClash, path, text)
-		}
-	}
-	clash(c.TakeOver() >= ms(b.UsageLate)-c.SealAfter(), "bounds.usage_late_ms", "a takeover after the seal does not fit in it")
-	clash(b.KeyWithdrawal > 0 && c.TakeOver() >= c.StaleAdmit(), "bounds.key_withdrawal_ms", "a takeover would outlast it: lower holder_rest_ms or raise it")
-	clash(c.TakeOver()*2 > ms(b.Restore), "bounds.restore_ms", "two takeovers must fit in it")
-	clash(ms(b.Sync)*4 > c.Lease(), "bounds.sync_ms", "a lease must hold four syncs")
-	clash(ms(b.Sync)*8 > ms(b.ConfigurationInForce), "bounds.sync_ms", "configuration_in_force_ms must hold eight syncs")
-	return faults
-}
-
 // Subscribed lists the zones whose slices a proxy follows.
 func (c Settings) Subscribed() []string {
 	if len(c.Slices) == 0 {
@@ -399,98 +230,3 @@
 }
 
 func ms(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
-
-// The ratios. Each timer of the system is one of these.
-
-func (c Settings) TickEvery() time.Duration    { return ms(c.Bounds.ConfigurationInForce) / 80 }
-func (c Settings) UpdatesEvery() time.Duration { return ms(c.Bounds.ConfigurationInForce) / 10 }
-func (c Settings) ParentLimit() time.Duration  { return ms(c.Bounds.ConfigurationInForce) / 4 }
-func (c Settings) Reparent() time.Duration     { return ms(c.Bounds.ConfigurationInForce) * 3 / 4 }
-
-// StaleReady is the age of configuration or roster past which a proxy is unready.
-func (c Settings) StaleReady() time.Duration {
-	if c.Bounds.KeyWithdrawal > 0 {
-		return ms(c.Bounds.KeyWithdrawal) * 8 / 10
-	}
-	return ms(c.Bounds.Restore) * 4 / 10
-}
-
-// StaleAdmit is the age of configuration past which a proxy refuses; 0 is never.
-func (c Settings) StaleAdmit() time.Duration {
-	return ms(c.Bounds.KeyWithdrawal) * 9 / 10
-}
-
-func (c Settings) Lease() time.Duration {
-	if c.Bounds.Lease > 0 {
-		return ms(c.Bounds.Lease)
-	}
-	return ms(c.Bounds.HolderRest) / 2
-}
-func (c Settings) LeaseHeld() time.Duration      { return c.Lease() * 9 / 10 }
-func (c Settings) RenewEvery() time.Duration     { return c.Lease() / 5 }
-func (c Settings) HolderRest() time.Duration     { return ms(c.Bounds.HolderRest) }
-func (c Settings) MoveBack() time.Duration       { return ms(c.Bounds.HolderRest) * 4 }
-func (c Settings) TakeOver() time.Duration       { return c.Lease()*2 + ms(c.Bounds.Sync)*4 }
-func (c Settings) HeartbeatBound() time.Duration { return ms(c.Bounds.Heartbeat) }
-func (c Settings) HeartbeatEvery() time.Duration { return ms(c.Bounds.Heartbeat) / 10 }
-
-// ServingProxyBound is how long a serving proxy gives an upstream work without hearing from it: it may
-// have said elsewhere that it leaves. DialFresh is how long a sign of life proves who
-// is at an address.
-func (c Settings) ServingProxyBound() time.Duration {
-	if c.ByTarget() {
-		// Heartbeats come to the serving proxy alone, and a target proves itself.
-		return c.HeartbeatBound()
-	}
-	return min(c.HeartbeatBound(), ms(c.Bounds.Drain)*4/5)
-}
-func (c Settings) DialFresh() time.Duration      { return c.HeartbeatBound() / 30 }
-func (c Settings) ConnectionIdle() time.Duration { return c.HeartbeatBound() * 2 / 3 }
-func (c Settings) LookAgain() time.Duration      { return ms(c.Bounds.Restore) / 6 }
-
-// A lost voter is found, suspected and replaced within the time that a new core machine
-// has to catch up.
-func (c Settings) ProbeEvery() time.Duration {
-	return min(ms(c.Bounds.Restore)/60, ms(c.Bounds.CatchUp)/16)
-}
-func (c Settings) ProbeLimit() time.Duration { return c.ProbeEvery() * 2 / 5 }
-func (c Settings) SuspectFor() time.Duration { return c.ProbeEvery() * 5 }
-
-// ClaimAfter is how long a voter has to be free before a newcomer claims it.
-func (c Settings) ClaimAfter() time.Duration { return ms(c.Bounds.CatchUp) / 10 }
-
-// HandOverLimit is how long a leaving voter waits for its successor.
-func (c Settings) HandOverLimit() time.Duration { return c.Grace() / 4 }
-func (c Settings) ForgetAfter() time.Duration   { return ms(c.Bounds.Restore) * 4 }
-func (c Settings) JoinEvery() time.Duration     { return ms(c.Bounds.Restore) / 30 }
-func (c Settings) SealAfter() time.Duration     { return ms(c.Bounds.UsageLate) * 6 / 10 }
-func (c Settings) UsageLate() time.Duration     { return ms(c.Bounds.UsageLate) }
-func (c Settings) UsageWindow() time.Duration   { return ms(c.Bounds.UsageWindow) }
-func (c Settings) SaveEvery() time.Duration     { return ms(c.Bounds.Sync) / 5 }
-func (c Settings) SlowSync() time.Duration      { return ms(c.Bounds.Sync) }
-
-// CountEvery: counts begun at serving proxies are told once a fortieth of their window; a serving proxy's
-// death loses no more.
-func (c Settings) CountEvery() time.Duration {
-	if c.CountsBegun() {
-		return c.UsageWindow() / 40
-	}
-	return ms(c.Bounds.Sync) / 2
-}
-func (c Settings) ReportEvery() time.Duration    { return ms(c.Bounds.UsageLate) / 20 }
-func (c Settings) DigestEvery() time.Duration    { return ms(c.Bounds.ConfigurationInForce) / 10 }
-func (c Settings) WriteLimit() time.Duration     { return ms(c.Bounds.ConfigurationInForce) * 2 }
-func (c Settings) ConnectionDial() time.Duration { return ms(c.Bounds.Restore) / 60 }
-func (c Settings) OutcomeKept() time.Duration {
-	return min(ms(c.Limits.Request)*2, ms(c.Bounds.Restore)*8)
-}
-
-// AnswerKept is how long a serving proxy keeps whole answers for proxies that lost their connection and
-// ask again.
-func (c Settings) AnswerKept() time.Duration { return min(c.OutcomeKept(), c.UpdatesEvery()*10) }
-
-func (c Settings) RequestLimit() time.Duration { return ms(c.Limits.Request) }
-func (c Settings) WarmSpan() time.Duration     { return ms(c.Bounds.Heartbeat) * 2 / 3 }
-func (c Settings) Linger() time.Duration       { return ms(c.Limits.Linger) }
-func (c Settings) Grace() time.Duration        { return ms(c.Limits.Grace) }
-func (c Settings) RetryWindow() time.Duration  { return ms(c.Bounds.RetryWindow) }
