A number keeps one content for ever, and an order that was taken stays known

Same number and same bytes: acknowledged again. Same number and other bytes: 409 in both modes. Every answer that rests on no commit waits, as reads do, for a renewal that began behind the request. The position's hash is over the digests, computed once for each configuration stored.

Ruled out: 200 for other content under the number in force (today's), and 504.

--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -9,21 +9,19 @@
 package configstore
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"beaconvane/internal/distribution"
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/lease"
 	"beaconvane/internal/membership"
 	"beaconvane/internal/message"
 	"beaconvane/internal/quorum"
-	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/statemachine"
 )
@@ -50,12 +48,16 @@
 type queuedWrite struct {
 	from  string
 	write message.WriteRequest
+	at    time.Duration
 }
 
-type queuedRead struct {
-	from string
-	get  message.ReadRequest
-	at   time.Duration
+// unconfirmedAnswer is kept back until a majority has renewed the lease in a round begun
+// after the request came.
+type unconfirmedAnswer struct {
+	from      string
+	requestID int64
+	at        time.Duration
+	response  func() message.StoreResponse
 }
 
 // Machine is the configstore's control state.
@@ -71,6 +73,8 @@
 	seq            int64
 	synced         position
 	configurations map[string][]message.StoredConfiguration
+	history        *versionHistory
+	hash           int64 // over the history and the kept versions
 
 	mode     mode
 	term     int64
@@ -80,7 +84,7 @@
 	inFlight *message.StoredConfiguration
 	asker    queuedWrite
 	writes   []queuedWrite
-	gets     []queuedRead
+	answers  []unconfirmedAnswer
 	sentAt   time.Duration
 	pullAt   time.Duration
 	stopping bool
@@ -89,7 +93,7 @@
 
 // New restores a machine from what its disk held.
 func New(cfg settings.Settings, self message.Member, snapshot []byte, records [][]byte) (*Machine, error) {
-	m := &Machine{settings: cfg, configurations: map[string][]message.StoredConfiguration{}}
+	m := &Machine{settings: cfg}
 	kept := message.ConfigStoreState{}
 	corrupt := func(err error) error {
 		return errcode.Wrap("configstore.restore", errcode.DiskCorrupt, fmt.Errorf("unreadable record: %v", err))
@@ -134,17 +138,24 @@
 	return m, nil
 }
 
+// absorb takes the whole log as another voter or the disk has it.
 func (m *Machine) absorb(state message.ConfigStoreState) {
 	m.epoch, m.seq = state.Epoch, state.Seq
 	m.configurations = map[string][]message.StoredConfiguration{}
+	m.history = newVersionHistory(mostDigests, state.History)
 	for _, configuration := range state.Configurations {
 		m.configurations[configuration.ConfigName] = append(m.configurations[configuration.ConfigName], configuration)
+		if _, remembered := m.history.digestOf(configuration.ConfigName, configuration.Version); !remembered {
+			m.history.add(configuration.ConfigName, configuration.Version, contentDigest(configuration.Body))
+		}
 	}
+	m.rehash()
 }
 
 // keep adds a version and drops the configuration's oldest over the limits, alike on every
 // voter. The whole configuration log must fit a frame, since a voter is told it in one.
 func (m *Machine) keep(configuration message.StoredConfiguration) {
+	m.history.add(configuration.ConfigName, configuration.Version, contentDigest(configuration.Body))
 	m.configurations[configuration.ConfigName] = append(m.configurations[configuration.ConfigName], configuration)
 	total := int64(0)
 	for _, held := range m.all() {
@@ -156,6 +167,18 @@
 		list = list[1:]
 	}
 	m.configurations[configuration.ConfigName] = list
+	m.rehash()
+}
+
+// rehash names the whole content by what is remembered of it; no body is read again.
+func (m *Machine) rehash() {
+	sum := sha256.New()
+	sum.Write(m.history.chain[:])
+	for _, configuration := range m.all() {
+		digest, _ := m.history.digestOf(configuration.ConfigName, configuration.Version)
+		fmt.Fprintf(sum, "%q|%d|%d|%d|%x|", configuration.ConfigName, configuration.Version, configuration.Epoch, configuration.Seq, digest)
+	}
+	m.hash = int64(binary.BigEndian.Uint64(sum.Sum(nil)))
 }
 
 func (m *Machine) configNames() []string {
@@ -170,16 +193,11 @@
 	return list
 }
 
-func (m *Machine) position() position {
-	hash := fnv.New64a()
-	for _, configuration := range m.all() {
-		fmt.Fprintf(hash, "%s|%d|%d|%d|%d|", configuration.ConfigName, configuration.Version, configuration.Epoch, configuration.Seq, len(configuration.Body))
-	}
-	return position{m.epoch, m.seq, int64(hash.Sum64())}
-}
+func (m *Machine) position() position { return position{m.epoch, m.seq, m.hash} }
 
 func (m *Machine) snapshot() []byte {
-	state := message.ConfigStoreState{Voter: m.quorum.State, Votes: m.leases.Votes(), Epoch: m.epoch, Seq: m.seq, Configurations: m.all(), Seen: m.membership.Seen()}
+	state := message.ConfigStoreState{Voter: m.quorum.State, Votes: m.leases.Votes(), Epoch: m.epoch, Seq: m.seq, Configurations: m.all(),
+		History: m.history.entries, Seen: m.membership.Seen()}
 	body, err := message.Encode(state)
 	if err != nil {
 		panic("configstore: snapshot: " + err.Error())
@@ -246,10 +264,10 @@
 	for _, waiting := range m.writes {
 		m.tell(s, waiting.from, message.StoreResponse{RequestID: waiting.write.RequestID, Code: int64(errcode.ConfigurationNoHolder)})
 	}
-	for _, waiting := range m.gets {
-		m.tell(s, waiting.from, message.StoreResponse{RequestID: waiting.get.RequestID, Code: int64(errcode.ConfigurationNoHolder)})
+	for _, waiting := range m.answers {
+		m.tell(s, waiting.from, message.StoreResponse{RequestID: waiting.requestID, Code: int64(errcode.ConfigurationNoHolder)})
 	}
-	m.writes, m.gets = nil, nil
+	m.writes, m.answers = nil, nil
 }
 
 func (m *Machine) tell(s *statemachine.Env, to string, response message.StoreResponse) {
@@ -288,7 +306,7 @@
 	if m.mode != idle && !m.leases.Holding(settings.ConfigLogTag, s.Now) {
 		return
 	}
-	m.answerGets(s)
+	m.answerConfirmed(s)
 	if m.mode == idle || s.Now-m.sentAt < m.settings.DigestEvery() && m.sentAt != 0 {
 		return
 	}
@@ -332,7 +350,7 @@
 		return
 	}
 	if m.leases.Handle(s, from, msg) {
-		m.answerGets(s)
+		m.answerConfirmed(s)
 		return
 	}
 	promised := m.leases.Epoch(settings.ConfigLogTag)
@@ -352,7 +370,7 @@
 		}
 	case message.LogSnapshotRequest:
 		if valid(received.Voter, received.Identity, received.Epoch) {
-			s.Send(from, message.LogSnapshot{Epoch: received.Epoch, Voter: m.quorum.Voter, AtEpoch: m.epoch, AtSeq: m.seq, Configurations: m.all()})
+			s.Send(from, message.LogSnapshot{Epoch: received.Epoch, Voter: m.quorum.Voter, AtEpoch: m.epoch, AtSeq: m.seq, Configurations: m.all(), History: m.history.entries})
 		}
 	case message.LogSnapshot:
 		m.handleSnapshot(s, from, received)
@@ -373,8 +391,7 @@
 			m.tell(s, from, message.StoreResponse{RequestID: received.RequestID, Code: int64(m.notServing()), Holder: m.holderName()})
 			return
 		}
-		m.gets = append(m.gets, queuedRead{from, received, s.Now})
-		m.leases.RenewNow(settings.ConfigLogTag, s)
+		m.answerLater(s, unconfirmedAnswer{from, received.RequestID, s.Now, func() message.StoreResponse { return m.read(received) }})
 	}
 }
 
@@ -473,7 +490,7 @@
 	if m.mode == pulling && snapshot.Voter != m.source.Voter || m.mode == reading {
 		return
 	}
-	m.absorb(message.ConfigStoreState{Epoch: snapshot.AtEpoch, Seq: snapshot.AtSeq, Configurations: snapshot.Configurations})
+	m.absorb(message.ConfigStoreState{Epoch: snapshot.AtEpoch, Seq: snapshot.AtSeq, Configurations: snapshot.Configurations, History: snapshot.History})
 	reached := m.position()
 	asHolder, term := m.mode == pulling, m.term
 	m.CompactNow(s, func(s *statemachine.Env, failure error) {
@@ -568,7 +585,7 @@
 		m.tell(s, from, message.StoreResponse{RequestID: write.RequestID, Code: int64(errcode.ConfigurationNoHolder), Detail: "too many puts pending"})
 		return
 	}
-	m.writes = append(m.writes, queuedWrite{from, write})
+	m.writes = append(m.writes, queuedWrite{from, write, s.Now})
 	m.nextWrite(s)
 }
 
@@ -580,64 +597,7 @@
 	}
 }
 
-func (m *Machine) begin(s *statemachine.Env, next queuedWrite) {
-	write := next.write
-	refuse := func(code errcode.Code, detail string, faults []string) {
-		m.tell(s, next.from, message.StoreResponse{RequestID: write.RequestID, Code: int64(code), Detail: detail, Faults: faults, ConfigName: write.ConfigName, Version: write.Version})
-	}
-	number := gjson.GetBytes(write.Body, "version")
-	if write.Version == 0 {
-		write.Version = number.Int()
-	}
-	if write.Version <= 0 || !slices.Contains(m.settings.ConfigNames, write.ConfigName) {
-		refuse(errcode.ConfigurationBad, "", []string{"$: want a version above 0 and one of the configurations of the settings"})
-		return
-	}
-	check := func() bool {
-		faults, tooLarge := routeconfig.Check(write.Body, m.settings.ConfigurationLimits())
-		if tooLarge {
-			refuse(errcode.ConfigurationTooLarge, "", faults)
-			return false
-		}
-		if number.Exists() && number.Int() != write.Version {
-			faults = append(faults, "version: differs from the number put")
-		}
-		if len(faults) > 0 {
-			refuse(errcode.ConfigurationBad, "", faults)
-			return false
-		}
-		return true
-	}
-	current, known := m.current(write.ConfigName)
-	if m.settings.Writes == settings.WritesHighest {
-		if !check() {
-			return
-		}
-		if known && write.Version <= current.Version {
-			// What it relies on is settled, for nothing is in flight here.
-			m.tell(s, next.from, message.StoreResponse{RequestID: write.RequestID, Detail: fmt.Sprintf("the current version is %d", current.Version),
-				ConfigName: write.ConfigName, Version: current.Version, Body: current.Body})
-			return
-		}
-		m.commit(s, next, write)
-		return
-	}
-	for _, held := range m.configurations[write.ConfigName] {
-		if held.Version == write.Version && string(held.Body) == string(write.Body) {
-			refuse(errcode.OK, "already settled", nil)
-			return
-		}
-	}
-	if known && write.Version <= current.Version {
-		refuse(errcode.ConfigurationConflict, fmt.Sprintf("the current version is %d", current.Version), nil)
-		return
-	}
-	if check() {
-		m.commit(s, next, write)
-	}
-}
-
-// settle begins a put that is in order.
+// commit begins a write that is in order.
 func (m *Machine) commit(s *statemachine.Env, next queuedWrite, write message.WriteRequest) {
 	m.seq++
 	configuration := message.StoredConfiguration{ConfigName: write.ConfigName, Version: write.Version, Epoch: m.term, Seq: m.seq, Body: write.Body}
@@ -657,20 +617,30 @@
 	m.sendInFlight(s)
 }
 
-// answerGets answers reads behind which a renewal has been confirmed.
-func (m *Machine) answerGets(s *statemachine.Env) {
+// answerLater keeps an answer back until it is sure that no other voter held the lease
+// when the request came.
+func (m *Machine) answerLater(s *statemachine.Env, answer unconfirmedAnswer) {
+	m.answers = append(m.answers, answer)
+	if !m.leases.Confirmed(settings.ConfigLogTag, answer.at) {
+		m.leases.RenewNow(settings.ConfigLogTag, s)
+	}
+	m.answerConfirmed(s)
+}
+
+// answerConfirmed gives the answers behind which a renewal has been confirmed.
+func (m *Machine) answerConfirmed(s *statemachine.Env) {
 	if m.mode != serving {
 		return
 	}
-	waiting := []queuedRead{}
-	for _, held := range m.gets {
-		if !m.leases.Confirmed(settings.ConfigLogTag, held.at) {
-			waiting = append(waiting, held)
+	waiting := []unconfirmedAnswer{}
+	for _, answer := range m.answers {
+		if !m.leases.Confirmed(settings.ConfigLogTag, answer.at) {
+			waiting = append(waiting, answer)
 			continue
 		}
-		m.tell(s, held.from, m.read(held.get))
+		m.tell(s, answer.from, answer.response())
 	}
-	m.gets = waiting
+	m.answers = waiting
 }
 
 func (m *Machine) read(get message.ReadRequest) message.StoreResponse {
--- a/internal/configstore/writes_test.go
+++ b/internal/configstore/writes_test.go
@@ -103,7 +103,7 @@
 	c.Assert(errcode.Code(all[0].Code), qt.Equals, errcode.OK)
 	c.Assert(all[0].Version, qt.Equals, int64(5))
 	c.Assert(string(all[0].Body), qt.Equals, configName(""))
-	c.Assert(b.code(c, 5, configName(`"note":"other bytes",`)), qt.Equals, errcode.OK)
+	c.Assert(b.code(c, 5, configName(`"note":"other bytes",`)), qt.Equals, errcode.ConfigurationConflict)
 	_, all = b.write(3, configName(`"colour":1,`))
 	c.Assert(errcode.Code(all[0].Code), qt.Equals, errcode.ConfigurationBad)
 	c.Assert(all[0].Faults, qt.DeepEquals, []string{"colour: unknown field"})
--- a/internal/message/configuration.go
+++ b/internal/message/configuration.go
@@ -9,6 +9,14 @@
 	Body       []byte
 }
 
+// VersionDigest is the SHA-256 of a committed content; an empty one says that the versions
+// up to this one are remembered no more.
+type VersionDigest struct {
+	ConfigName string
+	Version    int64
+	Digest     []byte
+}
+
 // WriteRequest asks the log's lease holder to commit a version of a configuration.
 type WriteRequest struct {
 	RequestID  int64
@@ -77,6 +85,7 @@
 	AtEpoch        int64
 	AtSeq          int64
 	Configurations []StoredConfiguration
+	History        []VersionDigest
 }
 
 // LogRecommit asks a voter to take the log as it stands under the new holder's epoch.
--- a/internal/message/storage.go
+++ b/internal/message/storage.go
@@ -18,6 +18,7 @@
 	Epoch          int64
 	Seq            int64
 	Configurations []StoredConfiguration
+	History        []VersionDigest
 	Seen           []string
 }
 
