Who can't reach a majority says so within a second, with Retry-After

Cause: a registry held an order or a read for four seconds before it said that no holder answers, and a write of unknown outcome came back as 504 without Retry-After; callers give a node up after a second of silence.

Change: an answer is given 0.8 s after the call came, 0.12 s more for each MiB of body; ConfigurationUnsure (4006) is a 503, so it bears Retry-After. What is under way goes on, and the resent order is recognised by its digest. A renewal that is wanted while a round is under way follows behind it: each read began the round anew, so that reads closer together than a round trip could have kept it from ever being answered.

--- a/internal/api/registry.go
+++ b/internal/api/registry.go
@@ -17,6 +17,9 @@
 	"beaconvane/internal/settings"
 )
 
+// controlSlack is how long the control thread may be late with its answers.
+const controlSlack = 100 * time.Millisecond
+
 // noAnswer is the detail of an answer when the control machine did not reply in time.
 const noAnswer = "no answer from the control thread"
 
@@ -78,18 +81,21 @@
 }
 
 func (h *registryHandler) answer(out http.ResponseWriter, in *http.Request, question any) {
-	limited, cancel := context.WithTimeout(in.Context(), h.settings.WriteLimit()*2)
+	write, isWrite := question.(registry.WriteConfiguration)
+	_, isRead := question.(registry.GetConfiguration)
+	limited, cancel := context.WithTimeout(in.Context(), h.settings.AnswerLimit(len(write.Body))+controlSlack)
 	defer cancel()
 	answered, err := h.process.Request(limited, question)
-	if err != nil {
-		if _, isWrite := question.(registry.WriteConfiguration); isWrite {
-			WriteCode(out, errcode.ConfigurationUnsure, "")
-			return
-		}
+	switch {
+	case err == nil:
+		writeAnswer(out, answered.(registry.Answer))
+	case isWrite:
+		WriteCode(out, errcode.ConfigurationUnsure, noAnswer)
+	case isRead:
+		WriteCode(out, errcode.ConfigurationNoHolder, noAnswer)
+	default:
 		WriteCode(out, errcode.Internal, noAnswer)
-		return
 	}
-	writeAnswer(out, answered.(registry.Answer))
 }
 
 func writeAnswer(out http.ResponseWriter, answer registry.Answer) {
@@ -151,7 +157,7 @@
 func (h *registryHandler) inForceWait(in *http.Request) time.Duration {
 	milliseconds, err := strconv.ParseInt(in.URL.Query().Get("wait_ms"), 10, 64)
 	if err != nil || milliseconds < 0 {
-		return h.settings.WriteLimit()
+		return h.settings.InForceWait()
 	}
 	return min(time.Duration(milliseconds)*time.Millisecond, h.settings.Grace())
 }
--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -152,7 +152,7 @@
 	ConfigurationConflict:    {"ConfigurationConflict", 409, "the number is taken by other bytes, or is not higher than the current one"},
 	ConfigurationNotFound:    {"ConfigurationNotFound", 404, "no such configuration or version is kept"},
 	ConfigurationNoHolder:    {"ConfigurationNoHolder", 503, "no configstore holds the lease now; nothing was changed"},
-	ConfigurationUnsure:      {"ConfigurationUnsure", 504, "the write may or may not have been committed; send the same bytes again to learn"},
+	ConfigurationUnsure:      {"ConfigurationUnsure", 503, "the write may or may not have been committed; send the same bytes again to learn"},
 	ConfigurationLacking:     {"ConfigurationLacking", 504, "the version is not in force yet on the proxies named"},
 	ConfigurationBehind:      {"ConfigurationBehind", 503, "the holder has not committed in its own epoch yet; nothing was changed"},
 	UsageNotFound:            {"UsageNotFound", 404, "no sealed usage window of that number"},
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,6 +40,8 @@
 	acks    map[string]string
 	round   int64
 	askedAt time.Duration
+	asking  bool // the round is not answered by a majority yet
+	again   bool // a further round is wanted behind it
 	trial   bool
 	trials  int  // made in vain since a holder was last heard
 	proven  bool // the voter voted for has renewed, so it did hold the tag
@@ -141,10 +143,15 @@
 	return state.holding && state.until-t.settings.LeaseHeld() >= since
 }
 
-// RenewNow asks for a renewal at the next tick.
+// RenewNow asks for a renewal now. While a round is under way it asks for one behind it: a
+// round that each caller began anew would never end.
 func (t *Leases) RenewNow(tag string, s *statemachine.Env) {
-	if state := t.tags[tag]; state.holding && state.renewAt > s.Now {
-		state.renewAt = s.Now
+	state := t.tags[tag]
+	switch {
+	case !state.holding:
+	case state.asking && s.Now-state.askedAt < t.settings.RenewEvery()/4:
+		state.again = true
+	default:
 		t.request(s, tag, state)
 	}
 }
@@ -243,7 +250,7 @@
 func (t *Leases) request(s *statemachine.Env, tag string, state *tagState) {
 	t.round++
 	state.round, state.askedAt, state.renewAt = t.round, s.Now, s.Now+t.settings.RenewEvery()
-	state.acks = map[string]string{}
+	state.acks, state.asking, state.again = map[string]string{}, true, false
 	request := message.LeaseRequest{Group: t.quorum.Group, Tag: tag, Epoch: state.epoch, Voter: t.quorum.Voter,
 		Identity: t.quorum.Signature(), Round: state.round, Trial: state.trial}
 	for _, peer := range t.host.Peers() {
@@ -466,6 +473,10 @@
 		s.Event("lease-taken", 0, state.epoch, vote.Tag+" by "+t.quorum.Voter)
 		t.took(s, vote.Tag, state.epoch)
 	}
+	state.asking = false
+	if state.again && state.holding {
+		t.request(s, vote.Tag, state)
+	}
 }
 
 func (t *Leases) handleYield(s *statemachine.Env, yield message.LeaseYield) {
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -86,12 +86,12 @@
 	switch asked := question.(type) {
 	case WriteConfiguration:
 		o.lastRequestID++
-		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.WriteLimit(),
+		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.AnswerLimit(len(asked.Body)),
 			write: &message.WriteRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, Body: asked.Body}}
 		o.tick(s)
 	case GetConfiguration:
 		o.lastRequestID++
-		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.WriteLimit(),
+		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.AnswerLimit(0),
 			get: &message.ReadRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, List: asked.List}}
 		o.tick(s)
 	case ConfigurationStatus:
--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -281,7 +281,7 @@
 	case "reached":
 		return Answer{State: t.reachedBy(&State{Reached: map[int64]int{}, LastAt: map[int64]int64{}})}, nil
 	case "put":
-		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.WriteLimit()*2)
+		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.InForceWait()*2)
 		defer cancel()
 		answered, err := held.process.Request(limited, registry.WriteConfiguration{ConfigName: held.part.Settings.ConfigNames[0], Version: request.Version, Body: request.Body})
 		if err != nil {
--- a/internal/settings/ratios.go
+++ b/internal/settings/ratios.go
@@ -80,9 +80,12 @@
 	}
 	return ms(c.Bounds.Sync) / 2
 }
-func (c Settings) ReportEvery() time.Duration    { return ms(c.Bounds.UsageLate) / 20 }
-func (c Settings) DigestEvery() time.Duration    { return ms(c.Bounds.ConfigurationInForce) / 10 }
-func (c Settings) WriteLimit() time.Duration     { return ms(c.Bounds.ConfigurationInForce) * 2 }
+func (c Settings) ReportEvery() time.Duration { return ms(c.Bounds.UsageLate) / 20 }
+func (c Settings) DigestEvery() time.Duration { return ms(c.Bounds.ConfigurationInForce) / 10 }
+
+// InForceWait is how long a call waits for a version to be in force everywhere, if it does
+// not say itself.
+func (c Settings) InForceWait() time.Duration    { return ms(c.Bounds.ConfigurationInForce) * 2 }
 func (c Settings) ConnectionDial() time.Duration { return ms(c.Bounds.Restore) / 60 }
 func (c Settings) OutcomeKept() time.Duration {
 	return min(ms(c.Limits.Request)*2, ms(c.Bounds.Restore)*8)
@@ -97,3 +100,15 @@
 func (c Settings) Linger() time.Duration       { return ms(c.Limits.Linger) }
 func (c Settings) Grace() time.Duration        { return ms(c.Limits.Grace) }
 func (c Settings) RetryWindow() time.Duration  { return ms(c.Bounds.RetryWindow) }
+
+// Operators give a node up after a second of silence, later for large bodies.
+const (
+	answerLimit       = 800 * time.Millisecond
+	answerBytesPerSec = 8 << 20
+)
+
+// AnswerLimit is how long an operator's call may take before it is told that nobody can
+// answer it here now.
+func (c Settings) AnswerLimit(bodyBytes int) time.Duration {
+	return answerLimit + time.Duration(bodyBytes)*time.Second/answerBytesPerSec
+}
