scaletest: its processes start again, its depth is counted; commands are typed

The commands of a hollow fleet are typed constants in place of event strings; hand, near, far, player, reckon became hollowFleet, localFleet, remoteFleet, hollowNode, Fit. Tests: renames of these.

--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -15,21 +15,25 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "scaletest", Short: "learn from hollow fleets what a fleet's size costs", SilenceUsage: true}
-	root.AddCommand(measure(), fleet())
-	if root.Execute() != nil {
+	if newCommand().Execute() != nil {
 		os.Exit(1)
 	}
 }
 
-func fleet() *cobra.Command {
-	return &cobra.Command{Use: "hollow fleet", Short: "one process of a hollow fleet", Hidden: true, Args: cobra.NoArgs,
+func newCommand() *cobra.Command {
+	root := &cobra.Command{Use: "scaletest", Short: "learn from hollow fleets what a fleet's size costs", SilenceUsage: true}
+	root.AddCommand(measure(), hollowFleet())
+	return root
+}
+
+func hollowFleet() *cobra.Command {
+	return &cobra.Command{Use: scaletest.HollowFleetCommand, Short: "one process of a hollow fleet", Hidden: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return scaletest.Serve(os.Stdin, os.Stdout) }}
 }
 
 func measure() *cobra.Command {
 	plan := scaletest.Plan{Zones: 26, Services: 840, Tenants: 8, Fanout: 128, InForce: 6 * time.Second}
-	course := scaletest.Course{Sizes: []int{16, 32, 64, 96, 128}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Commit: 2 * time.Second,
+	course := scaletest.Course{Sizes: []int{16, 32, 64, 96, 128}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Settle: 2 * time.Second,
 		Limit: time.Minute, Phases: []string{scaletest.Steady, scaletest.Configurations, scaletest.Restarts}}
 	target, share, asJSON, plots := 12000, 0, "", ""
 	command := &cobra.Command{Use: "measure", Short: "run each size and print the table", Args: cobra.NoArgs,
@@ -59,7 +63,7 @@
 				table.Rows = append(table.Rows, rows...)
 				fmt.Fprintf(os.Stderr, "%d proxies: %.1f s\n", size, time.Since(began).Seconds())
 			}
-			table.Reckon()
+			table.Fit()
 			table.Markdown(os.Stdout)
 			if asJSON != "" {
 				file, err := os.Create(filepath.Clean(asJSON))
@@ -81,7 +85,7 @@
 	flags.IntVar(&course.Repeats, "repeats", course.Repeats, "windows of each stretch")
 	flags.DurationVar(&course.Window, "window", course.Window, "length of a window")
 	flags.DurationVar(&course.Every, "every", course.Every, "from one configuration change, or restart, to the next")
-	flags.DurationVar(&course.Commit, "settle", course.Commit, "rest before the first window")
+	flags.DurationVar(&course.Settle, "settle", course.Settle, "rest before the first window")
 	flags.DurationVar(&course.Limit, "limit", course.Limit, "longest wait for a fleet to be whole, or a configuration in force")
 	flags.StringSliceVar(&course.Phases, "phases", course.Phases, "some of steady, configurations, restarts")
 	flags.IntVar(&plan.Zones, "zones", plan.Zones, "zones of the fleet")
@@ -90,7 +94,7 @@
 	flags.Int64Var(&plan.Fanout, "fanout", plan.Fanout, "children of a relay")
 	flags.DurationVar(&plan.InForce, "in-force", plan.InForce, "the bound on configurations")
 	flags.IntVar(&share, "share", share, "proxies in one process (default: all of a fleet)")
-	flags.IntVar(&target, "target", target, "the size to reckon to")
+	flags.IntVar(&target, "target", target, "the size to extrapolate to")
 	flags.StringVar(&asJSON, "json", asJSON, "also write everything to this file")
 	flags.StringVar(&plots, "plots", plots, "also draw the plots into this folder")
 	return command
--- a/internal/scaletest/fleet.go
+++ b/internal/scaletest/fleet.go
@@ -1,5 +1,3 @@
-// This file lays a hollow fleet out, starts its troupes, as processes or within this
-// one, and asks them. Every wait is for a condition and has a limit.
 package scaletest
 
 import (
@@ -20,6 +18,9 @@
 	"beaconvane/internal/settings"
 )
 
+// HollowFleetCommand is the subcommand by which a program that embeds this package runs Serve.
+const HollowFleetCommand = "hollow-fleet"
+
 // Plan says what fleet to run.
 type Plan struct {
 	Proxies  int           `json:"proxies"`
@@ -33,26 +34,28 @@
 	Program  string        `json:"-"` // empty: all in this process
 }
 
-// hand is a hollow fleet wherever it runs.
-type hand interface {
+// hollowFleet is one process's share of the fleet, in this process or another.
+type hollowFleet interface {
 	do(request Request) Answer
 	close()
 }
 
-type near struct{ fleet *HollowFleet }
+// localFleet runs in this process.
+type localFleet struct{ fleet *HollowFleet }
 
-func (n near) do(request Request) Answer { return n.fleet.Do(request) }
-func (n near) close()                    { n.fleet.Close() }
+func (l localFleet) do(request Request) Answer { return l.fleet.Do(request) }
+func (l localFleet) close()                    { l.fleet.Close() }
 
-type far struct {
+// remoteFleet runs in a process of its own, which it asks by JSON over pipes.
+type remoteFleet struct {
 	command *exec.Cmd
 	input   io.WriteCloser
 	encoder *json.Encoder
 	decoder *json.Decoder
-	members *goroutine.Group
+	group   *goroutine.Group
 }
 
-func (f *far) do(request Request) Answer {
+func (f *remoteFleet) do(request Request) Answer {
 	answer := Answer{}
 	if err := f.encoder.Encode(request); err != nil {
 		return Answer{Fault: err.Error()}
@@ -64,10 +67,10 @@
 }
 
 // close ends the input; a process that does not end by itself is ended.
-func (f *far) close() {
+func (f *remoteFleet) close() {
 	f.input.Close()
 	done := make(chan struct{})
-	f.members.Go("scaletest.wait", func(context.Context) {
+	f.group.Go("scaletest.wait", func(context.Context) {
 		f.command.Wait()
 		close(done)
 	})
@@ -85,7 +88,7 @@
 type Fleet struct {
 	plan       Plan
 	goroutines *goroutine.Group
-	hands      map[string][]hand // by role
+	processes  map[string][]hollowFleet // by role
 	version    int64
 }
 
@@ -98,7 +101,7 @@
 	return listener.Addr().String(), nil
 }
 
-// Settings is that of one house of the plan.
+// Settings returns the settings of one node of the plan.
 func (p Plan) Settings(role, nodeName, voter, zone, address string, seeds []string) settings.Settings {
 	cfg := settings.Default()
 	cfg.Node, cfg.Voter, cfg.Zone, cfg.Address, cfg.Seeds = nodeName, voter, zone, address, seeds
@@ -129,7 +132,7 @@
 
 // Start lays the fleet out and starts it, the core first.
 func Start(plan Plan) (*Fleet, error) {
-	f := &Fleet{plan: plan, goroutines: goroutine.New(), hands: map[string][]hand{}}
+	f := &Fleet{plan: plan, goroutines: goroutine.New(), processes: map[string][]hollowFleet{}}
 	addresses, seeds := map[string]string{}, []string{}
 	for index, voter := range voterNames {
 		for _, role := range []string{message.RoleRegistry, message.RoleConfigStore} {
@@ -180,10 +183,10 @@
 		if err != nil {
 			return err
 		}
-		f.hands[role] = append(f.hands[role], near{hollow})
+		f.processes[role] = append(f.processes[role], localFleet{hollow})
 		return nil
 	}
-	command := exec.Command(f.plan.Program, "hollow fleet")
+	command := exec.Command(f.plan.Program, HollowFleetCommand)
 	command.Stderr = os.Stderr
 	input, err := command.StdinPipe()
 	if err != nil {
@@ -196,8 +199,8 @@
 	if err := command.Start(); err != nil {
 		return errcode.Wrap("scaletest.start", errcode.Internal, err)
 	}
-	started := &far{command, input, json.NewEncoder(input), json.NewDecoder(output), f.goroutines}
-	f.hands[role] = append(f.hands[role], started)
+	started := &remoteFleet{command, input, json.NewEncoder(input), json.NewDecoder(output), f.goroutines}
+	f.processes[role] = append(f.processes[role], started)
 	if err := started.encoder.Encode(parts); err != nil {
 		return errcode.Wrap("scaletest.start", errcode.Internal, err)
 	}
@@ -211,19 +214,19 @@
 	return nil
 }
 
-// Stop ends what was started.
+// Stop ends all processes that were started.
 func (f *Fleet) Stop() {
 	for _, role := range []string{message.RoleProxy, message.RoleRegistry, message.RoleConfigStore} {
-		for _, held := range f.hands[role] {
+		for _, held := range f.processes[role] {
 			held.close()
 		}
 	}
 	f.goroutines.Stop(time.Second)
 }
 
-// until asks in a steady rhythm whether a condition holds.
-func until(limit, rhythm time.Duration, condition func() bool) bool {
-	ticker, end := time.NewTicker(rhythm), time.NewTimer(limit)
+// until checks a condition at a steady interval and reports whether it held within the limit.
+func until(limit, interval time.Duration, condition func() bool) bool {
+	ticker, end := time.NewTicker(interval), time.NewTimer(limit)
 	defer ticker.Stop()
 	defer end.Stop()
 	for {
@@ -238,11 +241,11 @@
 	}
 }
 
-// state sums what the proxies know.
+// state sums what the proxies know over all processes.
 func (f *Fleet) state() State {
 	sum := State{Reached: map[int64]int{}, LastAt: map[int64]int64{}}
-	for index, held := range f.hands[message.RoleProxy] {
-		answer := held.do(Request{EventName: "state"})
+	for index, held := range f.processes[message.RoleProxy] {
+		answer := held.do(Request{Command: CommandState})
 		if answer.State == nil {
 			return State{}
 		}
@@ -273,20 +276,20 @@
 	return state.Ready == f.plan.Proxies && state.Upstreams >= f.plan.Proxies && state.Proxies >= f.plan.Proxies
 }
 
-// put sets the next version and gives when it was asked for; the configuration is as large as
-// the plan's number of services makes it.
+// write writes the next version and returns when it was sent; the configuration is as large as the
+// plan's number of services makes it.
 func (f *Fleet) write() (time.Time, error) {
 	f.version++
 	began := time.Now()
-	answer := f.hands[message.RoleRegistry][0].do(Request{EventName: "put", Version: f.version, Body: ConfigName(f.plan.Services, f.plan.Tenants, f.version)})
+	answer := f.processes[message.RoleRegistry][0].do(Request{Command: CommandWrite, Version: f.version, Body: configurationBody(f.plan.Services, f.plan.Tenants, f.version)})
 	if answer.Fault != "" {
-		return began, errcode.Wrap("scaletest.put", errcode.ConfigurationUnsure, fmt.Errorf("%s", answer.Fault))
+		return began, errcode.Wrap("scaletest.write", errcode.ConfigurationUnsure, fmt.Errorf("%s", answer.Fault))
 	}
 	return began, nil
 }
 
-// Configuration writes a configuration of one route a service.
-func ConfigName(services, tenants int, version int64) []byte {
+// configurationBody returns a configuration of one route a service.
+func configurationBody(services, tenants int, version int64) []byte {
 	names, routes, listed := []string{}, []map[string]any{}, []map[string]any{}
 	for number := range services {
 		name := serviceName(number)
--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -1,11 +1,10 @@
-// Package scaletest runs hollow fleets to learn what a fleet's size costs: the very
-// control machines of proxies, registries and configstores, with their connections, datagrams
-// and disks, but no requests. Many proxies share a process, called a hollow fleet; a core voter
-// is a hollow fleet of one, so that its processor time stands alone.
+// Package scaletest measures what a fleet's size costs. It runs hollow fleets: the real control
+// machines of proxies, registries and configstores, with their connections, datagrams and disks, but
+// no requests. Many proxies share a process; a core voter has a process of its own, so that its
+// processor time stands alone.
 //
-// This file is one hollow fleet: it starts its houses, and answers by JSON lines what they
-// have passed, written, spent and know. It ends when its input ends, so none outlives
-// the one who asks.
+// hollow.go is what runs in one process, fleet.go lays a fleet out over processes, measure.go
+// measures one size after the other, slopes.go fits how a measure grows, table.go prints.
 package scaletest
 
 import (
@@ -39,54 +38,69 @@
 	"beaconvane/internal/transport"
 )
 
-// Part is one house of a hollow fleet.
+// Part is one node of a hollow fleet.
 type Part struct {
 	Role     string            `json:"role"`
 	Settings settings.Settings `json:"config"`
 	Service  string            `json:"service"` // of the one upstream beside a proxy
-	Tenants  int               `json:"tenants"` // whose answers a proxy counts, each round
+	Tenants  int               `json:"tenants"` // whose requests a proxy counts, each round
 }
 
-// Ask is one question to a hollow fleet.
+// Command is what a hollow fleet can be asked to do.
+type Command string
+
+// Commands of a hollow fleet.
+const (
+	CommandRead    Command = "read"    // what was spent and passed
+	CommandWeigh   Command = "weigh"   // memory in use, after a collection
+	CommandState   Command = "state"   // what the proxies know
+	CommandReached Command = "reached" // where each version is in force
+	CommandWrite   Command = "write"   // write a configuration, at a registry
+	CommandEnd     Command = "end"     // end one node as a kill does
+	CommandBegin   Command = "begin"   // start it again
+)
+
+// Request is one question to a hollow fleet.
 type Request struct {
-	EventName string `json:"event"` // read, weigh, state, reached, put, end, begin
-	Index     int    `json:"index"`
-	Version   int64  `json:"version"`
-	Body      []byte `json:"body"`
+	Command Command `json:"command"`
+	Index   int     `json:"index"` // of the node, for CommandWrite, CommandEnd and CommandBegin
+	Version int64   `json:"version"`
+	Body    []byte  `json:"body"`
 }
 
-// Reading is what a hollow fleet has spent and passed since it began; it only grows, but
-// for the memory.
+// Reading is what a hollow fleet has spent and passed since it began; all but the memory only
+// grows.
 type Reading struct {
 	At        time.Duration     `json:"at"`
 	Processor time.Duration     `json:"processor"`
-	Resident  int64             `json:"resident"`
-	Live      int64             `json:"live"` // heap in use after a collection, and stacks
+	Resident  int64             `json:"resident"` // bytes
+	Live      int64             `json:"live"`     // bytes of heap in use after a collection, and of stacks
 	Counts    []transport.Count `json:"counts"`
-	Node      map[string]int64  `json:"house"`
+	Node      map[string]int64  `json:"node"` // sums of the nodes' own counters
 }
 
-// State is what the proxies of a hollow fleet know, the least of each.
+// State is what the proxies of a hollow fleet know: of counts the least of any proxy.
 type State struct {
 	Ready     int             `json:"ready"`
 	Upstreams int             `json:"upstreams"`
 	Proxies   int             `json:"proxies"`
-	Depth     int             `json:"depth"` // of the longest way the updates takes
+	Depth     int             `json:"depth"` // relays on the longest path of updates
 	MeanDepth float64         `json:"mean_depth"`
-	Age       int64           `json:"age_ms"` // of the stalest topic of any proxy
-	Moves     int64           `json:"moves"`  // changes of parent, all proxies
-	Reached   map[int64]int   `json:"reached"`
-	LastAt    map[int64]int64 `json:"last_at"` // unix nanoseconds
+	Age       int64           `json:"age_ms"`  // of the stalest topic of any proxy
+	Moves     int64           `json:"moves"`   // changes of parent, all proxies
+	Reached   map[int64]int   `json:"reached"` // proxies by version
+	LastAt    map[int64]int64 `json:"last_at"` // unix nanoseconds, by version
 }
 
-// Answer is what a hollow fleet says; Fault is empty where all went well.
+// Answer is a hollow fleet's response; Fault is empty where all went well.
 type Answer struct {
 	Reading *Reading `json:"reading,omitempty"`
 	State   *State   `json:"state,omitempty"`
 	Fault   string   `json:"fault,omitempty"`
 }
 
-type player struct {
+// hollowNode is one node of a hollow fleet.
+type hollowNode struct {
 	part       Part
 	goroutines *goroutine.Group
 	process    *node.Node
@@ -96,21 +110,21 @@
 	gone       map[string]transport.Count // of earlier lives
 }
 
-// Hollow fleet is a process's share of a fleet.
+// HollowFleet is the share of a fleet that runs in one process.
 type HollowFleet struct {
-	players []*player
-	startAt time.Time
-	lock    sync.Mutex
-	reached map[int64]int
-	lastAt  map[int64]int64
+	nodes     []*hollowNode
+	startedAt time.Time
+	lock      sync.Mutex
+	reached   map[int64]int
+	lastAt    map[int64]int64
 }
 
-// NewHollowFleet starts its parts.
+// NewHollowFleet starts the nodes of a process.
 func NewHollowFleet(parts []Part) (*HollowFleet, error) {
-	t := &HollowFleet{startAt: time.Now(), reached: map[int64]int{}, lastAt: map[int64]int64{}}
+	t := &HollowFleet{startedAt: time.Now(), reached: map[int64]int{}, lastAt: map[int64]int64{}}
 	for _, part := range parts {
-		held := &player{part: part, gone: map[string]transport.Count{}}
-		t.players = append(t.players, held)
+		held := &hollowNode{part: part, gone: map[string]transport.Count{}}
+		t.nodes = append(t.nodes, held)
 		if err := t.begin(held); err != nil {
 			t.Close()
 			return nil, err
@@ -119,7 +133,7 @@
 	return t, nil
 }
 
-func (t *HollowFleet) begin(held *player) error {
+func (t *HollowFleet) begin(held *hollowNode) error {
 	members := goroutine.New()
 	process := node.New(held.part.Settings, held.part.Role, members)
 	process.Log = logr.Discard()
@@ -156,8 +170,8 @@
 	return process.Run(machine, nil)
 }
 
-// announce stands for the one upstream beside a proxy; a dial that proves it meets the
-// proxy's own address, so that each upstream has one of its own.
+// announce stands for the one upstream beside a proxy. Its address is the proxy's own, so that each
+// upstream has one of its own and probes are answered.
 func announce(ctx context.Context, part Part, process *node.Node) {
 	registration := message.Registration{Service: part.Service, Instance: part.Settings.Node, Incarnation: time.Now().UnixNano(), Address: part.Settings.Address,
 		Zone: part.Settings.Zone, Slots: 16, State: message.StateReady}
@@ -173,7 +187,7 @@
 	}
 }
 
-// count tells counts as a proxy under load does: some answered in each round.
+// count counts usage as a proxy under load does: some requests in each round.
 func count(ctx context.Context, part Part, process *node.Node) {
 	ticker := time.NewTicker(part.Settings.CountEvery())
 	defer ticker.Stop()
@@ -195,7 +209,7 @@
 			counts[current] = map[string]int64{}
 		}
 		counts[current][fmt.Sprintf("tenant-%d", round%part.Tenants)]++
-		response := proxy.Counted{Closed: current}
+		counted := proxy.Counted{Closed: current}
 		for window := range counts {
 			if window < answer.(int64) || window < current-4 {
 				delete(counts, window)
@@ -207,15 +221,15 @@
 				for tenant, number := range held {
 					copied[tenant] = number
 				}
-				response.Usage = append(response.Usage, message.UsageCount{Window: window, Counts: copied, Open: map[string]int64{"tenant-0": 1}})
+				counted.Usage = append(counted.Usage, message.UsageCount{Window: window, Counts: copied, Open: map[string]int64{"tenant-0": 1}})
 			}
 		}
-		process.Tell(response)
+		process.Tell(counted)
 	}
 }
 
-// shown notes when each version came in force here for the first time.
-func (t *HollowFleet) shown(held *player, snapshot *proxy.Snapshot) {
+// shown records when each version first came into force here.
+func (t *HollowFleet) shown(held *hollowNode, snapshot *proxy.Snapshot) {
 	held.lock.Lock()
 	defer held.lock.Unlock()
 	held.snapshot = snapshot
@@ -229,8 +243,8 @@
 	}
 }
 
-// end stops a house as a killed process does: without a word.
-func (t *HollowFleet) end(held *player) {
+// end stops a node as a kill does: nobody is told.
+func (t *HollowFleet) end(held *hollowNode) {
 	if held.process == nil || held.process.Transport == nil {
 		return
 	}
@@ -244,9 +258,9 @@
 	held.lock.Unlock()
 }
 
-// Close ends all houses.
+// Close ends all nodes.
 func (t *HollowFleet) Close() {
-	for _, held := range t.players {
+	for _, held := range t.nodes {
 		t.end(held)
 	}
 }
@@ -267,45 +281,51 @@
 }
 
 func (t *HollowFleet) do(request Request) (Answer, error) {
-	if request.Index < 0 || request.Index >= len(t.players) {
+	if request.Index < 0 || request.Index >= len(t.nodes) {
 		return Answer{}, errcode.Wrap("scaletest.do", errcode.ConfigBadValue, fmt.Errorf("no part %d", request.Index))
 	}
-	held := t.players[request.Index]
-	switch request.EventName {
-	case "read":
+	held := t.nodes[request.Index]
+	switch request.Command {
+	case CommandRead:
 		return Answer{Reading: t.read()}, nil
-	case "weigh":
+	case CommandWeigh:
 		return Answer{Reading: t.weigh()}, nil
-	case "state":
+	case CommandState:
 		return Answer{State: t.state()}, nil
-	case "reached":
+	case CommandReached:
 		return Answer{State: t.reachedBy(&State{Reached: map[int64]int{}, LastAt: map[int64]int64{}})}, nil
-	case "put":
-		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.InForceWait()*2)
-		defer cancel()
-		answered, err := held.process.Request(limited, registry.WriteConfiguration{ConfigName: held.part.Settings.ConfigNames[0], Version: request.Version, Body: request.Body})
-		if err != nil {
-			return Answer{}, err
-		}
-		if response := answered.(registry.Answer); response.Code != errcode.OK {
-			return Answer{}, errcode.Wrap("scaletest.put", response.Code, fmt.Errorf("%s", response.Body))
-		}
-		return Answer{}, nil
-	case "end":
+	case CommandWrite:
+		return Answer{}, held.write(request)
+	case CommandEnd:
 		t.end(held)
 		return Answer{}, nil
-	case "begin":
+	case CommandBegin:
 		return Answer{}, t.begin(held)
 	}
-	return Answer{}, errcode.Wrap("scaletest.do", errcode.ConfigBadValue, fmt.Errorf("no deed %q", request.EventName))
+	return Answer{}, errcode.Wrap("scaletest.do", errcode.ConfigBadValue, fmt.Errorf("no command %q", request.Command))
+}
+
+// write writes a configuration through this node, a registry.
+func (n *hollowNode) write(request Request) error {
+	limited, cancel := context.WithTimeout(n.goroutines.Context, n.part.Settings.InForceWait()*2)
+	defer cancel()
+	write := registry.WriteConfiguration{ConfigName: n.part.Settings.ConfigNames[0], Version: request.Version, Body: request.Body}
+	answered, err := n.process.Request(limited, write)
+	if err != nil {
+		return err
+	}
+	if answer := answered.(registry.Answer); answer.Code != errcode.OK {
+		return errcode.Wrap("scaletest.write", answer.Code, fmt.Errorf("%s", answer.Body))
+	}
+	return nil
 }
 
 func (t *HollowFleet) read() *Reading {
 	usage := syscall.Rusage{}
 	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	reading := &Reading{At: time.Since(t.startAt), Processor: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), Node: map[string]int64{}}
+	reading := &Reading{At: time.Since(t.startedAt), Processor: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), Node: map[string]int64{}}
 	sums := map[string]transport.Count{}
-	for _, held := range t.players {
+	for _, held := range t.nodes {
 		for _, passed := range held.gone {
 			merge(sums, passed)
 		}
@@ -325,7 +345,7 @@
 	return reading
 }
 
-// weigh collects first, so that what is left is in use.
+// weigh collects garbage first, so that what is left is in use.
 func (t *HollowFleet) weigh() *Reading {
 	debug.FreeOSMemory()
 	memory := runtime.MemStats{}
@@ -346,7 +366,7 @@
 func (t *HollowFleet) state() *State {
 	state := &State{Reached: map[int64]int{}, LastAt: map[int64]int64{}}
 	proxies, depths := 0, 0
-	for _, held := range t.players {
+	for _, held := range t.nodes {
 		if held.part.Role != message.RoleProxy {
 			continue
 		}
@@ -376,15 +396,14 @@
 		limited, cancel := context.WithTimeout(held.goroutines.Context, held.part.Settings.HolderRest())
 		answered, err := held.process.Request(limited, proxy.ReadStatus{})
 		cancel()
-		if status, isStatus := answered.(map[string]any); err == nil && isStatus {
-			path, _ := status["path"].([]string)
-			state.Depth, depths = max(state.Depth, len(path)), depths+len(path)
-			moves, _ := status["moves"].(int64)
-			state.Moves += moves
-			ages, _ := status["ages_ms"].(map[string]int64)
-			for _, age := range ages {
-				state.Age = max(state.Age, age)
-			}
+		if err != nil {
+			continue
+		}
+		status := answered.(proxy.Status)
+		state.Depth, depths = max(state.Depth, len(status.Path)), depths+len(status.Path)
+		state.Moves += status.Moves
+		for _, age := range status.AgesMS {
+			state.Age = max(state.Age, age)
 		}
 	}
 	if proxies > 0 {
@@ -402,8 +421,9 @@
 	return state
 }
 
-// Serve is the loop of a hollow fleet's process: the first line has the parts, each further
-// one a question.
+// Serve is the loop of a hollow fleet's process: the first JSON value it reads has the parts, each
+// further one is a Request. It returns when its input ends, so that no process outlives the one that
+// started it.
 func Serve(in io.Reader, out io.Writer) error {
 	reader, encoder := bufio.NewReaderSize(in, 1<<20), json.NewEncoder(out)
 	decoder := json.NewDecoder(reader)
--- a/internal/scaletest/measure.go
+++ b/internal/scaletest/measure.go
@@ -1,7 +1,3 @@
-// This file measures one size after the other: a steady stretch, one with configuration changes
-// and one with restarts, each in several windows, for the spread. Rates are differences
-// of counters over a window. A proxy's figure is the mean over the fleet, a core role's
-// that of its busiest voter.
 package scaletest
 
 import (
@@ -12,7 +8,8 @@
 	"beaconvane/internal/message"
 )
 
-// Row is one measure at one size, a value for each window.
+// Row is one measure at one size, a value for each window. Rates are differences of counters over a
+// window; a proxy's figure is the mean over the fleet, a core role's that of its busiest voter.
 type Row struct {
 	Phase  string    `json:"phase"`
 	Role   string    `json:"role"`
@@ -26,21 +23,21 @@
 	Sizes    []int             `json:"sizes"`
 	Repeats  int               `json:"repeats"`
 	Window   time.Duration     `json:"window"`
-	Every    time.Duration     `json:"every"` // between two configuration changes, or two restarts
-	Commit   time.Duration     `json:"settle"`
-	Limit    time.Duration     `json:"limit"` // of any wait
+	Every    time.Duration     `json:"every"`  // between two configuration changes, or two restarts
+	Settle   time.Duration     `json:"settle"` // rest before the first window
+	Limit    time.Duration     `json:"limit"`  // of any wait
 	Phases   []string          `json:"phases"`
 	Progress func(text string) `json:"-"`
 }
 
-// Phases that a course may have.
+// Phases that a course may have: a steady one, one with configuration changes, one with restarts.
 const (
 	Steady         = "steady"
 	Configurations = "configurations"
 	Restarts       = "restarts"
 )
 
-// parts of the control work, by the messages that belong to them.
+// partOf is the part of the control work that each message belongs to; all others are voters'.
 var partOf = map[string]string{
 	"Ping": "membership", "Ack": "membership", "PingFor": "membership", "JoinRequest": "membership", "JoinResponse": "membership",
 	"UpdatesRequest": "updates", "UpdatesResponse": "updates", "ConfigurationCommitted": "updates",
@@ -78,11 +75,11 @@
 
 var roles = []string{message.RoleProxy, message.RoleRegistry, message.RoleConfigStore}
 
-func (f *Fleet) read(eventName string) map[string][]Reading {
+func (f *Fleet) read(command Command) map[string][]Reading {
 	readings := map[string][]Reading{}
 	for _, role := range roles {
-		for _, held := range f.hands[role] {
-			answer := held.do(Request{EventName: eventName})
+		for _, held := range f.processes[role] {
+			answer := held.do(Request{Command: command})
 			if answer.Reading == nil {
 				answer.Reading = &Reading{}
 			}
@@ -156,7 +153,7 @@
 	<-timer.C
 }
 
-// Measure runs one size and gives its rows.
+// Measure runs a fleet of one size through the phases of a course and returns its rows.
 func Measure(plan Plan, course Course) ([]Row, error) {
 	sum := &rows{size: plan.Proxies, at: map[string]int{}}
 	began := time.Now()
@@ -173,10 +170,10 @@
 		return nil, errcode.Wrap("scaletest.measure", errcode.BusyNotReady, fmt.Errorf("the fleet did not become whole: %+v", fleetRun.state()))
 	}
 	sum.add(Steady, "fleet", "whole_ms", float64(time.Since(began).Milliseconds()))
-	pause(course.Commit)
+	pause(course.Settle)
 	for _, phase := range course.Phases {
 		for range course.Repeats {
-			before := fleetRun.read("read")
+			before := fleetRun.read(CommandRead)
 			switch phase {
 			case Steady:
 				pause(course.Window)
@@ -188,7 +185,7 @@
 			if err != nil {
 				return nil, err
 			}
-			fleetRun.compare(sum, phase, before, fleetRun.read("read"))
+			fleetRun.compare(sum, phase, before, fleetRun.read(CommandRead))
 			state := fleetRun.state()
 			sum.add(phase, "fleet", "depth", float64(state.Depth))
 			sum.add(phase, "fleet", "mean_depth", state.MeanDepth)
@@ -197,7 +194,7 @@
 			sum.add(phase, "fleet", "ready", float64(state.Ready))
 		}
 		if phase == Steady {
-			for role, readings := range fleetRun.read("weigh") {
+			for role, readings := range fleetRun.read(CommandWeigh) {
 				live, held := 0.0, 0.0
 				for _, reading := range readings {
 					if role == message.RoleProxy {
@@ -214,7 +211,7 @@
 	return sum.list, nil
 }
 
-// changes puts configurations in a steady rhythm and waits for each to be in force everywhere.
+// changes writes configurations at a steady interval and waits for each to be in force everywhere.
 func (f *Fleet) changes(sum *rows, course Course) error {
 	for end := time.Now().Add(course.Window); time.Now().Before(end); {
 		began, err := f.write()
@@ -225,8 +222,8 @@
 		var lastAt int64
 		reached := until(course.Limit, 20*time.Millisecond, func() bool {
 			number := 0
-			for _, held := range f.hands[message.RoleProxy] {
-				if answer := held.do(Request{EventName: "reached"}); answer.State != nil {
+			for _, held := range f.processes[message.RoleProxy] {
+				if answer := held.do(Request{Command: CommandReached}); answer.State != nil {
 					number += answer.State.Reached[f.version]
 					lastAt = max(lastAt, answer.State.LastAt[f.version])
 				}
@@ -242,15 +239,15 @@
 	return nil
 }
 
-// restarts ends proxies without a word, one after the other, begins each again at once,
-// and waits until all are ready and know all.
+// restarts kills one proxy after the other, starts each again at once, and waits until all are ready
+// and know all.
 func (f *Fleet) restarts(sum *rows, course Course) error {
 	for end := time.Now().Add(course.Window); time.Now().Before(end); {
 		began := time.Now()
 		number := int(f.goroutines.Now()/time.Millisecond) % f.plan.Proxies
-		chosen := f.hands[message.RoleProxy][number/f.plan.Share]
-		for _, eventName := range []string{"end", "begin"} {
-			if answer := chosen.do(Request{EventName: eventName, Index: number % f.plan.Share}); answer.Fault != "" {
+		chosen := f.processes[message.RoleProxy][number/f.plan.Share]
+		for _, command := range []Command{CommandEnd, CommandBegin} {
+			if answer := chosen.do(Request{Command: command, Index: number % f.plan.Share}); answer.Fault != "" {
 				return errcode.Wrap("scaletest.restarts", errcode.Internal, fmt.Errorf("%s", answer.Fault))
 			}
 		}
--- a/internal/scaletest/scaletest_test.go
+++ b/internal/scaletest/scaletest_test.go
@@ -84,7 +84,7 @@
 	c := qt.New(t)
 	table := Table{Course: Course{Sizes: []int{16, 32, 64, 128, 256}, Phases: []string{Steady}}, Target: 12000,
 		Rows: append(made(func(size float64) float64 { return 100 * size }, 0.1), Row{Phase: Steady, Role: message.RoleProxy, Metric: "dropped", Size: 16, Values: []float64{0}})}
-	table.Reckon()
+	table.Fit()
 	out := bytes.Buffer{}
 	table.Markdown(&out)
 	c.Assert(out.String(), qt.Contains, "| proxy | bytes | 1600 ±160 | 3200 ±320 | 6400 ±640 | 12.8k ±1280 | 25.6k ±2560 | n | 0% | 1.2M (1.08M..1.32M) |")
@@ -133,6 +133,7 @@
 	c.Assert(found["configurations configstore disk_bytes"] > 0, qt.IsTrue)
 	c.Assert(found["configurations proxy bytes_updates"] > 0, qt.IsTrue)
 	c.Assert(found["steady proxy resident"] > 0, qt.IsTrue)
+	c.Assert(found["steady fleet depth"] > 0, qt.IsTrue)
 }
 
 // A hollow fleet's process answers line by line, names what it can't do, and ends with its input.
@@ -145,7 +146,7 @@
 	input, output := bytes.Buffer{}, bytes.Buffer{}
 	encoder := json.NewEncoder(&input)
 	c.Assert(encoder.Encode(parts), qt.IsNil)
-	for _, request := range []Request{{EventName: "read"}, {EventName: "nothing"}, {EventName: "state", Index: 7}, {EventName: "weigh"}} {
+	for _, request := range []Request{{Command: CommandRead}, {Command: "nothing"}, {Command: CommandState, Index: 7}, {Command: CommandWeigh}} {
 		c.Assert(encoder.Encode(request), qt.IsNil)
 	}
 	c.Assert(Serve(&input, &output), qt.IsNil)
--- a/internal/scaletest/slopes.go
+++ b/internal/scaletest/slopes.go
@@ -1,9 +1,3 @@
-// This file reckons: how a measure grows with the fleet, and what that would come to at
-// a size that was not run. A few shapes are fitted by least squares of the relative
-// error, and the one that misses least is taken; a shape that grows is taken only where
-// it misses clearly less than a flat one. The range of an extrapolated figure comes from
-// fitting each repeat alone and from the next best shape, so that it shows both
-// what the measuring scatters and what the choice of a shape decides.
 package scaletest
 
 import (
@@ -17,7 +11,7 @@
 	At   func(size float64) float64
 }
 
-// Shapes, the slowest first.
+// Shapes are the shapes that are fitted, the slowest first.
 var Shapes = []Shape{
 	{"flat", func(float64) float64 { return 0 }},
 	{"log n", func(size float64) float64 { return math.Log2(size) }},
@@ -26,14 +20,18 @@
 	{"n²", func(size float64) float64 { return size * size }},
 }
 
-// Slope is a fitted shape: base + rate × shape(size).
+// Slope is a fitted shape: base + rate × shape(size). A few shapes are fitted by least squares of
+// the relative error, and the one that misses least is taken; a shape that grows is taken only where
+// it misses clearly less than a flat one. The range of the extrapolated figure comes from fitting
+// each repeat alone and from the next best shape, so that it shows both the scatter of the measuring
+// and what the choice of a shape decides.
 type Slope struct {
 	Shape    string  `json:"shape"`
 	Base     float64 `json:"base"`
 	Rate     float64 `json:"rate"`
 	Miss     float64 `json:"miss"`     // root mean square of the relative error
 	Exponent float64 `json:"exponent"` // of the log-log line, for comparison
-	Target   float64 `json:"target"`
+	Target   float64 `json:"target"`   // the figure at the size extrapolated to, with its range
 	Least    float64 `json:"least"`
 	Most     float64 `json:"most"`
 }
@@ -58,9 +56,9 @@
 		base = (sumY - rate*sumX) / sumW
 	}
 	for index, size := range sizes {
-		response := base + rate*shape.At(size)
+		fitted := base + rate*shape.At(size)
 		if values[index] != 0 {
-			miss += (response - values[index]) * (response - values[index]) / (values[index] * values[index])
+			miss += (fitted - values[index]) * (fitted - values[index]) / (values[index] * values[index])
 		}
 	}
 	return base, rate, math.Sqrt(miss / float64(len(sizes)))
@@ -72,7 +70,7 @@
 	return math.Max(0, base+rate*shape.At(size))
 }
 
-// SlopeOf fits rows of one measure at several sizes.
+// SlopeOf fits the rows of one measure at several sizes, and extrapolates to a target size.
 func SlopeOf(list []Row, target float64) Slope {
 	sizes, means, repeats := []float64{}, []float64{}, -1
 	for _, row := range list {
--- a/internal/scaletest/table.go
+++ b/internal/scaletest/table.go
@@ -1,5 +1,3 @@
-// This file prints: the table as markdown and as JSON, and the plots of cost against
-// the size of the fleet.
 package scaletest
 
 import (
@@ -38,8 +36,8 @@
 	rows   []Row
 }
 
-// Reckon groups rows by measure and fits each.
-func (t *Table) Reckon() {
+// Fit groups the rows by measure and fits each.
+func (t *Table) Fit() {
 	grouped, order := map[string]*Line{}, []string{}
 	for _, row := range t.Rows {
 		key := row.Phase + "/" + row.Role + "/" + row.Metric
@@ -75,7 +73,7 @@
 	return fmt.Sprintf("%.3g", value)
 }
 
-// Markdown prints the lines that have anything in them.
+// Markdown prints the table, without lines that are all zero.
 func (t *Table) Markdown(out io.Writer) {
 	sizes := append([]int{}, t.Course.Sizes...)
 	sort.Ints(sizes)
@@ -124,7 +122,7 @@
 	return ""
 }
 
-// JSON prints everything.
+// JSON prints everything as JSON.
 func (t *Table) JSON(out io.Writer) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", " ")
@@ -142,7 +140,7 @@
 	Scale             float64
 }
 
-// Charts are those of the page.
+// Charts are the plots of docs/CAPACITY.md.
 var Charts = []Chart{
 	{"capacity-bytes", "Control bytes a second of one proxy, in and out, by part", "bytes a second", 3000, []Curve{
 		{Steady, "proxy", "bytes", "all"}, {Steady, "proxy", "bytes_membership", "membership"}, {Steady, "proxy", "bytes_updates", "updates"},
