--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -11,7 +11,6 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -19,8 +18,10 @@
 	"github.com/tidwall/gjson"
 )
 
-// Limits bound a configuration. Lenient configurations may hold fields that are not known here; they
-// are kept and not read.
+// Limits bound a configuration. Lenient ones may hold fields that are not known here,
+// which are kept and not read, and are refused only for what would leave in doubt where a
+// request goes: not for a time-out above Request, a figure of 0 that says "not told", a
+// fraction of a millisecond, or a name that stands twice.
 type Limits struct {
 	Bytes   int64
 	Entries int64
@@ -98,269 +99,6 @@
 // Honours says that some key of a tenant is honoured.
 func (l *Configuration) Honours(tenant string) bool { return l.tenants[tenant] }
 
-var (
-	configurationKeys = []string{"version", "services", "tenants", "routes", "limits", "note"}
-	tenantKeys        = []string{"name", "keys", "priority"}
-	serviceKeys       = []string{"name", "health", "connections", "protocol", "tls"}
-	routeKeys         = []string{"name", "service", "path", "match", "methods", "callers", "tenants", "once", "timeout_ms", "body_bytes", "calendar",
-		"host", "prefix", "kind", "split", "attempts", "aim_ms", "priority", "open"}
-	limitKeys  = []string{"head_bytes", "body_bytes", "head_ms", "idle_ms"}
-	kindList   = []string{"repeatable", "once", "upload"}
-	methodList = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
-)
-
-// Check lists the faults of a configuration's bytes; tooLarge tells 413 from 422.
-func Check(body []byte, limits Limits) (faults []string, tooLarge bool) {
-	if int64(len(body)) > limits.Bytes {
-		return []string{fmt.Sprintf("$: %d bytes, the limit is %d", len(body), limits.Bytes)}, true
-	}
-	if !gjson.ValidBytes(body) {
-		return []string{"$: not JSON"}, false
-	}
-	root := gjson.ParseBytes(body)
-	if !root.IsObject() {
-		return []string{"$: want an object"}, false
-	}
-	check := &checker{lenient: limits.Lenient}
-	check.keys("", root, configurationKeys)
-	check.number("version", root.Get("version"), 0)
-	if bounds := root.Get("limits"); bounds.Exists() {
-		check.keys("limits.", bounds, limitKeys)
-	}
-	services := check.services(root.Get("services"))
-	if len(services) == 0 {
-		check.add("services", "want at least one name")
-	}
-	entries := len(root.Get("services").Array()) + len(root.Get("tenants").Array()) + len(root.Get("tenants.#.keys|@flatten").Array()) + len(root.Get("routes").Array())
-	if int64(entries) > limits.Entries {
-		return []string{fmt.Sprintf("$: %d entries, the limit is %d", entries, limits.Entries)}, true
-	}
-	tenants, keysSeen := map[string]bool{}, map[string]string{}
-	check.list("tenants", root.Get("tenants"), func(path string, tenant gjson.Result) {
-		check.keys(path+".", tenant, tenantKeys)
-		name := check.text(path+".name", tenant.Get("name"))
-		if tenants[name] {
-			check.add(path+".name", "tenant stands twice")
-		}
-		tenants[name] = true
-		check.rank(path+".priority", tenant.Get("priority"))
-		check.list(path+".keys", tenant.Get("keys"), func(keyPath string, key gjson.Result) {
-			text := check.text(keyPath, key)
-			if first, twice := keysSeen[text]; twice && text != "" {
-				check.add(keyPath, "key stands already at "+first)
-			}
-			if strings.ContainsAny(text, " \t\r\n") {
-				check.add(keyPath, "a key holds no white space")
-			}
-			keysSeen[text] = keyPath
-		})
-	})
-	type claimed struct{ path, name string }
-	taken, namesSeen := map[string]claimed{}, map[string]bool{}
-	check.list("routes", root.Get("routes"), func(path string, route gjson.Result) {
-		check.keys(path+".", route, routeKeys)
-		name := check.text(path+".name", route.Get("name"))
-		if namesSeen[name] {
-			check.add(path+".name", "route stands twice")
-		}
-		namesSeen[name] = true
-		check.targets(path, route, services)
-		match := route.Get("match")
-		hosted := route.Get("host").Exists()
-		if hosted {
-			check.hosted(path, route)
-			place := strings.ToLower(route.Get("host").String()) + " " + route.Get("prefix").String()
-			if first, twice := taken[place]; twice && len(route.Get("methods").Array()) == 0 {
-				check.add(path, "stands at the place of "+first.path)
-			}
-			taken[place] = claimed{path, name}
-		}
-		wantedPath := ""
-		if !hosted {
-			wantedPath = check.text(path+".path", route.Get("path"))
-		}
-		if normal, err := NormalPath(wantedPath); wantedPath != "" && (err != nil || normal != wantedPath) {
-			check.add(path+".path", "want a normalised path that begins with /")
-		}
-		if match.Exists() && match.String() != "exact" && match.String() != "prefix" {
-			check.add(path+".match", "want exact or prefix")
-		}
-		methods := check.names(path+".methods", route.Get("methods"))
-		if len(methods) == 0 && !hosted {
-			check.add(path+".methods", "want at least one method")
-		}
-		for method := range methods {
-			if !slices.Contains(methodList, method) {
-				check.add(path+".methods", "unknown method "+method)
-			}
-			claim := match.String() + " " + method + " " + wantedPath
-			if match.String() == "" {
-				claim = "exact" + claim
-			}
-			if first, twice := taken[claim]; twice && !hosted {
-				check.add(path, "ambiguous with "+first.path+" for "+method)
-			}
-			taken[claim] = claimed{path, name}
-		}
-		check.names(path+".callers", route.Get("callers"))
-		if len(route.Get("callers").Array()) == 0 && !hosted {
-			check.add(path+".callers", `want at least one caller, or "*"`)
-		}
-		for tenant := range check.names(path+".tenants", route.Get("tenants")) {
-			if tenant != "*" && !tenants[tenant] {
-				check.add(path+".tenants", "unknown tenant "+tenant)
-			}
-		}
-		if once := route.Get("once"); once.Exists() && !once.IsBool() {
-			check.add(path+".once", "want true or false")
-		}
-		if kind := route.Get("kind"); kind.Exists() && !slices.Contains(kindList, kind.String()) {
-			check.add(path+".kind", "want repeatable, once or upload")
-		}
-		check.number(path+".attempts", route.Get("attempts"), 0)
-		check.number(path+".aim_ms", route.Get("aim_ms"), 0)
-		check.rank(path+".priority", route.Get("priority"))
-		check.number(path+".timeout_ms", route.Get("timeout_ms"), int64(limits.Request/time.Millisecond))
-		check.number(path+".body_bytes", route.Get("body_bytes"), 0)
-		if calendar := route.Get("calendar"); calendar.Exists() {
-			for _, text := range CheckCalendar(calendar) {
-				check.add(path+".calendar", text)
-			}
-		}
-	})
-	sort.Strings(check.faults)
-	return check.faults, false
-}
-
-type checker struct {
-	faults  []string
-	lenient bool
-}
-
-// services are names, or objects that say more.
-func (c *checker) services(value gjson.Result) map[string]bool {
-	names := map[string]bool{}
-	c.list("services", value, func(path string, item gjson.Result) {
-		name := item
-		if item.IsObject() {
-			c.keys(path+".", item, serviceKeys)
-			name = item.Get("name")
-			c.number(path+".connections", item.Get("connections"), 0)
-			path += ".name"
-		}
-		text := c.text(path, name)
-		if names[text] {
-			c.add(path, "stands twice")
-		}
-		names[text] = true
-	})
-	return names
-}
-
-// targets: a service, or a split of services with weights of which one is above 0.
-func (c *checker) targets(path string, route gjson.Result, services map[string]bool) {
-	known := func(path string, value gjson.Result) {
-		if service := c.text(path, value); service != "" && !services[service] {
-			c.add(path, "unknown service "+service)
-		}
-	}
-	if !route.Get("split").Exists() {
-		known(path+".service", route.Get("service"))
-		return
-	}
-	total := int64(0)
-	c.list(path+".split", route.Get("split"), func(sharePath string, share gjson.Result) {
-		known(sharePath+".service", share.Get("service"))
-		c.rank(sharePath+".weight", share.Get("weight"))
-		total += share.Get("weight").Int()
-	})
-	if total <= 0 {
-		c.add(path+".split", "want a weight above 0")
-	}
-}
-
-// hosted checks the place of a route that is bound to a host.
-func (c *checker) hosted(path string, route gjson.Result) {
-	c.text(path+".host", route.Get("host"))
-	if prefix := c.text(path+".prefix", route.Get("prefix")); prefix != "" && prefix[0] != '/' {
-		c.add(path+".prefix", "must begin with /")
-	}
-	if timeout := route.Get("timeout_ms"); !timeout.Exists() {
-		c.add(path+".timeout_ms", "missing")
-	}
-}
-
-// rank is a whole number of 0 or more.
-func (c *checker) rank(path string, value gjson.Result) {
-	if value.Exists() && (value.Type != gjson.Number || value.Num != float64(value.Int()) || value.Int() < 0) {
-		c.add(path, "want a whole number of 0 or more")
-	}
-}
-
-func (c *checker) add(path, text string) { c.faults = append(c.faults, path+": "+text) }
-
-func (c *checker) keys(prefix string, value gjson.Result, known []string) {
-	if !value.IsObject() {
-		c.add(strings.TrimSuffix(prefix, "."), "want an object")
-		return
-	}
-	seen := map[string]bool{}
-	value.ForEach(func(key, _ gjson.Result) bool {
-		switch {
-		case seen[key.String()]:
-			c.add(prefix+key.String(), "key stands twice")
-		case !slices.Contains(known, key.String()) && !c.lenient:
-			c.add(prefix+key.String(), "unknown field")
-		}
-		seen[key.String()] = true
-		return true
-	})
-}
-
-func (c *checker) list(path string, value gjson.Result, each func(path string, item gjson.Result)) {
-	if !value.Exists() {
-		return
-	}
-	if !value.IsArray() {
-		c.add(path, "want a list")
-		return
-	}
-	for index, item := range value.Array() {
-		each(fmt.Sprintf("%s.%d", path, index), item)
-	}
-}
-
-func (c *checker) text(path string, value gjson.Result) string {
-	if value.Type != gjson.String || value.String() == "" {
-		c.add(path, "want a text that is not empty")
-		return ""
-	}
-	return value.String()
-}
-
-func (c *checker) names(path string, value gjson.Result) map[string]bool {
-	names := map[string]bool{}
-	c.list(path, value, func(itemPath string, item gjson.Result) {
-		name := c.text(itemPath, item)
-		if names[name] {
-			c.add(itemPath, "stands twice")
-		}
-		names[name] = true
-	})
-	return names
-}
-
-func (c *checker) number(path string, value gjson.Result, most int64) {
-	if !value.Exists() {
-		return
-	}
-	if value.Type != gjson.Number || value.Num != float64(value.Int()) || value.Int() <= 0 {
-		c.add(path, "want a whole number above 0")
-	} else if most > 0 && value.Int() > most {
-		c.add(path, fmt.Sprintf("the settings allow at most %d", most))
-	}
-}
-
 // Parse reads a configuration that Check has passed.
 func Parse(configName string, version int64, body []byte, limits Limits) *Configuration {
 	configuration := &Configuration{ConfigName: configName, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
@@ -392,8 +130,8 @@
 	for _, item := range root.Get("routes").Array() {
 		route := Route{Name: item.Get("name").String(), Service: item.Get("service").String(), Path: item.Get("path").String(),
 			Prefix: item.Get("match").String() == "prefix", Methods: set(item.Get("methods")), Callers: set(item.Get("callers")),
-			Tenants: set(item.Get("tenants")), Limit: time.Duration(item.Get("timeout_ms").Int()) * time.Millisecond, BodyCap: item.Get("body_bytes").Int(),
-			Host: strings.ToLower(item.Get("host").String()), Attempts: item.Get("attempts").Int(), Aim: time.Duration(item.Get("aim_ms").Int()) * time.Millisecond,
+			Tenants: set(item.Get("tenants")), Limit: milliseconds(item.Get("timeout_ms")), BodyCap: item.Get("body_bytes").Int(),
+			Host: strings.ToLower(item.Get("host").String()), Attempts: item.Get("attempts").Int(), Aim: milliseconds(item.Get("aim_ms")),
 			Priority: LeastPriority, Open: item.Get("open").Bool()}
 		if route.Host != "" {
 			route.Path, route.Prefix = item.Get("prefix").String(), true
@@ -402,7 +140,7 @@
 			route.Priority = rank.Int()
 		}
 		for _, share := range item.Get("split").Array() {
-			route.Split = append(route.Split, Share{share.Get("service").String(), share.Get("weight").Int()})
+			route.Split = append(route.Split, Share{share.Get("service").String(), weightOf(share)})
 		}
 		if route.Limit <= 0 || route.Limit > limits.Request {
 			route.Limit = limits.Request
@@ -443,6 +181,21 @@
 	return configuration
 }
 
+// weightScale makes whole numbers of weights, which may be fractions.
+const weightScale = 1000
+
+func weightOf(share gjson.Result) int64 {
+	return int64(share.Get("weight").Float() * weightScale)
+}
+
+// longestTime bounds what a figure of milliseconds may come to.
+const longestTime = 365 * 24 * time.Hour
+
+// milliseconds reads a time, fractions included.
+func milliseconds(value gjson.Result) time.Duration {
+	return time.Duration(min(max(value.Float(), 0), float64(longestTime/time.Millisecond)) * float64(time.Millisecond))
+}
+
 // Find gives the route of a host with the longest prefix that begins a raw path; a
 // host without routes of its own has those that are bound to none.
 func (l *Configuration) Find(host, method, path string) (Route, bool) {
