A disk that refused writes is used again once it works, in the running process

Cause: one failed write ended a voter until its process was restarted, and nobody restarts it.

Change: storage.Recover opens the folder anew, builds the machine and writes its whole state to a slot before anything that was read counts. package node tries it every sixteenth of the catch-up bound and swaps the machine in the control goroutine, which drops the earlier machine's queued writes and answers its open requests. A lease holder whose disk has failed yields to an heir at once. The simulator does the same; scenario disks-full-in-turn.

Red before: TestFullDisksInTurn (windows never reported, no version listed, nothing read back), TestHolderWithAFailedDiskYields.

--- a/internal/cli/core.go
+++ b/internal/cli/core.go
@@ -25,15 +25,10 @@
 	server := api.NewServer(api.NewRegistryHandler(cfg, process))
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			_, snapshot, records, err := process.OpenDisk()
-			if err != nil {
-				return err
-			}
-			machine, err := registry.New(cfg, node.Self(cfg, message.RoleRegistry), snapshot, records)
-			if err != nil {
-				return err
+			build := func(snapshot []byte, records [][]byte) (node.DiskMachine, error) {
+				return registry.New(cfg, node.Self(cfg, message.RoleRegistry), snapshot, records)
 			}
-			if err := process.Run(machine, nil); err != nil {
+			if err := process.RunFromDisk(build); err != nil {
 				return err
 			}
 			return server.Serve(group, cfg.Outside)
@@ -47,15 +42,10 @@
 func startConfigStore(life fx.Lifecycle, cfg settings.Settings, group *goroutine.Group, process *node.Node) {
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			_, snapshot, records, err := process.OpenDisk()
-			if err != nil {
-				return err
-			}
-			machine, err := configstore.New(cfg, node.Self(cfg, message.RoleConfigStore), snapshot, records)
-			if err != nil {
-				return err
+			build := func(snapshot []byte, records [][]byte) (node.DiskMachine, error) {
+				return configstore.New(cfg, node.Self(cfg, message.RoleConfigStore), snapshot, records)
 			}
-			return process.Run(machine, nil)
+			return process.RunFromDisk(build)
 		},
 		OnStop: func(ctx context.Context) error {
 			return stopCore(ctx, cfg, group, process, configstore.Stop{}, nil)
--- a/internal/cli/recover.go
+++ b/internal/cli/recover.go
@@ -9,11 +9,11 @@
 
 	"beaconvane/internal/configstore"
 	"beaconvane/internal/errcode"
-	"beaconvane/internal/goroutine"
 	"beaconvane/internal/message"
 	"beaconvane/internal/node"
 	"beaconvane/internal/registry"
 	"beaconvane/internal/settings"
+	"beaconvane/internal/storage"
 )
 
 // AddVoterCommands returns a function that adds what an operator may do to the disk of a stopped
@@ -47,7 +47,11 @@
 		return errcode.Wrap("operator.force-recover", errcode.Internal, fmt.Errorf("stop the program first: %w", err))
 	}
 	defer listener.Close()
-	store, snapshot, records, err := node.New(cfg, role, goroutine.New()).OpenDisk()
+	folder, err := storage.NewDirFolder(cfg.Data)
+	if err != nil {
+		return err
+	}
+	store, snapshot, records, err := storage.Open(folder)
 	if err != nil {
 		return err
 	}
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -195,6 +195,9 @@
 
 func (m *Machine) position() position { return position{m.epoch, m.seq, m.hash} }
 
+// Snapshot is the whole state, as a slot of the disk holds it.
+func (m *Machine) Snapshot() []byte { return m.snapshot() }
+
 func (m *Machine) snapshot() []byte {
 	state := message.ConfigStoreState{Voter: m.quorum.State, Votes: m.leases.Votes(), Epoch: m.epoch, Seq: m.seq, Configurations: m.all(),
 		History: m.history.entries, Seen: m.membership.Seen()}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -159,9 +159,7 @@
 // Tick campaigns, renews and gives up what ran out.
 func (t *Leases) Tick(s *statemachine.Env) {
 	if !t.quorum.Voting() {
-		for _, tag := range t.order {
-			t.drop(s, tag, "not standing")
-		}
+		t.giveUp(s)
 		return
 	}
 	if t.votesAt < 0 {
@@ -282,6 +280,19 @@
 	}
 }
 
+// giveUp ends all that a process without a vote holds. One whose disk has failed says so,
+// and nobody waits for its leases to run out.
+func (t *Leases) giveUp(s *statemachine.Env) {
+	for _, tag := range t.order {
+		state := t.tags[tag]
+		if state.holding && t.host.Failure() != nil {
+			t.yieldTo(s, tag, state, t.heir(s, state))
+			continue
+		}
+		t.drop(s, tag, "no vote")
+	}
+}
+
 // heir names the voter that a stopping holder hands its tag to, so that nobody waits
 // for a campaign; "" leaves it open. The former holder is passed over within its rest,
 // or the tag would go back and forth.
--- a/internal/lease/regrant_test.go
+++ b/internal/lease/regrant_test.go
@@ -28,6 +28,7 @@
 	state    message.VoterState
 	votes    []message.Vote // as the disk holds them
 	writes   []func()
+	failure  error
 }
 
 type electorate struct {
@@ -80,7 +81,7 @@
 }
 
 func (v *voter) CompactNow(s *statemachine.Env, then storage.Then) { v.Persist(s, nil, then) }
-func (v *voter) Failure() error                                    { return nil }
+func (v *voter) Failure() error                                    { return v.failure }
 func (v *voter) SyncTime() time.Duration                           { return 0 }
 func (v *voter) StateForGrant() []byte                             { return nil }
 func (v *voter) AbsorbGrants(*statemachine.Env, [][]byte)          {}
--- a/internal/lease/yield_test.go
+++ b/internal/lease/yield_test.go
@@ -2,6 +2,7 @@
 package lease
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -46,3 +47,18 @@
 		}
 	}
 }
+
+// A holder whose disk has failed gives its tags up at once.
+func TestHolderWithAFailedDiskYields(t *testing.T) {
+	c := qt.New(t)
+	e := newElectorate(true)
+	e.run(10*time.Second, true)
+	first := e.at("a" + e.holder())
+	e.run(4*time.Second, false)
+	first.failure = errors.New("no space left")
+	e.run(25*time.Millisecond, false)
+	took := e.run(10*time.Second, true)
+	c.Assert(e.holder(), qt.Not(qt.Equals), "")
+	c.Assert(e.holder(), qt.Not(qt.Equals), first.voter)
+	c.Assert(took < settings.Default().Lease()/8, qt.IsTrue, qt.Commentf("%v", took))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,8 +54,12 @@
 	Transport *transport.Transport
 	machine   statemachine.Machine
 	store     *storage.Store
+	folder    storage.Folder
+	build     Build // nil: the state is not on disk
 	dress     func(header http.Header, nodeName string, epoch int64)
 
+	replacements chan replacement
+
 	commands  chan statemachine.Command
 	writes    chan *statemachine.Write
 	published func(snapshot any)
@@ -87,20 +91,10 @@
 
 // New makes a house; the machine is set by Run.
 func New(cfg settings.Settings, role string, members *goroutine.Group) *Node {
-	return &Node{Settings: cfg, Group: members, Log: NewLog(cfg, role), commands: make(chan statemachine.Command, 4096),
+	return &Node{Settings: cfg, Group: members, Log: NewLog(cfg, role), commands: make(chan statemachine.Command, 4096), replacements: make(chan replacement),
 		writes: make(chan *statemachine.Write, maxQueuedWrites), replies: map[int64]chan any{}, counts: map[string]int64{}}
 }
 
-// OpenDisk reads the data folder of a program.
-func (h *Node) OpenDisk() (store *storage.Store, snapshot []byte, records [][]byte, err error) {
-	folder, err := storage.NewDirFolder(h.Settings.Data)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	h.store, snapshot, records, err = storage.Open(folder)
-	return h.store, snapshot, records, err
-}
-
 // OnPublish and OnTraffic join the traffic side of a proxy.
 func (h *Node) OnPublish(published func(snapshot any)) { h.published = published }
 
@@ -163,6 +157,8 @@
 			apply(statemachine.Ticked{})
 		case command := <-h.commands:
 			apply(command)
+		case next := <-h.replacements:
+			h.takeReplacement(next)
 		}
 	}
 }
@@ -232,12 +228,16 @@
 			for len(h.writes) > 0 && len(batch) < 256 {
 				batch = append(batch, <-h.writes)
 			}
-			h.sync(batch)
+			if h.sync(batch) != nil && h.build != nil && !h.recoverDisk(ctx) {
+				return
+			}
 		}
 	}
 }
 
-func (h *Node) sync(batch []*statemachine.Write) {
+// sync writes a batch in order and gives the first failure.
+func (h *Node) sync(batch []*statemachine.Write) error {
+	var first error
 	for len(batch) > 0 {
 		run := 0
 		records, size := [][]byte{}, len(batch[0].Snapshot)
@@ -254,15 +254,19 @@
 		} else {
 			run, failure = 1, h.store.Compact(batch[0].Snapshot)
 		}
+		if first == nil {
+			first = failure
+		}
 		for _, written := range batch[:run] {
 			select {
 			case h.commands <- statemachine.Synced{RequestID: written.RequestID, Failure: failure}:
 			case <-h.Group.Context.Done():
-				return
+				return first
 			}
 		}
 		batch = batch[run:]
 	}
+	return first
 }
 
 func (h *Node) probe(ctx context.Context, probe statemachine.Probe) {
@@ -327,6 +331,9 @@
 	}
 	select {
 	case answer := <-waiting:
+		if err, failed := answer.(error); failed {
+			return nil, err
+		}
 		return answer, nil
 	case <-ctx.Done():
 		h.lock.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -150,6 +150,9 @@
 	return topic
 }
 
+// Snapshot is the whole state, as a slot of the disk holds it.
+func (m *Machine) Snapshot() []byte { return m.snapshot() }
+
 func (m *Machine) snapshot() []byte {
 	state := message.RegistryState{Voter: m.quorum.State, Votes: m.leases.Votes(), Slices: []message.RosterSnapshot{},
 		Sealed: m.usage.list(), Reported: m.usage.reported, Seen: m.membership.Seen(), Usage: m.usage.held()}
--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -34,7 +34,6 @@
 	"beaconvane/internal/proxy"
 	"beaconvane/internal/registry"
 	"beaconvane/internal/settings"
-	"beaconvane/internal/statemachine"
 	"beaconvane/internal/transport"
 )
 
@@ -154,20 +153,12 @@
 		}
 		return nil
 	}
-	_, snapshot, records, err := process.OpenDisk()
-	if err != nil {
-		return err
-	}
-	var machine statemachine.Machine
-	if held.part.Role == message.RoleRegistry {
-		machine, err = registry.New(held.part.Settings, self, snapshot, records)
-	} else {
-		machine, err = configstore.New(held.part.Settings, self, snapshot, records)
-	}
-	if err != nil {
-		return err
-	}
-	return process.Run(machine, nil)
+	return process.RunFromDisk(func(snapshot []byte, records [][]byte) (node.DiskMachine, error) {
+		if held.part.Role == message.RoleRegistry {
+			return registry.New(held.part.Settings, self, snapshot, records)
+		}
+		return configstore.New(held.part.Settings, self, snapshot, records)
+	})
 }
 
 // announce stands for the one upstream beside a proxy. Its address is the proxy's own, so that each
--- a/internal/settings/ratios.go
+++ b/internal/settings/ratios.go
@@ -62,6 +62,9 @@
 // ClaimAfter is how long a voter has to be free before a newcomer claims it.
 func (c Settings) ClaimAfter() time.Duration { return ms(c.Bounds.CatchUp) / 10 }
 
+// DiskRetryEvery is how often a disk that refused a write is tried again.
+func (c Settings) DiskRetryEvery() time.Duration { return ms(c.Bounds.CatchUp) / 16 }
+
 // HandOverLimit is how long a leaving voter waits for its successor.
 func (c Settings) HandOverLimit() time.Duration { return c.Grace() / 4 }
 func (c Settings) ForgetAfter() time.Duration   { return ms(c.Bounds.Restore) * 4 }
--- /dev/null
+++ b/internal/simulation/diskfull.go
@@ -0,0 +1,86 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"beaconvane/internal/configstore"
+	"beaconvane/internal/message"
+	"beaconvane/internal/registry"
+	"beaconvane/internal/statemachine"
+	"beaconvane/internal/storage"
+	"beaconvane/internal/workload"
+)
+
+// diskMachine is a core program's machine, whose state is on disk.
+type diskMachine interface {
+	statemachine.Machine
+	storage.Restorable
+}
+
+// fillDisks lets the disks of some nodes refuse every write for a while; the processes
+// run on.
+func (w *World) fillDisks(nodes []*Node, length time.Duration) {
+	for _, node := range nodes {
+		node.disk.fail = true
+	}
+	w.after(length, func() {
+		for _, node := range nodes {
+			node.disk.fail = false
+		}
+	})
+}
+
+// recoverDisk builds the machine anew once the disk works, as package node does.
+func (n *Node) recoverDisk(life int) {
+	if n.recovering {
+		return
+	}
+	n.recovering = true
+	var try func()
+	try = func() {
+		if !n.up || n.life != life {
+			return
+		}
+		store, machine, err := storage.Recover(n.disk, n.buildMachine)
+		if err != nil {
+			n.world.after(n.settings.DiskRetryEvery(), try)
+			return
+		}
+		n.recovering = false
+		n.store, n.control, n.underway = store, machine, nil
+		n.machineLife++
+		n.replies = map[int64]func(any){}
+		n.world.dangers["machines built anew after a disk refused writes"]++
+		n.world.mark("disk of %s works again", n.name)
+	}
+	n.world.after(n.settings.DiskRetryEvery(), try)
+}
+
+// buildMachine makes the core program's machine from what its disk holds.
+func (n *Node) buildMachine(snapshot []byte, records [][]byte) (diskMachine, error) {
+	self := n.self()
+	if n.role == message.RoleRegistry {
+		return registry.New(n.settings, self, snapshot, records)
+	}
+	return configstore.New(n.settings, self, snapshot, records)
+}
+
+// self is this life of the node as the others see it.
+func (n *Node) self() message.Member {
+	return message.Member{Name: n.name, Role: n.role, Voter: n.settings.Voter, Zone: n.settings.Zone, Address: n.settings.Address,
+		Outside: n.settings.Outside, Birth: int64(epoch + n.world.now + n.wallOff)}
+}
+
+// disksFullInTurn fills the disk of each core machine for some seconds, one after the
+// other, with a configuration written during each and at the end.
+func disksFullInTurn(_ workload.Deployment, random *rand.Rand) []Step {
+	plan := []Step{}
+	for index, voter := range workload.Voters {
+		begin := time.Duration(10+7*index) * time.Second
+		plan = append(plan,
+			Step{At: begin, Do: "disk-full", Target: voter, For: span(random, 2, 4)},
+			Step{At: begin + span(random, 0.2, 1.5), Do: "put"})
+	}
+	return append(plan, Step{At: 32 * time.Second, Do: "put"})
+}
--- /dev/null
+++ b/internal/simulation/diskfull_test.go
@@ -0,0 +1,18 @@
+package simulation
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Each core machine's disk refuses writes for a while, one after the other. Without
+// recovery in the running process the second one leaves no majority for good.
+func TestFullDisksInTurn(t *testing.T) {
+	for _, deployment := range []string{"umuyoboro", "jendela"} {
+		for seed := range uint64(1) {
+			result := play(t, deployment, "disks-full-in-turn", seed)
+			qt.Assert(t, result.Review.Seen["danger: machines built anew after a disk refused writes"] >= 3, qt.IsTrue, qt.Commentf("%v", result.Review.Seen))
+		}
+	}
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -44,9 +44,12 @@
 	control statemachine.Machine
 	env     *statemachine.Env
 	disk    *Disk
-	store   *storage.Store
-	slow    time.Duration
-	diskAt  time.Duration
+
+	recovering  bool // the disk has refused a write; the machine is built anew once it works
+	machineLife int  // grows when the machine is built, also without a new process
+	store       *storage.Store
+	slow        time.Duration
+	diskAt      time.Duration
 
 	underway []statemachine.Write
 
@@ -142,24 +145,21 @@
 		n.settings.Found = false
 	}
 	n.up, n.frozen, n.bootAt, n.inbox, n.diskAt, n.underway = true, false, n.world.now, nil, 0, nil
-	n.inside, n.deaf, n.stopping = 0, false, false
+	n.inside, n.deaf, n.stopping, n.recovering = 0, false, false, false
+	n.machineLife++
 	n.env = statemachine.NewEnv(n.world.random.Uint64())
 	n.replies = map[int64]func(any){}
-	self := message.Member{Name: n.name, Role: n.role, Voter: n.settings.Voter, Zone: n.settings.Zone, Address: n.settings.Address,
-		Outside: n.settings.Outside, Birth: int64(epoch + n.world.now + n.wallOff)}
 	n.born = n.world.now
 	var err error
 	switch n.role {
 	case message.RoleProxy:
-		n.bootProxy(self)
+		n.bootProxy(n.self())
 	default:
 		var snapshot []byte
 		var records [][]byte
 		n.store, snapshot, records, err = storage.Open(n.disk)
-		if err == nil && n.role == message.RoleRegistry {
-			n.control, err = registry.New(n.settings, self, snapshot, records)
-		} else if err == nil {
-			n.control, err = configstore.New(n.settings, self, snapshot, records)
+		if err == nil {
+			n.control, err = n.buildMachine(snapshot, records)
 		}
 	}
 	if err != nil {
@@ -295,8 +295,9 @@
 	wait := n.slow + time.Duration(n.world.random.Int64N(int64(n.slow)+1))
 	n.diskAt = max(n.diskAt, n.world.now) + wait
 	n.underway = append(n.underway, written)
+	machineLife := n.machineLife
 	n.world.at(n.diskAt, func() {
-		if !n.up || n.life != life {
+		if !n.up || n.life != life || n.machineLife != machineLife {
 			return
 		}
 		n.underway = n.underway[1:]
@@ -306,6 +307,9 @@
 		} else {
 			failure = n.store.Append([][]byte{written.Record})
 		}
+		if failure != nil {
+			n.recoverDisk(life)
+		}
 		n.run(life, func() { n.apply(statemachine.Synced{RequestID: written.RequestID, Failure: failure}) })
 	})
 }
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -193,6 +193,8 @@
 				}
 			})
 		}
+	case "disk-full":
+		w.fillDisks(nodes, step.For)
 	case "disk-fails":
 		// Every sync fails until the machine is restarted with a disk that works.
 		for _, nodeName := range nodes {
@@ -729,6 +731,7 @@
 		}
 		return append(plan, Step{At: span(random, 31, 32), Do: "kill-all", For: span(random, 0.3, 2)})
 	},
+	"disks-full-in-turn": disksFullInTurn,
 	"disk-fails": func(d workload.Deployment, random *rand.Rand) []Step {
 		return []Step{{At: span(random, 9, 10), Do: "disk-fails", Target: voter(random), For: span(random, 4, 9)}, {At: span(random, 11, 12), Do: "put"},
 			{At: span(random, 13, 14), Do: "withdraw"}, {At: span(random, 21, 22), Do: "put"}}
--- /dev/null
+++ b/internal/storage/recover_test.go
@@ -0,0 +1,79 @@
+package storage
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fullFolder is a real folder whose disk may refuse to take more bytes, in the middle of
+// a write.
+type fullFolder struct {
+	DirFolder
+	full bool
+}
+
+var errFull = errors.New("no space left on device")
+
+func (f *fullFolder) Write(name string, body []byte) error {
+	if f.full {
+		f.DirFolder.Write(name, body[:len(body)/2])
+		return errFull
+	}
+	return f.DirFolder.Write(name, body)
+}
+
+func (f *fullFolder) Append(name string, body []byte) error {
+	if f.full {
+		f.DirFolder.Append(name, body[:len(body)/2])
+		return errFull
+	}
+	return f.DirFolder.Append(name, body)
+}
+
+// lines is a machine that keeps what it was given.
+type lines struct{ text string }
+
+func (l lines) Snapshot() []byte { return []byte(l.text) }
+
+func buildLines(snapshot []byte, records [][]byte) (lines, error) {
+	machine := lines{text: string(snapshot)}
+	for _, record := range records {
+		machine.text += string(record)
+	}
+	return machine, nil
+}
+
+// What was synced before the disk was full is there after it, also where the full disk
+// tore the log or a slot; nothing is given back while it is full.
+func TestRecoverAfterAFullDisk(t *testing.T) {
+	for name, fail := range map[string]func(store *Store) error{
+		"while appending":  func(store *Store) error { return store.Append([][]byte{[]byte("lost")}) },
+		"while compacting": func(store *Store) error { return store.Compact([]byte("lost")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			directory, err := NewDirFolder(t.TempDir())
+			c.Assert(err, qt.IsNil)
+			folder := &fullFolder{DirFolder: directory}
+			store, _, _, err := Open(folder)
+			c.Assert(err, qt.IsNil)
+			c.Assert(store.Compact([]byte("one ")), qt.IsNil)
+			c.Assert(store.Append([][]byte{[]byte("two ")}), qt.IsNil)
+			folder.full = true
+			c.Assert(fail(store), qt.IsNotNil)
+			_, _, err = Recover(folder, buildLines)
+			c.Assert(err, qt.IsNotNil)
+			folder.full = false
+			store, machine, err := Recover(folder, buildLines)
+			c.Assert(err, qt.IsNil)
+			c.Assert(machine.text, qt.Equals, "one two ")
+			c.Assert(store.Append([][]byte{[]byte("three")}), qt.IsNil)
+			_, snapshot, records, err := Open(folder)
+			c.Assert(err, qt.IsNil)
+			machine, _ = buildLines(snapshot, records)
+			c.Assert(machine.text, qt.Equals, "one two three")
+		})
+	}
+}
