simulate explore: guided random walks over the real configuration store

The simulator plays whole deployments in real time scales; it reaches few of the moments between a message and a sync.

Change: internal/explore drives the configuration store with quorum and leases through internal/statemachine, on a default schedule from which a run departs by a list of actions (messages lost, doubled, late; crashes, also within a write; lost disks; replaced, joining and leaving processes; cuts; freezes; clock steps; operators' orders, the same again or another content under the same version). The walks are guided to commits and changes of voters and to second losses soon after first ones. Histories are checked as they come and by porcupine.

--- /dev/null
+++ b/cmd/simulate/explore.go
@@ -0,0 +1,95 @@
+// This file is the subcommand explore: it searches the states of the control machines.
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"beaconvane/internal/explore"
+)
+
+type exploreFlags struct {
+	options explore.Options
+	seed    uint64
+	walks   int64
+	workers int
+	limit   time.Duration
+	replay  string
+	log     bool
+	except  string
+}
+
+func exploreCommand() *cobra.Command {
+	flags := exploreFlags{options: explore.Options{Voters: 3, Rounds: 200, Faults: 6}, seed: 1, walks: 1000, workers: 4}
+	command := &cobra.Command{Use: "explore", Short: "search the states of the control machines for broken promises", SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error { return flags.run() }}
+	set := command.Flags()
+	set.IntVar(&flags.options.Voters, "voters", flags.options.Voters, "how many voters the group has")
+	set.BoolVar(&flags.options.Named, "named", false, "the settings name the voters")
+	set.BoolVar(&flags.options.Highest, "highest", false, "writes of an older version are acknowledged and alter nothing")
+	set.IntVar(&flags.options.Rounds, "rounds", flags.options.Rounds, "rounds of the clock in a run")
+	set.IntVar(&flags.options.Faults, "faults", flags.options.Faults, "at most so many faults in a walk")
+	set.Uint64Var(&flags.seed, "seed", flags.seed, "first seed")
+	set.Int64Var(&flags.walks, "walks", flags.walks, "how many walks")
+	set.IntVar(&flags.workers, "workers", flags.workers, "walks at one time")
+	set.DurationVar(&flags.limit, "limit", 0, "begin no further walk after this time; 0: no limit")
+	set.StringVar(&flags.replay, "replay", "", "play the plan in this file, and nothing else")
+	set.BoolVar(&flags.log, "log", false, "print every happening of the replayed plan")
+	set.StringVar(&flags.except, "except", "", "rules not to look at, to see what lies behind a known fault")
+	return command
+}
+
+func (f *exploreFlags) run() error {
+	if f.except != "" {
+		f.options.Except = strings.Split(f.except, ",")
+	}
+	if f.replay != "" {
+		return f.runReplay()
+	}
+	summary := explore.Sweep(f.options, f.seed, f.walks, f.workers, f.limit, func(s explore.Summary) {
+		fmt.Fprintf(os.Stderr, "%s: %d walks, %d steps, %v\n", s.Took.Round(time.Second), s.Walks, s.Steps, s.Broken)
+	})
+	fmt.Printf("%d walks of %d rounds, %d voters: %d steps, %d epochs held, %d answers in %s; actions %v\n", summary.Walks, f.options.Rounds,
+		f.options.Voters, summary.Steps, summary.Epochs, summary.Answers, summary.Took.Round(time.Millisecond), summary.Counts)
+	for _, rule := range slices.Sorted(maps.Keys(summary.Found)) {
+		fmt.Printf("%s: broken by %d walks\n", rule, summary.Broken[rule])
+		tell(explore.Shrink(summary.Found[rule]))
+	}
+	if len(summary.Found) > 0 {
+		return fmt.Errorf("%d promises were broken", len(summary.Found))
+	}
+	return nil
+}
+
+// tell prints a counterexample in the form that --replay reads.
+func tell(found explore.Result) {
+	fmt.Printf("# %s\n%s", found.Violation, found.Plan)
+}
+
+func (f *exploreFlags) runReplay() error {
+	text, err := os.ReadFile(f.replay)
+	if err != nil {
+		return err
+	}
+	plan, err := explore.ParsePlan(string(text))
+	if err != nil {
+		return err
+	}
+	var log func(string)
+	if f.log {
+		log = func(line string) { fmt.Println(line) }
+	}
+	result := explore.Replay(plan, log)
+	if result.Violation == nil {
+		fmt.Printf("no promise broken in %d steps\n", result.Steps)
+		return nil
+	}
+	tell(result)
+	return fmt.Errorf("a promise was broken")
+}
--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -1,5 +1,6 @@
 // Command simulate plays scenarios in the simulator over many seeds and reports what
-// broke, the worst figures, and how to replay a failure.
+// broke, the worst figures, and how to replay a failure. Its subcommand explore searches
+// the states of the control machines.
 package main
 
 import (
@@ -53,6 +54,7 @@
 	flags.Float64Var(&rate, "rate", rate, "requests a second")
 	flags.BoolVar(&log, "log", false, "print every happening (one seed only)")
 	flags.BoolVar(&shrink, "shrink", false, "shrink the first failing plan")
+	root.AddCommand(exploreCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -683,6 +683,9 @@
 // Serving is for tests and status.
 func (m *Machine) Serving() bool { return m.mode == serving }
 
+// VoterState is for tests and status: what this disk says of its voter.
+func (m *Machine) VoterState() message.VoterState { return m.quorum.State }
+
 // ForceRecover gives the other voters up and returns the snapshot to be written: an operator's
 // deed on the stopped survivor of two lost disks.
 func (m *Machine) ForceRecover() []byte {
--- /dev/null
+++ b/internal/explore/checks.go
@@ -0,0 +1,100 @@
+// This file holds the promises that every run is checked against.
+package explore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"beaconvane/internal/quorum"
+)
+
+// decidedList is a member list under which a majority decided something.
+type decidedList struct {
+	list map[string]string
+	by   string
+}
+
+// checkContact: a statement of fact comes only from a process that has heard a majority
+// since the request came.
+func (w *World) checkContact(p *process, asked request) {
+	heard := 1
+	for _, step := range p.contacts {
+		if step >= asked.arrived {
+			heard++
+		}
+	}
+	if heard*2 <= w.plan.Voters {
+		w.violate("contact", "%s answers %s with %s, and has heard %d of %d voters since it was asked",
+			p.name(), asked.operation, asked.operation.answer, heard, w.plan.Voters)
+	}
+}
+
+// checkDecidedList: the member lists of all decisions form one line, so any two majorities
+// that decided share a voter whose disk knows both.
+func (w *World) checkDecidedList(p *process) {
+	if w.plan.Named {
+		return
+	}
+	state := p.machine.VoterState()
+	for _, earlier := range w.lists {
+		if !ordered(earlier.list, state.MemberList) && !ordered(state.MemberList, earlier.list) {
+			w.violate("one-line", "%s decided under %s, and %s under %s", earlier.by, listText(earlier.list), p.name(), listText(state.MemberList))
+			return
+		}
+	}
+	if len(w.lists) == 0 || !maps.Equal(w.lists[len(w.lists)-1].list, state.MemberList) {
+		w.lists = append(w.lists, decidedList{maps.Clone(state.MemberList), p.name()})
+	}
+}
+
+func ordered(one, other map[string]string) bool {
+	for voter, identity := range one {
+		if identity > other[voter] {
+			return false
+		}
+	}
+	return true
+}
+
+func listText(list map[string]string) string {
+	parts := []string{}
+	for _, voter := range slices.Sorted(maps.Keys(list)) {
+		parts = append(parts, voter+"="+quorum.BareIdentity(list[voter]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// snapshotMost is more than a snapshot of all kept versions and of all that a run adds to
+// the member list may have.
+const snapshotMost = 4096
+
+func (w *World) checkSnapshot(p *process, snapshot []byte) {
+	if len(snapshot) > snapshotMost {
+		w.violate("bounded", "%s writes a snapshot of %d bytes", p.name(), len(snapshot))
+	}
+}
+
+// Rules names the promises that are checked, with what each says.
+func Rules() map[string]string {
+	return map[string]string{
+		"one-content":         "one content under one version, for ever",
+		"read-your-writes":    "a read gives what was acknowledged before it was asked, or newer",
+		"linearizable":        "writes and reads fit one order",
+		"one-holder-an-epoch": "an epoch is held by one life of one process",
+		"no-false-refusal":    "an order that was taken is never refused",
+		"contact":             "answers come from whoever heard a majority since the request",
+		"one-line":            "member lists of decisions form one line",
+		"bounded":             "snapshots are bounded",
+		"one-answer":          "a request is answered once",
+		"restart":             "a process starts from whatever a crash leaves",
+	}
+}
+
+func (o *operation) String() string {
+	if o.kind == readKind {
+		return "a read"
+	}
+	return fmt.Sprintf("a write of version %d, %s", o.version, o.body)
+}
--- /dev/null
+++ b/internal/explore/run.go
@@ -0,0 +1,96 @@
+// This file plays plans: drawn, replayed and shrunk.
+package explore
+
+// Options shape an exploration.
+type Options struct {
+	Voters  int
+	Named   bool
+	Highest bool
+	Rounds  int
+	Faults  int
+	Except  []string // rules that are not looked at, to see what lies behind a known fault
+}
+
+// Result is what a run came to.
+type Result struct {
+	Plan      Plan
+	Violation *Violation
+	Steps     int64
+	Counts    map[Kind]int
+	Epochs    int // that were held
+	Answers   int
+}
+
+func (o Options) plan(seed uint64) Plan {
+	return Plan{Seed: seed, Voters: o.Voters, Named: o.Named, Highest: o.Highest, Rounds: o.Rounds, Except: o.Except}
+}
+
+func play(plan Plan, chooser chooser, log func(line string)) Result {
+	w := newWorld(plan, chooser, log)
+	w.run()
+	plan.Actions = w.applied
+	result := Result{Plan: plan, Violation: w.violation, Steps: w.step, Counts: w.counts, Epochs: len(w.holders)}
+	for _, asked := range w.history.operations {
+		if asked.answer.factual() {
+			result.Answers++
+		}
+	}
+	return result
+}
+
+// Walk plays one guided random walk.
+func Walk(options Options, seed uint64) Result {
+	return play(options.plan(seed), newWalker(seed, options.Faults), nil)
+}
+
+// replayer gives a plan's actions at their places.
+type replayer struct{ actions []Action }
+
+func (r *replayer) choose(w *World, _ *item) []Action {
+	due := []Action{}
+	for len(r.actions) > 0 {
+		next := r.actions[0]
+		if next.Round > w.round || next.Round == w.round && next.Step > w.inRound {
+			break
+		}
+		due = append(due, next)
+		r.actions = r.actions[1:]
+	}
+	return due
+}
+
+// Replay plays a plan; log, if any, is told every happening.
+func Replay(plan Plan, log func(line string)) Result {
+	return play(plan, &replayer{plan.Actions}, log)
+}
+
+// Shrink leaves actions out as long as the same promise is broken.
+func Shrink(found Result) Result {
+	rule := found.Violation.Rule
+	breaks := func(plan Plan) (Result, bool) {
+		result := Replay(plan, nil)
+		return result, result.Violation != nil && result.Violation.Rule == rule
+	}
+	best, broken := breaks(found.Plan)
+	if !broken {
+		return found
+	}
+	for size := max(len(best.Plan.Actions)/2, 1); ; {
+		shrunk := false
+		for from := 0; from < len(best.Plan.Actions); {
+			plan := best.Plan
+			plan.Actions = append(append([]Action{}, best.Plan.Actions[:from]...), best.Plan.Actions[min(from+size, len(best.Plan.Actions)):]...)
+			if result, broken := breaks(plan); broken {
+				best, shrunk = result, true
+				continue
+			}
+			from += size
+		}
+		if size == 1 && !shrunk {
+			break
+		}
+		size = max(size/2, 1)
+	}
+	best.Plan.Rounds = min(best.Plan.Rounds, best.Violation.Round+1)
+	return best
+}
--- /dev/null
+++ b/internal/explore/sweep.go
@@ -0,0 +1,79 @@
+// This file plays many walks at once and tells how it goes.
+package explore
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beaconvane/internal/goroutine"
+)
+
+// Summary is what a sweep came to.
+type Summary struct {
+	Walks   int64
+	Steps   int64
+	Epochs  int64
+	Answers int64
+	Counts  map[Kind]int64
+	Found   map[string]Result // the first of each rule
+	Broken  map[string]int64  // walks by rule
+	Took    time.Duration
+}
+
+// Sweep plays walks from a first seed on, some at a time, until count are played or the
+// time is up (0: no limit); progress is told now and then.
+func Sweep(options Options, first uint64, count int64, workers int, limit time.Duration, progress func(Summary)) Summary {
+	summary := Summary{Counts: map[Kind]int64{}, Found: map[string]Result{}, Broken: map[string]int64{}}
+	began := time.Now()
+	next := atomic.Int64{}
+	lock := sync.Mutex{}
+	told := began
+	waiting := sync.WaitGroup{}
+	members := goroutine.New()
+	for range workers {
+		waiting.Add(1)
+		members.Go("explore.walk", func(context.Context) {
+			defer waiting.Done()
+			for {
+				index := next.Add(1) - 1
+				if index >= count || limit > 0 && time.Since(began) > limit {
+					return
+				}
+				result := Walk(options, first+uint64(index))
+				lock.Lock()
+				summary.add(result)
+				if progress != nil && time.Since(told) > progressEvery {
+					told = time.Now()
+					summary.Took = time.Since(began)
+					progress(summary)
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	waiting.Wait()
+	summary.Took = time.Since(began)
+	return summary
+}
+
+const progressEvery = 5 * time.Second
+
+func (s *Summary) add(result Result) {
+	s.Walks++
+	s.Steps += result.Steps
+	s.Epochs += int64(result.Epochs)
+	s.Answers += int64(result.Answers)
+	for kind, count := range result.Counts {
+		s.Counts[kind] += int64(count)
+	}
+	if result.Violation == nil {
+		return
+	}
+	rule := result.Violation.Rule
+	s.Broken[rule]++
+	if held, found := s.Found[rule]; !found || result.Plan.Seed < held.Plan.Seed {
+		s.Found[rule] = result
+	}
+}
--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -137,3 +137,9 @@
 		file.synced = append([]byte{}, file.current...)
 	}
 }
+
+// StopAfter has the machine stop after so many more operations; Crash lifts it.
+func (d *Disk) StopAfter(steps int) { d.steps = steps }
+
+// Stopped says that the machine has stopped within an operation.
+func (d *Disk) Stopped() bool { return d.steps == 0 }
