fleet, loadgen, stubserver, workload: small files and functions, standard names

fleet.go held eight matters in 554 lines and play.go the scenarios with the run; now fleet, process, upstreams, client, record, scenarios, play. The load generator's Run and the stub server's serve are steps. An unused field (direct) of the load plan went. Behaviour unchanged.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -81,7 +81,7 @@
 				return err
 			}
 			defer fleetRun.StopAll()
-			if err := os.WriteFile(folder+"/configuration.json", deployment.ConfigName(deployment.Tenants(), 0), 0o600); err != nil {
+			if err := os.WriteFile(folder+"/configuration.json", deployment.Configuration(deployment.Tenants(), 0), 0o600); err != nil {
 				return err
 			}
 			for _, process := range fleetRun.Processes {
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -16,7 +16,7 @@
 func main() {
 	path, record := "", ""
 	length, limit := 10*time.Second, 8*time.Second
-	root := &cobra.Command{Use: "loadgen", Short: "ask proxies at a set rate and count what they say", SilenceUsage: true,
+	root := &cobra.Command{Use: "loadgen", Short: "send requests to proxies at a set rate and count the answers", SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
 			body, err := os.ReadFile(path)
 			if err != nil {
@@ -30,8 +30,8 @@
 				return fmt.Errorf("a plan wants proxies, kinds, tenants and a rate above 0")
 			}
 			plan.Length, plan.Limit, plan.Base = length, limit, time.Now()
-			members := goroutine.New()
-			asked := loadgen.Run(members.Context, members, plan)
+			group := goroutine.New()
+			asked := loadgen.Run(group.Context, group, plan)
 			if record != "" {
 				file, err := os.Create(record)
 				if err != nil {
@@ -49,7 +49,7 @@
 		}}
 	root.Flags().StringVar(&path, "plan", "", "plan file (JSON): proxies, kinds, tenants, rate")
 	root.Flags().StringVar(&record, "record", "", "file for one JSON line a request")
-	root.Flags().DurationVar(&length, "length", length, "how long to ask")
+	root.Flags().DurationVar(&length, "length", length, "how long to send requests")
 	root.Flags().DurationVar(&limit, "limit", limit, "how long to wait for an answer")
 	root.MarkFlagRequired("plan")
 	if root.Execute() != nil {
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"beaconvane/internal/checker"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/frontend"
+	"beaconvane/internal/loadgen"
+	"beaconvane/internal/message"
+)
+
+// requestLimit bounds one request of the load generator.
+const requestLimit = 8 * time.Second
+
+var httpClient = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 4}}
+
+// fetch reads the bytes of an answer; status 0: none came whole.
+func fetch(url string) ([]byte, int) {
+	response, err := httpClient.Get(url)
+	if err != nil {
+		return nil, 0
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0
+	}
+	return body, response.StatusCode
+}
+
+// Get reads JSON from a process into target; it returns the status, or 0 when no JSON came.
+func Get(url string, target any) int {
+	body, status := fetch(url)
+	if status == 0 || target != nil && json.Unmarshal(body, target) != nil {
+		return 0
+	}
+	return status
+}
+
+// Ready reports whether every proxy is ready.
+func (f *Fleet) Ready() bool {
+	for _, process := range f.Of(message.RoleProxy) {
+		if Get("http://"+process.Outside+"/beacon/ready", nil) != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Write writes a version of the configuration through the first registry that answers, and records
+// the acknowledgement. It returns the HTTP status.
+func (f *Fleet) Write(version int64, tenants []loadgen.Tenant, more int) (int, error) {
+	body := f.Deployment.Configuration(tenants, more)
+	for _, process := range f.Of(message.RoleRegistry) {
+		url := fmt.Sprintf("http://%s/v1/configurations/main/%d", process.Outside, version)
+		request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+		if err != nil {
+			return 0, errcode.Wrap("fleet.write", errcode.Internal, err)
+		}
+		response, err := httpClient.Do(request)
+		if err != nil {
+			continue
+		}
+		answer, _ := io.ReadAll(io.LimitReader(response.Body, 300))
+		response.Body.Close()
+		f.countAnswer(response)
+		if response.StatusCode != http.StatusOK {
+			return response.StatusCode, errcode.Wrap("fleet.write", errcode.ConfigurationBad, fmt.Errorf("%s", answer))
+		}
+		f.acknowledged(version, tenants, body)
+		return response.StatusCode, nil
+	}
+	return 0, errcode.Wrap("fleet.write", errcode.ConnectionLost, errors.New("no registry answers"))
+}
+
+func (f *Fleet) countAnswer(response *http.Response) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.answers[fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get(frontend.CodeHeader))]++
+}
+
+// acknowledged records what a version allows from now on.
+func (f *Fleet) acknowledged(version int64, tenants []loadgen.Tenant, body []byte) {
+	write := checker.Write{ConfigName: "main", Version: version, At: f.since(), Services: map[string]string{}, Keys: map[string]string{}, Digest: checker.Digest(body)}
+	for _, kind := range f.Deployment.Kinds {
+		write.Services[kind.Route] = kind.Service
+	}
+	for _, tenant := range tenants {
+		write.Keys[tenant.Key] = tenant.Name
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.writes = append(f.writes, write)
+}
+
+// Holder returns the registry that holds a lease, by its own status; nil for none.
+func (f *Fleet) Holder(tag string) *Process {
+	for _, process := range f.Of(message.RoleRegistry) {
+		status := struct {
+			Leases map[string]struct {
+				Here bool `json:"here"`
+			} `json:"leases"`
+		}{}
+		if Get("http://"+process.Outside+"/v1/status", &status) == http.StatusOK && status.Leases[tag].Here {
+			return process
+		}
+	}
+	return nil
+}
+
+// Load runs the load generator over all proxies and returns its record.
+func (f *Fleet) Load(rate float64, length time.Duration, seed uint64) []checker.Asked {
+	proxies := []string{}
+	for _, process := range f.Of(message.RoleProxy) {
+		proxies = append(proxies, process.Outside)
+	}
+	return loadgen.Run(f.Group.Context, f.Group, loadgen.Plan{Proxies: proxies, Kinds: f.Deployment.Kinds, Tenants: f.Deployment.Tenants(),
+		Rate: rate, Length: length, Limit: requestLimit, Seed: seed, Base: f.Base})
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"beaconvane/internal/checker"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+)
+
+const (
+	// stopLimit is how long a process may take to stop before it is killed.
+	stopLimit = 5 * time.Second
+	// clockTicks a second and KiB a page, as /proc counts them on Linux.
+	clockTicks = 100
+	pageKiB    = 4
+)
+
+// Process is one product process of the fleet.
+type Process struct {
+	Role     string
+	Node     string
+	Outside  string
+	settings string
+	log      string
+	command  *exec.Cmd
+	ended    chan struct{}
+
+	frozenAt time.Duration
+}
+
+// Settings returns the path of its settings file.
+func (p *Process) Settings() string { return p.settings }
+
+// Start starts a process.
+func (f *Fleet) Start(process *Process) error {
+	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errcode.Wrap("fleet.log", errcode.DiskFault, err)
+	}
+	process.command = exec.Command(filepath.Join(f.Bin, process.Role), "--config", process.settings)
+	process.command.Stdout, process.command.Stderr = log, log
+	if err := process.command.Start(); err != nil {
+		return errcode.Wrap("fleet.start", errcode.Internal, err)
+	}
+	ended := make(chan struct{})
+	process.ended = ended
+	command := process.command
+	f.Group.Go("fleet.wait", func(context.Context) {
+		command.Wait()
+		log.Close()
+		close(ended)
+	})
+	return nil
+}
+
+// Watch begins to hold the running proxies to the bounds for connected nodes.
+func (f *Fleet) Watch() {
+	for _, process := range f.Of(message.RoleProxy) {
+		f.watched[process.Node] = f.since()
+	}
+}
+
+// unwatch ends that for a process that is about to be disturbed; it is not resumed.
+func (f *Fleet) unwatch(process *Process) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if from, watched := f.watched[process.Node]; watched && process.Role == message.RoleProxy {
+		delete(f.watched, process.Node)
+		f.spans = append(f.spans, checker.Span{Name: process.Node, From: from, To: f.since()})
+	}
+}
+
+// Signal sends a signal to a process that this fleet started, and records when.
+func (f *Fleet) Signal(process *Process, signal syscall.Signal) {
+	f.unwatch(process)
+	f.lock.Lock()
+	switch signal {
+	case syscall.SIGKILL:
+		f.hurt = append(f.hurt, checker.Span{Name: process.Outside, From: f.since(), To: f.since()})
+	case syscall.SIGSTOP:
+		process.frozenAt = f.since()
+	case syscall.SIGCONT:
+		if process.frozenAt > 0 {
+			f.held = append(f.held, checker.Span{Name: process.Outside, From: process.frozenAt, To: f.since()})
+		}
+		process.frozenAt = 0
+	}
+	f.lock.Unlock()
+	select {
+	case <-process.ended:
+	default:
+		process.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends a process by SIGKILL and waits for it.
+func (f *Fleet) Kill(process *Process) {
+	f.Signal(process, syscall.SIGKILL)
+	<-process.ended
+}
+
+// StopAll asks every process to stop, and kills what is left after a while.
+func (f *Fleet) StopAll() {
+	for _, process := range f.Processes {
+		if process.command != nil {
+			f.Signal(process, syscall.SIGCONT)
+			f.Signal(process, syscall.SIGTERM)
+		}
+	}
+	for _, process := range f.Processes {
+		if process.command == nil {
+			continue
+		}
+		timer := time.NewTimer(stopLimit)
+		select {
+		case <-process.ended:
+		case <-timer.C:
+			f.Kill(process)
+		}
+		timer.Stop()
+	}
+	f.collector.Close()
+	f.Group.Stop(2 * time.Second)
+}
+
+// Use is what a process has used of the machine.
+type Use struct {
+	Role   string  `json:"role"`
+	Node   string  `json:"node"`
+	CPU    float64 `json:"cpu_seconds"`
+	Memory int64   `json:"memory_kib"`
+}
+
+// Uses reads processor time and memory of the running processes.
+func (f *Fleet) Uses() []Use {
+	list := []Use{}
+	for _, process := range f.Processes {
+		body, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.command.Process.Pid))
+		if err != nil {
+			continue
+		}
+		fields := bytes.Fields(body[bytes.LastIndexByte(body, ')')+2:])
+		var user, system, pages int64
+		fmt.Sscan(string(fields[11]), &user)
+		fmt.Sscan(string(fields[12]), &system)
+		fmt.Sscan(string(fields[21]), &pages)
+		list = append(list, Use{process.Role, process.Node, float64(user+system) / clockTicks, pages * pageKiB})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/fleet/record.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"beaconvane/internal/checker"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+)
+
+func (f *Fleet) collect(out http.ResponseWriter, in *http.Request) {
+	report := struct {
+		Window int64            `json:"window"`
+		Counts map[string]int64 `json:"counts"`
+		From   string           `json:"from"`
+	}{}
+	if err := json.NewDecoder(in.Body).Decode(&report); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	length := time.Duration(settings.Default().Bounds.UsageWindow) * time.Millisecond
+	end := time.Duration(report.Window+1)*length - time.Duration(f.Base.UnixNano())
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.reported = append(f.reported, checker.Reported{Window: report.Window, From: report.From, Counts: report.Counts, At: f.since(), End: end})
+}
+
+// Record returns all that the run left, with the logs of the processes.
+func (f *Fleet) Record(asked []checker.Asked) checker.Record {
+	record := checker.Record{Asked: asked, Bounds: checker.BriefBounds(f.Deployment.Withdrawal)}
+	for _, upstream := range f.Upstreams {
+		record.Ran = append(record.Ran, upstream.Runs()...)
+		record.Asked = append(record.Asked, upstream.Asked()...)
+		record.Peaks = append(record.Peaks, checker.Peak{Instance: upstream.Announcement.Instance, Most: upstream.Most(), Slots: int(upstream.Announcement.Slots)})
+	}
+	for _, process := range f.Processes {
+		f.unwatch(process)
+	}
+	f.lock.Lock()
+	record.Up, record.Held, record.Hurt = f.spans, f.held, f.hurt
+	record.Writes, record.Reported, record.Leaving = f.writes, f.reported, f.leaving
+	f.lock.Unlock()
+	for _, process := range f.Processes {
+		record.Keeping = append(record.Keeping, f.keepings(process)...)
+		if process.Role == message.RoleProxy {
+			record.Forced = append(record.Forced, f.forces(process)...)
+		}
+	}
+	f.readBack(&record)
+	record.End = f.since()
+	record.Window, record.Epoch = time.Duration(settings.Default().Bounds.UsageWindow)*time.Millisecond, time.Duration(f.Base.UnixNano())
+	return record
+}
+
+// readBack reads from each registry every version that is kept and every window that was reported.
+func (f *Fleet) readBack(record *checker.Record) {
+	record.KeptMost = int(settings.Default().Limits.KeptConfigurations)
+	for _, process := range f.Of(message.RoleRegistry) {
+		listed := struct {
+			Versions []int64 `json:"versions"`
+		}{}
+		Get("http://"+process.Outside+"/v1/configurations/main/versions", &listed)
+		for _, version := range listed.Versions {
+			body, status := fetch(fmt.Sprintf("http://%s/v1/configurations/main/%d", process.Outside, version))
+			if status == http.StatusOK {
+				record.Kept = append(record.Kept, checker.Kept{Voter: process.Node, ConfigName: "main", Version: version, Digest: checker.Digest(body)})
+			}
+		}
+		for _, report := range record.Reported {
+			reread := struct {
+				Counts map[string]int64 `json:"counts"`
+			}{}
+			if Get(fmt.Sprintf("http://%s/v1/usage/%d", process.Outside, report.Window), &reread) == http.StatusOK {
+				record.Reread = append(record.Reread, checker.Reported{Window: report.Window, From: process.Node, Counts: reread.Counts})
+			}
+		}
+	}
+}
+
+// logLine is one line of a process's log.
+type logLine struct {
+	EventName string `json:"msg"`
+	At        string `json:"ts"`
+	Epoch     int64  `json:"epoch"`
+	Cause     string `json:"cause"`
+}
+
+// events returns the events of one name in a process's log, whose JSON lines outlive the process.
+func (f *Fleet) events(process *Process, wanted string) []logLine {
+	body, err := os.ReadFile(process.log)
+	if err != nil {
+		return nil
+	}
+	list := []logLine{}
+	for _, line := range bytes.Split(body, []byte("\n")) {
+		read := logLine{}
+		if json.Unmarshal(line, &read) == nil && read.EventName == wanted {
+			list = append(list, read)
+		}
+	}
+	return list
+}
+
+// at returns the time of a line since the start of the run.
+func (f *Fleet) at(line logLine) time.Duration {
+	at, err := time.Parse(time.RFC3339Nano, line.At)
+	if err != nil {
+		return 0
+	}
+	return at.Sub(f.Base)
+}
+
+func (f *Fleet) forces(process *Process) []checker.Force {
+	list := []checker.Force{}
+	for _, line := range f.events(process, "configuration-in-force") {
+		list = append(list, checker.Force{Node: process.Node, ConfigName: line.Cause, Version: line.Epoch, At: f.at(line)})
+	}
+	return list
+}
+
+func (f *Fleet) keepings(process *Process) []checker.Keeping {
+	list := []checker.Keeping{}
+	for _, line := range f.events(process, "lease-taken") {
+		tag, _, _ := strings.Cut(line.Cause, " ")
+		list = append(list, checker.Keeping{Tag: tag, Voter: process.Node, Epoch: line.Epoch, At: f.at(line)})
+	}
+	return list
+}
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -1,7 +1,6 @@
-// Package loadgen is the project's load generator: an open loop at a set rate, so that
-// a stall shows as late answers and not as fewer requests. Latency counts from the
-// intended start. Every request has an id of its own, kept with what the caller was
-// told, for the checker to hold against what the upstreams ran.
+// Package loadgen is the load generator: an open loop at a set rate, so that a stall shows as late
+// answers and not as fewer requests. Latency counts from the intended start. Every request has an id
+// of its own, kept with its answer, for the checker to compare with what the upstreams ran.
 package loadgen
 
 import (
@@ -17,8 +16,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/atomic"
-
 	"beaconvane/internal/backend"
 	"beaconvane/internal/checker"
 	"beaconvane/internal/frontend"
@@ -45,77 +42,126 @@
 	Key  string `json:"key"`
 }
 
-// Plan is what to ask, where, how fast and for how long.
+// Plan is what to request, where, how fast and for how long.
 type Plan struct {
 	Proxies []string      `json:"proxies"`
 	Kinds   []Kind        `json:"kinds"`
 	Tenants []Tenant      `json:"tenants"`
-	Rate    float64       `json:"rate"`
+	Rate    float64       `json:"rate"` // requests a second
 	Length  time.Duration `json:"length"`
-	Limit   time.Duration `json:"limit"`
+	Limit   time.Duration `json:"limit"` // of one request
 	Seed    uint64        `json:"seed"`
-	Base    time.Time     `json:"-"`
-	Direct  bool          `json:"direct"` // the targets are upstreams, not proxies
+	Base    time.Time     `json:"-"` // times of the record are since then
 }
 
-// Run asks by the plan and gives the record.
-func Run(ctx context.Context, members *goroutine.Group, plan Plan) []checker.Asked {
-	random := rand.New(rand.NewPCG(plan.Seed, 7))
-	client := &http.Client{Timeout: plan.Limit, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256, MaxIdleConns: 4096, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
-	total := 0.0
-	for _, kind := range plan.Kinds {
-		total += kind.Weight
-	}
-	var lock sync.Mutex
-	var waiting sync.WaitGroup
-	list := []checker.Asked{}
-	var out atomic.Int64
+// Run makes the requests of a plan and returns the record, when all are answered or the context
+// ends.
+func Run(ctx context.Context, group *goroutine.Group, plan Plan) []checker.Asked {
+	run := &run{plan: plan, client: newClient(plan), random: rand.New(rand.NewPCG(plan.Seed, 7))}
 	begin := time.Now()
 	count := int(plan.Rate * plan.Length.Seconds())
 	for number := range count {
 		intended := begin.Add(time.Duration(float64(number) / plan.Rate * float64(time.Second)))
-		if wait := time.Until(intended); wait > 0 {
-			timer := time.NewTimer(wait)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				timer.Stop()
-				waiting.Wait()
-				return list
-			}
+		if !waitUntil(ctx, intended) {
+			break
 		}
-		memberList, chosenKind := random.Float64()*total, plan.Kinds[0]
-		for _, kind := range plan.Kinds {
-			if memberList -= kind.Weight; memberList < 0 {
-				chosenKind = kind
-				break
-			}
-		}
-		chosenTenant := plan.Tenants[random.IntN(len(plan.Tenants))]
-		chosenProxy := plan.Proxies[random.IntN(len(plan.Proxies))]
-		asked := checker.Asked{ID: fmt.Sprintf("q%d-%d", plan.Seed, number), Proxy: chosenProxy, Route: chosenKind.Route, Service: chosenKind.Service,
-			Tenant: chosenTenant.Name, Key: chosenTenant.Key, Caller: chosenKind.Caller, Once: chosenKind.Once, Intended: intended.Sub(plan.Base)}
-		waiting.Add(1)
-		out.Inc()
-		members.Go("loadgen.ask", func(context.Context) {
-			defer waiting.Done()
-			defer out.Dec()
-			request(client, plan, chosenKind, &asked)
-			lock.Lock()
-			list = append(list, asked)
-			lock.Unlock()
+		kind, asked := run.next(number, intended)
+		run.waiting.Add(1)
+		group.Go("loadgen.request", func(context.Context) {
+			defer run.waiting.Done()
+			run.request(kind, &asked)
+			run.keep(asked)
 		})
 	}
-	waiting.Wait()
-	return list
+	run.waiting.Wait()
+	return run.record
+}
+
+// run is a plan being carried out.
+type run struct {
+	plan    Plan
+	client  *http.Client
+	random  *rand.Rand
+	waiting sync.WaitGroup
+	lock    sync.Mutex
+	record  []checker.Asked
+}
+
+func newClient(plan Plan) *http.Client {
+	return &http.Client{
+		Timeout:       plan.Limit,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			Proxy:               nil,
+			MaxIdleConnsPerHost: 256,
+			MaxIdleConns:        4096,
+			DisableCompression:  true,
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		},
+	}
+}
+
+// waitUntil returns false when the context ended first.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// next draws the kind, tenant and proxy of a request.
+func (r *run) next(number int, intended time.Time) (Kind, checker.Asked) {
+	kind := r.drawKind()
+	tenant := r.plan.Tenants[r.random.IntN(len(r.plan.Tenants))]
+	proxy := r.plan.Proxies[r.random.IntN(len(r.plan.Proxies))]
+	return kind, checker.Asked{
+		ID:       fmt.Sprintf("q%d-%d", r.plan.Seed, number),
+		Proxy:    proxy,
+		Route:    kind.Route,
+		Service:  kind.Service,
+		Tenant:   tenant.Name,
+		Key:      tenant.Key,
+		Caller:   kind.Caller,
+		Once:     kind.Once,
+		Intended: intended.Sub(r.plan.Base),
+	}
+}
+
+// drawKind draws a kind of request by weight.
+func (r *run) drawKind() Kind {
+	total := 0.0
+	for _, kind := range r.plan.Kinds {
+		total += kind.Weight
+	}
+	left := r.random.Float64() * total
+	for _, kind := range r.plan.Kinds {
+		if left -= kind.Weight; left < 0 {
+			return kind
+		}
+	}
+	return r.plan.Kinds[0]
+}
+
+func (r *run) keep(asked checker.Asked) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.record = append(r.record, asked)
 }
 
-func request(client *http.Client, plan Plan, kind Kind, asked *checker.Asked) {
-	asked.Sent = time.Since(plan.Base)
-	// A body that is no bytes.Reader can't be rewound, so the library can't resend it.
-	request, err := http.NewRequest(kind.Method, "http://"+asked.Proxy+kind.Path, io.MultiReader(bytes.NewReader(make([]byte, kind.Body))))
+// request makes one request and records its answer.
+func (r *run) request(kind Kind, asked *checker.Asked) {
+	asked.Sent = time.Since(r.plan.Base)
+	// A body that is no bytes.Reader can't be rewound, so the library can't send it again.
+	body := io.MultiReader(bytes.NewReader(make([]byte, kind.Body)))
+	request, err := http.NewRequest(kind.Method, "http://"+asked.Proxy+kind.Path, body)
 	if err != nil {
 		asked.Connection = true
 		return
@@ -127,22 +173,22 @@
 	request.Header.Set(stubserver.IDHeader, asked.ID)
 	request.Header.Set(frontend.KeyHeader, asked.Key)
 	request.Header.Set(backend.CallerHeader, kind.Caller)
-	response, err := client.Do(request)
+	response, err := r.client.Do(request)
 	if err != nil {
-		asked.Connection, asked.Done = true, time.Since(plan.Base)
+		asked.Connection, asked.Done = true, time.Since(r.plan.Base)
 		return
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	asked.Done = time.Since(plan.Base)
+	answer, err := io.ReadAll(response.Body)
+	asked.Done = time.Since(r.plan.Base)
 	asked.Connection = err != nil
-	asked.Status, asked.Body = response.StatusCode, string(body)
+	asked.Status, asked.Body = response.StatusCode, string(answer)
 	asked.Code, _ = strconv.Atoi(response.Header.Get(frontend.CodeHeader))
 	asked.Mark = response.Header.Get(stubserver.MarkHeader)
 	asked.Retry = response.Header.Get("Retry-After") != ""
 }
 
-// Summary is a run in numbers.
+// Summary is a run in numbers; latencies are those of good answers.
 type Summary struct {
 	Asked   int            `json:"asked"`
 	Good    int            `json:"good"`
@@ -154,7 +200,7 @@
 	Longest float64        `json:"max_ms"`
 }
 
-// Summarise counts answers and ranks latencies from the intended start.
+// Summarise counts answers and ranks latencies, in milliseconds from the intended start.
 func Summarise(list []checker.Asked) Summary {
 	summary := Summary{Asked: len(list), ByCode: map[string]int{}}
 	waits := []float64{}
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -537,7 +537,7 @@
 
 // writeUntil repeats a put, as an operator would, until it is settled or refused.
 func (w *World) writeUntil(version int64, tenants []loadgen.Tenant, more int) {
-	body := w.options.Deployment.ConfigName(tenants, more)
+	body := w.options.Deployment.Configuration(tenants, more)
 	committed := false
 	var try func()
 	try = func() {
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -365,7 +365,7 @@
 	case "put-race":
 		won := 0
 		for index := range 2 {
-			body := w.options.Deployment.ConfigName(tenants[:w.tenants], 10+index)
+			body := w.options.Deployment.Configuration(tenants[:w.tenants], 10+index)
 			w.write(version, tenants[:w.tenants], body, func(code errcode.Code) {
 				if code == errcode.OK {
 					won++
@@ -383,7 +383,7 @@
 			}
 		})
 	case "put-and-kill", "put-and-kill-disk":
-		body := w.options.Deployment.ConfigName(tenants[:w.tenants], int(version))
+		body := w.options.Deployment.Configuration(tenants[:w.tenants], int(version))
 		lose := step.Do == "put-and-kill-disk"
 		w.write(version, tenants[:w.tenants], body, func(code errcode.Code) {
 			if code == errcode.OK {
--- a/internal/stubserver/stubserver.go
+++ b/internal/stubserver/stubserver.go
@@ -1,6 +1,6 @@
-// Package stubserver is the stand-in upstream: it announces itself to a proxy, runs
-// requests for a set time, keeps a record of every run, and can be told to misbehave:
-// lose answers, send garbage, truncated or excess answers, be slow, warm up, leave.
+// Package stubserver is the stand-in upstream of tests: it announces itself to a proxy, runs requests
+// for a set time, keeps a record of every run, and can be made to misbehave: lose answers, send
+// garbage, truncated or excess answers, be slow, warm up, leave.
 package stubserver
 
 import (
@@ -23,17 +23,17 @@
 	"beaconvane/internal/goroutine"
 )
 
-// IDHeader bears the load generator's own id of a request.
+// IDHeader has the load generator's own id of a request.
 const IDHeader = "X-Loadgen-Id"
 
 // MarkHeader marks an answer as that of one run.
 const MarkHeader = "X-Run"
 
-// OwnStatus are the statuses that stand-ins answer with, mostly the last one: refusals
-// and failures of their own are their own whole answers too.
+// OwnStatus are the statuses that stub servers answer with, mostly the last one: their own refusals
+// and failures are whole answers too.
 var OwnStatus = []int{http.StatusCreated, http.StatusNotFound, http.StatusUnprocessableEntity, http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusOK}
 
-// Faults are shares of runs that go wrong.
+// Faults are shares of runs that go wrong, each between 0 and 1.
 type Faults struct {
 	Lose     float64 // run, then close without an answer
 	Garbage  float64 // bytes that are no HTTP
@@ -42,22 +42,25 @@
 	Slow     float64 // ten times the work
 }
 
-// Call is a further call that a run makes, with the pass of its request.
+// Call is a further request that a run makes, with the pass of its own request.
 type Call struct {
-	Route, Service, Method, Path string
-	Once                         bool
+	Route   string
+	Service string
+	Method  string
+	Path    string
+	Once    bool // must not run twice
 }
 
-// Stubserver is one stand-in upstream.
+// StubServer is one stand-in upstream. Its exported fields are set before Start.
 type StubServer struct {
-	Response backend.Announcement
-	Proxies  []string // outside addresses; the first that answers is announced to
-	Work     time.Duration
-	Keys     []string // keys that must never be seen
-	Base     time.Time
-	Every    time.Duration
-	Calls    map[string]Call // by path: what it calls in turn
-	Share    float64         // of the runs that do
+	Announcement backend.Announcement
+	Proxies      []string        // HTTP addresses; it announces to the first that answers
+	Work         time.Duration   // of one request
+	Keys         []string        // keys that must never be seen
+	Base         time.Time       // times of the record are since then
+	Every        time.Duration   // between two announcements; 0: a second
+	Calls        map[string]Call // by path: the request that a run makes in turn
+	Share        float64         // of the runs that do
 
 	goroutines   *goroutine.Group
 	lock         sync.Mutex
@@ -67,37 +70,37 @@
 	most         int
 	listener     net.Listener
 	client       *http.Client
-	caller       *http.Client // for further calls; never sends twice: a new connection each
+	caller       *http.Client // for further requests; a new connection for each, so that none is sent twice
 	cancel       context.CancelFunc
 	asked        []checker.Asked
 	servingProxy string // the proxy that took the last announcement
 }
 
-// Start listens (Told.Address may have port 0) and begins to announce.
-func (u *StubServer) Start(members *goroutine.Group) error {
-	listener, err := net.Listen("tcp", u.Response.Address)
+// Start listens (the announced address may have port 0) and begins to announce.
+func (u *StubServer) Start(group *goroutine.Group) error {
+	listener, err := net.Listen("tcp", u.Announcement.Address)
 	if err != nil {
 		return errcode.Wrap("stubserver.listen", errcode.ConnectionLost, err)
 	}
-	u.listener, u.Response.Address, u.goroutines = listener, listener.Addr().String(), members
+	u.listener, u.Announcement.Address, u.goroutines = listener, listener.Addr().String(), group
 	u.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{Proxy: nil}}
 	u.caller = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}
 	if u.Every == 0 {
 		u.Every = time.Second
 	}
 	server := &http.Server{Handler: http.HandlerFunc(u.serve)}
-	ctx, cancel := context.WithCancel(members.Context)
+	ctx, cancel := context.WithCancel(group.Context)
 	u.cancel = cancel
-	members.Go("stubserver.serve", func(context.Context) { server.Serve(listener) })
-	members.Go("stubserver.close", func(context.Context) { <-ctx.Done(); server.Close() })
-	members.Go("stubserver.announce", func(context.Context) { u.announce(ctx) })
+	group.Go("stubserver.serve", func(context.Context) { server.Serve(listener) })
+	group.Go("stubserver.close", func(context.Context) { <-ctx.Done(); server.Close() })
+	group.Go("stubserver.announce", func(context.Context) { u.announce(ctx) })
 	return nil
 }
 
-// Kill ends it at once, as by a hard signal.
+// Kill ends it at once, as SIGKILL would.
 func (u *StubServer) Kill() { u.cancel() }
 
-// SetFaults changes its behaviour.
+// SetFaults sets how its runs go wrong from now on.
 func (u *StubServer) SetFaults(faults Faults) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
@@ -105,29 +108,37 @@
 }
 
 // Change alters what it announces, and announces at once.
-func (u *StubServer) Change(alter func(response *backend.Announcement)) {
+func (u *StubServer) Change(alter func(announcement *backend.Announcement)) {
 	u.lock.Lock()
-	alter(&u.Response)
+	alter(&u.Announcement)
 	u.lock.Unlock()
 	u.AnnounceOnce()
 }
 
-// SignOff says the last word.
+// signOff is the body by which an upstream ends its incarnation.
+type signOff struct {
+	Service     string `json:"service"`
+	Instance    string `json:"instance"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// SignOff tells the proxy that this incarnation has ended.
 func (u *StubServer) SignOff() {
 	u.lock.Lock()
-	response := u.Response
+	end := signOff{Service: u.Announcement.Service, Instance: u.Announcement.Instance, Incarnation: u.Announcement.Incarnation}
 	u.lock.Unlock()
-	body, _ := json.Marshal(map[string]any{"service": response.Service, "instance": response.Instance, "incarnation": response.Incarnation})
+	body, _ := json.Marshal(end)
 	u.post("/beacon/signoff", body)
 }
 
-// Runs gives the record so far; Most is the most that ran at one time.
+// Runs returns the record so far.
 func (u *StubServer) Runs() []checker.Ran {
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	return append([]checker.Ran{}, u.runs...)
 }
 
+// Most returns the most requests that ran at one time.
 func (u *StubServer) Most() int {
 	u.lock.Lock()
 	defer u.lock.Unlock()
@@ -148,10 +159,10 @@
 	}
 }
 
-// AnnounceOnce tells the first proxy that takes it.
+// AnnounceOnce announces to the first proxy that answers.
 func (u *StubServer) AnnounceOnce() {
 	u.lock.Lock()
-	body, _ := json.Marshal(u.Response)
+	body, _ := json.Marshal(u.Announcement)
 	u.lock.Unlock()
 	u.post("/beacon/announce", body)
 }
@@ -175,7 +186,7 @@
 
 func (u *StubServer) since() time.Duration { return time.Since(u.Base) }
 
-// callOn asks the proxy beside it, as whoever's request it runs.
+// callOn makes a further request to the proxy beside it, on behalf of the caller of a run.
 func (u *StubServer) callOn(call Call, ran checker.Ran, index int, pass string) {
 	asked := checker.Asked{ID: fmt.Sprintf("%s~%s~%d", ran.ID, ran.Instance, index), Proxy: ran.ServingProxy, Route: call.Route, Service: call.Service,
 		Tenant: ran.Tenant, Caller: ran.Service, Once: call.Once, Sent: u.since(), Intended: u.since(), Connection: true}
@@ -199,7 +210,7 @@
 	u.asked = append(u.asked, asked)
 }
 
-// Asked gives the further calls so far.
+// Asked returns the further requests so far.
 func (u *StubServer) Asked() []checker.Asked {
 	u.lock.Lock()
 	defer u.lock.Unlock()
@@ -218,22 +229,16 @@
 	return false
 }
 
+// serve runs one request: it is recorded, worked on, may call on, and is answered.
 func (u *StubServer) serve(out http.ResponseWriter, in *http.Request) {
 	body, err := io.ReadAll(in.Body)
 	if err != nil {
 		return
 	}
-	u.lock.Lock()
-	faults, work := u.faults, u.Work
-	ran := checker.Ran{ID: in.Header.Get(IDHeader), Service: u.Response.Service, Instance: u.Response.Instance, Address: u.Response.Address, Path: in.URL.Path,
-		Tenant: in.Header.Get(backend.TenantHeader), Caller: in.Header.Get(backend.CallerHeader), KeySeen: u.keySeen(in, body), At: u.since(), Life: u.Response.Incarnation, ServingProxy: u.servingProxy}
-	index := len(u.runs)
-	u.runs = append(u.runs, ran)
-	u.running++
-	u.most = max(u.most, u.running)
-	u.lock.Unlock()
+	ran, index, faults, work := u.begin(in, body)
+	defer u.finish()
 	if rand.Float64() < faults.Slow {
-		work *= 10
+		work *= slowFactor
 	}
 	timer := time.NewTimer(work)
 	defer timer.Stop()
@@ -242,39 +247,82 @@
 		u.callOn(call, ran, index, in.Header.Get(backend.PassHeader))
 	}
 	answer := fmt.Sprintf("%s ran at %s as run %d, %d bytes", ran.ID, ran.Instance, index, len(body))
-	defer func() {
-		u.lock.Lock()
-		u.running--
-		u.lock.Unlock()
-	}()
-	raw := ""
-	switch memberList := rand.Float64(); {
-	case memberList < faults.Lose:
-		raw = " "
-	case memberList < faults.Lose+faults.Garbage:
-		raw = "\x00\x01 this is no answer\r\n\r\n"
-	case memberList < faults.Lose+faults.Garbage+faults.Truncate:
-		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer)+50, answer)
-	case memberList < faults.Lose+faults.Garbage+faults.Truncate+faults.Excess:
-		raw = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s and more", len(answer), answer)
+	if raw, faulty := faults.draw(answer); faulty {
+		writeRaw(out, raw)
+		return
 	}
-	status := OwnStatus[min(len(OwnStatus)-1, rand.IntN(10*len(OwnStatus)))]
-	if raw != "" {
-		if conn, _, err := http.NewResponseController(out).Hijack(); err == nil {
-			if raw != " " {
-				conn.Write([]byte(raw))
-			}
-			conn.Close()
-		}
+	u.answer(out, index, answer)
+}
+
+// slowFactor is how many times as long a slow run takes.
+const slowFactor = 10
+
+// begin records a run, and returns it with its index, the faults and the work.
+func (u *StubServer) begin(in *http.Request, body []byte) (ran checker.Ran, index int, faults Faults, work time.Duration) {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	ran = checker.Ran{
+		ID:           in.Header.Get(IDHeader),
+		Service:      u.Announcement.Service,
+		Instance:     u.Announcement.Instance,
+		Address:      u.Announcement.Address,
+		Path:         in.URL.Path,
+		Tenant:       in.Header.Get(backend.TenantHeader),
+		Caller:       in.Header.Get(backend.CallerHeader),
+		KeySeen:      u.keySeen(in, body),
+		At:           u.since(),
+		Life:         u.Announcement.Incarnation,
+		ServingProxy: u.servingProxy,
+	}
+	index = len(u.runs)
+	u.runs = append(u.runs, ran)
+	u.running++
+	u.most = max(u.most, u.running)
+	return ran, index, u.faults, u.Work
+}
+
+func (u *StubServer) finish() {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	u.running--
+}
+
+// draw decides by chance whether a run goes wrong, and returns the bytes that it sends then; none
+// where the answer is lost.
+func (f Faults) draw(answer string) (raw string, faulty bool) {
+	switch chance := rand.Float64(); {
+	case chance < f.Lose:
+		return "", true
+	case chance < f.Lose+f.Garbage:
+		return "\x00\x01 this is no answer\r\n\r\n", true
+	case chance < f.Lose+f.Garbage+f.Truncate:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer)+50, answer), true
+	case chance < f.Lose+f.Garbage+f.Truncate+f.Excess:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s and more", len(answer), answer), true
+	}
+	return "", false
+}
+
+// writeRaw writes bytes past the HTTP server, and closes the connection.
+func writeRaw(out http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
 		return
 	}
+	conn.Write([]byte(raw))
+	conn.Close()
+}
+
+// answer records the whole answer of a run and sends it.
+func (u *StubServer) answer(out http.ResponseWriter, index int, answer string) {
+	status := OwnStatus[min(len(OwnStatus)-1, rand.IntN(10*len(OwnStatus)))]
 	u.lock.Lock()
 	u.runs[index].Whole, u.runs[index].Answer, u.runs[index].Status, u.runs[index].Mark = u.since(), answer, status, answer
 	u.lock.Unlock()
 	out.Header().Set("Content-Type", "text/plain")
 	out.Header().Set(MarkHeader, answer)
 	if index%10 == 0 {
-		// Not its word to give: the mesh must not let it through.
+		// Only the mesh may set this header: it must not let it through.
 		out.Header().Set(frontend.CodeHeader, "3101")
 	}
 	out.WriteHeader(status)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -1,4 +1,4 @@
-// Package workload has the two deployments as data: machines, zones, upstreams,
+// Package workload has the two deployments that are tested as data: machines, zones, upstreams,
 // tenants, rates and configurations, for the fleet runner and the simulator.
 package workload
 
@@ -14,30 +14,29 @@
 
 // Service is a kind of upstream.
 type Service struct {
-	Name  string
-	Count int
-	Slots int64
-	Work  time.Duration
-	Load  bool
-	// Closes: it closes its connection after each answer.
-	Closes bool
+	Name   string
+	Count  int           // instances
+	Slots  int64         // of each instance
+	Work   time.Duration // of one request
+	Load   bool          // its instances announce their load
+	Closes bool          // its instances close their connection after each answer
 }
 
-// Deployment is one of the brief's two.
+// Deployment is a fleet and the traffic on it.
 type Deployment struct {
 	Name       string
 	Zones      []string
 	Proxies    int
 	Services   []Service
 	Kinds      []loadgen.Kind
-	Rate       float64
-	Withdrawal bool
-	DiskDelay  time.Duration
-	Cores      int   // core machines; 0 is three
+	Rate       float64       // requests a second
+	Withdrawal bool          // withdrawn keys have a bound
+	DiskDelay  time.Duration // of one sync
+	Cores      int           // core machines; 0 is three
 	VoterCount int64 // the processes find their voters; 0: the settings name them
 }
 
-// Umuyoboro sends patient messages in Kigali.
+// Umuyoboro is the deployment that sends patient messages in Kigali.
 func Umuyoboro() Deployment {
 	return Deployment{Name: "umuyoboro", Zones: []string{"gasabo", "kicukiro", "nyarugenge"}, Proxies: 10, Rate: 540, DiskDelay: 2 * time.Millisecond,
 		Services: []Service{{"dispatch", 7, 24, 25 * time.Millisecond, false, false}, {"registry", 3, 32, 10 * time.Millisecond, false, true}},
@@ -49,7 +48,7 @@
 		}}
 }
 
-// Jendela prices windows in the Klang Valley.
+// Jendela is the deployment that prices windows in the Klang Valley.
 func Jendela() Deployment {
 	return Deployment{Name: "jendela", Zones: []string{"klang", "petaling", "shah-alam"}, Proxies: 11, Rate: 510, Withdrawal: true, DiskDelay: 20 * time.Millisecond,
 		Services: []Service{{"quoting", 5, 24, 20 * time.Millisecond, true, false}, {"booking", 3, 24, 25 * time.Millisecond, true, true}, {"factory", 3, 24, 30 * time.Millisecond, true, false}},
@@ -61,13 +60,13 @@
 		}}
 }
 
-// Vanish is how long an address is free at the least when a machine went without a
-// word and another is given its number.
+// Vanish is how long an address is free at the least after a machine disappeared without closing its
+// connections, before another machine is given it.
 func (d Deployment) Vanish() time.Duration { return 150 * time.Millisecond }
 
-// Named finds a deployment; "small" is Umuyoboro with few machines, for quick runs;
-// "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has
-// a core machine more than voters.
+// Named returns a deployment by name. "small" is Umuyoboro with few machines, for quick runs;
+// "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has a
+// core machine more than voters.
 func Named(name string) (Deployment, bool) {
 	switch name {
 	case "umuyoboro":
@@ -92,7 +91,7 @@
 	return Deployment{}, false
 }
 
-// Tenants are the deployment's eight, each with a key.
+// Tenants returns the deployment's eight tenants, each with a key.
 func (d Deployment) Tenants() []loadgen.Tenant {
 	tenants := []loadgen.Tenant{}
 	for number := range 8 {
@@ -101,8 +100,8 @@
 	return tenants
 }
 
-// Configuration writes a configuration for some tenants; more is the number of filler routes.
-func (d Deployment) ConfigName(tenants []loadgen.Tenant, more int) []byte {
+// Configuration returns a configuration for some tenants; more is the number of filler routes.
+func (d Deployment) Configuration(tenants []loadgen.Tenant, more int) []byte {
 	services, routes, listed := []string{}, []map[string]any{}, []map[string]any{}
 	for _, service := range d.Services {
 		services = append(services, service.Name)
@@ -125,10 +124,10 @@
 	return body
 }
 
-// CallShare is the share of runs that call on.
+// CallShare is the share of an upstream's runs that make a further request.
 const CallShare = 0.3
 
-// Kind finds a kind of request by its route.
+// Kind returns a kind of request by its route.
 func (d Deployment) Kind(route string) (loadgen.Kind, bool) {
 	for _, kind := range d.Kinds {
 		if kind.Route == route {
@@ -149,10 +148,10 @@
 	return callers
 }
 
-// Voters of the core.
+// Voters are the voters of the core.
 var Voters = []string{"core-1", "core-2", "core-3"}
 
-// CoreNames lists the core machines.
+// CoreNames returns the names of the core machines.
 func (d Deployment) CoreNames() []string {
 	if d.Cores == 0 {
 		return Voters
@@ -164,7 +163,8 @@
 	return names
 }
 
-// Settings gives the settings of one process of the deployment; place gives addresses.
+// Settings returns the settings of one process of the deployment. Addresses and seeds are "ip:port",
+// data is the folder of a core process.
 func (d Deployment) Settings(role, nodeName, voter, zone, address, outside string, seeds []string, data string) settings.Settings {
 	cfg := settings.Default()
 	cfg.Node, cfg.Voter, cfg.Voters, cfg.Zone, cfg.Zones = nodeName, voter, Voters, zone, d.Zones
