--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -33,7 +33,7 @@
 	Withdrawal bool          // withdrawn keys have a bound
 	DiskDelay  time.Duration // of one sync
 	Cores      int           // core machines; 0 is three
-	VoterCount int64 // the processes find their voters; 0: the settings name them
+	VoterCount int64         // the processes find their voters; 0: the settings name them
 }
 
 // Umuyoboro is the deployment that sends patient messages in Kigali.
