One place pairs answers, one decides on another try; the two hops explored as a model

Cause: what a request may go through stood in five files and no page; the checks behind the two promises (no answer at another's place, once-only requests once) could not be taken out, so nothing showed that each is needed.

Changes: docs/request-safety.md lists states, what each side knows after each trouble, who may try again and what the caller is told, and numbered invariants. backend/pairing.go reads answers; frontend/retry.go holds the four endings of an attempt and the decision; safeguard names the checks, which only test files take out.

Ruled out: guards as build tags (a program could be built without); a model of its own beside the code (it would not show faults of the code).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,6 +20,7 @@
 
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
+	"beaconvane/internal/safeguard"
 	"beaconvane/internal/settings"
 )
 
@@ -604,7 +605,9 @@
 	held, known := g.outcomes[id]
 	switch {
 	case !known:
-		g.remember(id, &kept{at: now, barred: true, done: true})
+		if safeguard.BarredQuestion.On() {
+			g.remember(id, &kept{at: now, barred: true, done: true})
+		}
 		return message.Outcome{ID: id, Kind: message.NotStarted, Code: int64(errcode.BusyServingProxyLost)}
 	case held.done && held.barred:
 		return message.Outcome{ID: id, Kind: message.NotStarted, Code: int64(errcode.BusyServingProxyLost)}
--- a/internal/backend/calling.go
+++ b/internal/backend/calling.go
@@ -38,6 +38,7 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/goroutine"
 	"beaconvane/internal/message"
+	"beaconvane/internal/safeguard"
 	"beaconvane/internal/settings"
 )
 
@@ -52,10 +53,9 @@
 )
 
 type heldConnection struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	limit  *io.LimitedReader
-	idleAt time.Duration
+	conn    net.Conn
+	answers *Answers
+	idleAt  time.Duration
 
 	idleFor time.Duration // as the upstream told; 0: it did not
 }
@@ -69,11 +69,25 @@
 	lock       sync.Mutex
 	idle       map[Target][]*heldConnection
 	guards     map[Target]*heldConnection
+	dialer     Dialer
 }
 
+// Dialer makes a connection to an address, until a time at the latest.
+type Dialer func(address string, until time.Time) (net.Conn, error)
+
+// UseDialer replaces the dialer, for models of what upstreams do to connections.
+func (c *Caller) UseDialer(dialer Dialer) { c.dialer = dialer }
+
 // NewCaller makes a caller for a backend.
 func NewCaller(cfg settings.Settings, room *Backend, members *goroutine.Group) *Caller {
-	return &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}}
+	c := &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}}
+	c.dialer = c.dialTCP
+	return c
+}
+
+func (c *Caller) dialTCP(address string, until time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Deadline: until, Timeout: c.settings.ConnectionDial()}
+	return dialer.DialContext(c.goroutines.Context, "tcp", address)
 }
 
 // Speak sets the upstreams' manner; before it is used.
@@ -162,13 +176,11 @@
 }
 
 func (c *Caller) dial(target Target, until time.Time) (*heldConnection, error) {
-	dialer := net.Dialer{Deadline: until, Timeout: c.settings.ConnectionDial()}
-	conn, err := dialer.DialContext(c.goroutines.Context, "tcp", target.Address)
+	conn, err := c.dialer(target.Address, until)
 	if err != nil {
 		return nil, errcode.Wrap("backend.dial", errcode.BusyUpstreamGone, err)
 	}
-	limit := &io.LimitedReader{R: conn}
-	return &heldConnection{conn: conn, limit: limit, reader: bufio.NewReader(limit)}, nil
+	return &heldConnection{conn: conn, answers: NewAnswers(conn)}, nil
 }
 
 // Guard renews the guard of an upstream that has just announced itself.
@@ -247,9 +259,15 @@
 
 // quiet: nothing to read and not closed by the other side.
 func quiet(connection *heldConnection) bool {
-	if connection.reader.Buffered() > 0 {
+	if !safeguard.QuietConnection.On() {
+		return true
+	}
+	if connection.answers.reader.Buffered() > 0 {
 		return false
 	}
+	if own, tells := connection.conn.(interface{ Quiet() bool }); tells {
+		return own.Quiet()
+	}
 	raw, err := connection.conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
@@ -323,77 +341,10 @@
 	if _, err := connection.conn.Write(text.Bytes()); err != nil {
 		return message.Outcome{}, false, errcode.Wrap("backend.write", errcode.UnknownOutcome, err)
 	}
-	for range othersPassed {
-		connection.limit.N = forward.AnswerCap + headCap
-		outcome, received, keep, err := c.answer(connection, request, order)
-		if err != nil || !received.Other {
-			return outcome, keep, err
-		}
-	}
-	return message.Outcome{}, false, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("answers to other requests only"))
-}
-
-// othersPassed is how many answers to other requests are passed over on a connection.
-const othersPassed = 3
-
-// answer reads one whole answer.
-func (c *Caller) answer(connection *heldConnection, request *http.Request, order Order) (message.Outcome, Received, bool, error) {
-	forward := order.Forward
-	fail := func(step string, code errcode.Code, cause error) (message.Outcome, Received, bool, error) {
-		return message.Outcome{}, Received{}, false, errcode.Wrap(step, code, cause)
-	}
-	response, err := readHead(connection.reader, request)
-	if err != nil {
-		if broken(err) {
-			return fail("backend.head", errcode.UnknownOutcome, err)
-		}
-		return fail("backend.head", errcode.AnswerMalformed, err)
-	}
-	defer response.Body.Close()
-	if !framed(response, forward.Method) {
-		return fail("backend.body", errcode.AnswerMalformed, errors.New("neither length nor chunks"))
-	}
-	if response.ContentLength > forward.AnswerCap {
-		return fail("backend.body", errcode.AnswerTooLarge, nil)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, forward.AnswerCap+1))
-	if err != nil {
-		return fail("backend.body", errcode.AnswerMalformed, err)
-	}
-	if int64(len(body)) > forward.AnswerCap {
-		return fail("backend.body", errcode.AnswerTooLarge, nil)
-	}
-	received := c.protocol.Heed(response, forward, order.Target)
-	if received.Other {
-		return message.Outcome{}, received, false, nil
-	}
-	behind := connection.reader.Buffered() > 0
-	if behind && !c.settings.ByTarget() {
-		// Without a name in the answer nobody can say which of the two is this one's.
-		return fail("backend.body", errcode.AnswerMalformed, errors.New("bytes behind the answer"))
-	}
-	keep := !response.Close && !behind
-	connection.idleFor = received.Idle
-	switch {
-	case received.Refuse != errcode.OK:
-		return message.Outcome{Kind: message.NotStarted, Code: int64(received.Refuse), Sent: true}, received, keep, nil
-	case received.Spoilt || received.Hides:
-		return fail("backend.head", errcode.AnswerMalformed, errors.New("not the upstream's own whole answer"))
-	}
-	outcome := message.Outcome{Kind: message.StartedWhole, Status: int64(response.StatusCode), Headers: []message.HeaderLine{}, Body: body}
-	if received.Loaded && received.Load[2] > 0 {
-		outcome.Load = float64(received.Load[0]+received.Load[1]) / float64(received.Load[2])
-	}
-	dropped := HopHeaders(response.Header)
-	for name, values := range response.Header {
-		if dropped[name] {
-			continue
-		}
-		for _, value := range values {
-			outcome.Headers = append(outcome.Headers, message.HeaderLine{Name: name, Value: value})
-		}
-	}
-	return outcome, received, keep, nil
+	pairing := Pairing{Protocol: c.protocol, Forward: forward, Target: order.Target, Named: c.settings.ByTarget(), request: request}
+	found, err := pairing.Read(connection.answers)
+	connection.idleFor = found.Received.Idle
+	return found.Outcome, found.Keep, err
 }
 
 func broken(err error) bool {
--- /dev/null
+++ b/internal/backend/pairing.go
@@ -0,0 +1,145 @@
+// This file is the one place that pairs answers with requests. One request goes out on a
+// connection at a time, so the next whole answer should be its own; but an upstream in
+// trouble speaks twice, late, or in part. Each answer on the connection is therefore one of
+// few things (docs/request-safety.md, "At the upstream"): this request's own whole answer,
+// the word that it did not run, another's answer, or nothing that anybody may rely on. Of
+// the last it is never concluded that the request did not run.
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/safeguard"
+)
+
+// othersPassed is how many answers to other requests are passed over on a connection.
+const othersPassed = 3
+
+// Pairing finds, in what an upstream sends on a connection, the answer to one request.
+type Pairing struct {
+	Protocol Protocol
+	Forward  message.Forward
+	Target   Target
+	Named    bool // upstreams name the request that they answer
+	request  *http.Request
+}
+
+// Paired is what was found. The outcome bears no id yet.
+type Paired struct {
+	Outcome  message.Outcome
+	Received Received
+	Keep     bool // the connection may carry another request
+}
+
+// Answers is the readable end of a connection, with a bound on each answer.
+type Answers struct {
+	limit  *io.LimitedReader
+	reader *bufio.Reader
+}
+
+// NewAnswers reads answers from a stream.
+func NewAnswers(stream io.Reader) *Answers {
+	limit := &io.LimitedReader{R: stream}
+	return &Answers{limit: limit, reader: bufio.NewReader(limit)}
+}
+
+// Read gives this request's own answer, or an error where it is not known to have run or not.
+func (p Pairing) Read(answers *Answers) (Paired, error) {
+	for range othersPassed {
+		answers.limit.N = p.Forward.AnswerCap + headCap
+		found, err := p.next(answers)
+		if err != nil || !found.Received.Other {
+			return found, err
+		}
+	}
+	return Paired{}, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("answers to other requests only"))
+}
+
+// next reads one answer whole, then says whose it is and what it means.
+func (p Pairing) next(answers *Answers) (Paired, error) {
+	response, body, err := p.whole(answers)
+	if err != nil {
+		return Paired{}, err
+	}
+	found := Paired{Received: p.Protocol.Heed(response, p.Forward, p.Target)}
+	if found.Received.Other && safeguard.AnswerOfAnother.On() {
+		return found, nil
+	}
+	found.Received.Other = false
+	if p.nameless(response) && safeguard.AnswerWithoutName.On() {
+		return Paired{}, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("an answer that names no request"))
+	}
+	behind := answers.reader.Buffered() > 0 && safeguard.BytesBehind.On()
+	if behind && !p.Named {
+		// Without a name in the answer nobody can say which of the two is this one's.
+		return Paired{}, errcode.Wrap("backend.body", errcode.AnswerMalformed, errors.New("bytes behind the answer"))
+	}
+	found.Keep = !response.Close && !behind
+	switch {
+	case found.Received.Refuse != errcode.OK:
+		found.Outcome = message.Outcome{Kind: message.NotStarted, Code: int64(found.Received.Refuse), Sent: true}
+		return found, nil
+	case found.Received.Spoilt, found.Received.Hides && safeguard.HiddenPromise.On():
+		return Paired{}, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("not the upstream's own whole answer"))
+	}
+	found.Outcome = ownAnswer(response, body, found.Received)
+	return found, nil
+}
+
+// nameless: every answer names its request, and this one names none.
+func (p Pairing) nameless(response *http.Response) bool {
+	namer, names := p.Protocol.(Namer)
+	return names && p.Forward.Name != "" && namer.NameOf(response) == ""
+}
+
+// whole reads one answer to its end.
+func (p Pairing) whole(answers *Answers) (*http.Response, []byte, error) {
+	fail := func(step string, code errcode.Code, cause error) (*http.Response, []byte, error) {
+		return nil, nil, errcode.Wrap(step, code, cause)
+	}
+	response, err := readHead(answers.reader, p.request)
+	if err != nil {
+		if broken(err) {
+			return fail("backend.head", errcode.UnknownOutcome, err)
+		}
+		return fail("backend.head", errcode.AnswerMalformed, err)
+	}
+	defer response.Body.Close()
+	if !framed(response, p.Forward.Method) && safeguard.WholeAnswer.On() {
+		return fail("backend.body", errcode.AnswerMalformed, errors.New("neither length nor chunks"))
+	}
+	if response.ContentLength > p.Forward.AnswerCap {
+		return fail("backend.body", errcode.AnswerTooLarge, nil)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, p.Forward.AnswerCap+1))
+	if err != nil && safeguard.WholeAnswer.On() {
+		return fail("backend.body", errcode.AnswerMalformed, err)
+	}
+	if int64(len(body)) > p.Forward.AnswerCap {
+		return fail("backend.body", errcode.AnswerTooLarge, nil)
+	}
+	return response, body, nil
+}
+
+// ownAnswer is the upstream's whole answer, less what ends at this hop.
+func ownAnswer(response *http.Response, body []byte, received Received) message.Outcome {
+	outcome := message.Outcome{Kind: message.StartedWhole, Status: int64(response.StatusCode), Headers: []message.HeaderLine{}, Body: body}
+	if received.Loaded && received.Load[2] > 0 {
+		outcome.Load = float64(received.Load[0]+received.Load[1]) / float64(received.Load[2])
+	}
+	dropped := HopHeaders(response.Header)
+	for name, values := range response.Header {
+		if dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			outcome.Headers = append(outcome.Headers, message.HeaderLine{Name: name, Value: value})
+		}
+	}
+	return outcome
+}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -28,6 +28,12 @@
 	Heed(answer *http.Response, forward message.Forward, target Target) Received
 }
 
+// Namer is a manner of speaking in which every answer names the request that it answers.
+// An answer without a name is then nobody's.
+type Namer interface {
+	NameOf(answer *http.Response) string
+}
+
 // Node is the product's own manner.
 type Node struct{}
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -407,67 +407,28 @@
 	return nil
 }
 
-func (f *Frontend) giveUp(request *Request, code errcode.Code) *Final {
-	if request.Started {
-		return Refusal(errcode.UnknownOutcome)
-	}
-	return Refusal(code)
-}
-
-// Judge takes a outcome: a final answer, or nil to choose again.
+// Judge takes an outcome: a final answer, or nil to choose again.
 func (f *Frontend) Judge(now time.Duration, request *Request, outcome message.Outcome) *Final {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	code := errcode.Code(outcome.Code)
-	if outcome.Sent || outcome.Kind != message.NotStarted {
-		request.Sent++
-	}
+	code, ending := errcode.Code(outcome.Code), EndingOf(outcome)
+	request.note(ending)
 	held := f.peer(peerKey(request.Target))
 	held.mine = max(0, held.mine-1)
 	if outcome.Slots > 0 {
 		held.reported, held.slots, held.load, held.reportedAt, held.mineThen = outcome.Outstanding, outcome.Slots, outcome.Load, now, held.mine
 	}
-	if outcome.Kind != message.NotStarted {
-		held.learnFailure(outcome.Kind != message.StartedWhole)
-	}
-	switch outcome.Kind {
-	case message.StartedWhole:
+	switch ending {
+	case Answered:
+		held.learnFailure(false)
 		f.learnPace(held, request.Route.Name, time.Duration(outcome.Took))
 		return &Final{Code: errcode.OK, Status: int(outcome.Status), Headers: notOwn(outcome.Headers), Body: outcome.Body}
-	case message.NotStarted:
-		f.learn(now, held, request, code)
-		if now >= request.Deadline || code == errcode.BusyDeadline {
-			return f.giveUp(request, errcode.BusyDeadline)
-		}
-		if code.Status() != http.StatusServiceUnavailable {
-			return f.giveUp(request, code)
-		}
+	case Unsure:
+		held.learnFailure(true)
 	default:
-		request.Started = true
-		if request.Route.Once || now >= request.Deadline {
-			if code == errcode.OK {
-				code = errcode.UnknownOutcome
-			}
-			return Refusal(code)
-		}
-	}
-	if request.Route.Attempts > 0 && request.Sent >= request.Route.Attempts {
-		if outcome.Kind == message.NotStarted {
-			return f.giveUp(request, code)
-		}
-		return Refusal(errcode.UnknownOutcome)
-	}
-	if f.settings.ByTarget() && request.Sent == 0 && request.Attempts < looks {
-		// No upstream has seen it, so nothing is spent.
-		return nil
-	}
-	if !f.mayRetry(now, request.Service) {
-		if outcome.Kind == message.NotStarted {
-			return f.giveUp(request, errcode.BusyBudget)
-		}
-		return Refusal(errcode.UnknownOutcome)
+		f.learn(now, held, request, code)
 	}
-	return nil
+	return f.afterAttempt(now, request, ending, code)
 }
 
 // notOwn leaves out what only the mesh may say: an upstream that sends a result code
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -18,6 +18,7 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/proxy"
+	"beaconvane/internal/safeguard"
 	"beaconvane/internal/settings"
 )
 
@@ -244,29 +245,20 @@
 	if len(ids) == 0 {
 		return
 	}
-	if !connection.Attached() {
+	if !connection.Attached() || !safeguard.NeverAttached.On() {
 		for _, id := range ids {
 			d.outcome(message.Outcome{ID: id, Kind: message.NotStarted, Code: int64(errcode.BusyServingProxyLost)})
 		}
 		return
 	}
-	// Go back to the serving proxy for the outcomes, for a short while.
-	unknown := func() {
-		for _, id := range ids {
-			d.outcome(message.Outcome{ID: id, Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)})
-		}
-	}
-	again := d.back.Open(servingProxy, d.received, func(Connection) { unknown() })
+	births := map[string]int64{}
 	for _, id := range ids {
-		again.Post(message.OutcomeRequest{ID: id, ServingProxyBirth: out[id].Request.Target.ServingProxyBirth})
+		births[id] = out[id].Request.Target.ServingProxyBirth
 	}
-	d.back.After(d.settings.UpdatesEvery()*2, func() {
-		unknown()
-		again.Close()
-	})
+	d.question(servingProxy, births, questionsMost)
 }
 
-// heard takes what a serving proxy says.
+// received takes what a serving proxy says.
 func (d *Tracker) received(msg any) {
 	if outcome, isOutcome := msg.(message.Outcome); isOutcome && outcome.Kind != message.StillRunning {
 		d.outcome(outcome)
@@ -342,15 +334,19 @@
 		d.lock.Unlock()
 		d.ForwardOut(d.room.Forwarded(d.back.Now(), received))
 	case message.OutcomeRequest:
-		if received.ServingProxyBirth != d.life {
+		if received.ServingProxyBirth != d.life && safeguard.OtherLife.On() {
 			back(whole(message.Outcome{ID: received.ID, Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}))
 			return true
 		}
+		// Whoever asks gets the outcome later, if there is none yet: noted first, since it
+		// may come at this very moment.
+		d.lock.Lock()
+		d.replies[received.ID] = back
+		d.lock.Unlock()
 		outcome := d.room.Outcome(d.back.Now(), received.ID)
-		if outcome.Kind == message.StillRunning {
-			// The answer will go to the new connection when it is there.
+		if outcome.Kind != message.StillRunning {
 			d.lock.Lock()
-			d.replies[received.ID] = back
+			delete(d.replies, received.ID)
 			d.lock.Unlock()
 		}
 		back(whole(outcome))
--- /dev/null
+++ b/internal/safeguard/safeguard_test.go
@@ -0,0 +1,49 @@
+package safeguard
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestWithout(t *testing.T) {
+	c := qt.New(t)
+	for _, guard := range All() {
+		t.Run(guard.String(), func(t *testing.T) {
+			Without(t, guard)
+			for _, other := range All() {
+				qt.Check(t, other.On(), qt.Equals, other != guard)
+			}
+		})
+		c.Assert(guard.On(), qt.IsTrue)
+	}
+}
+
+// No program takes a check out: the call stands in test files only.
+func TestOnlyTestFilesTakeChecksOut(t *testing.T) {
+	c := qt.New(t)
+	call := "safeguard." + "Without("
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		c.Check(strings.Contains(string(text), call), qt.IsFalse, qt.Commentf(path))
+		return err
+	})
+	c.Assert(err, qt.IsNil)
+}
+
+// Every check stands in the page, under its name.
+func TestThePageListsEveryCheck(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/request-safety.md")
+	c.Assert(err, qt.IsNil)
+	for _, guard := range All() {
+		c.Check(strings.Contains(string(page), "`"+guard.String()+"`"), qt.IsTrue, qt.Commentf(guard.String()))
+	}
+}
