--- a/internal/storage/ledger.go
+++ b/internal/storage/ledger.go
@@ -1,18 +1,17 @@
-// This file is the machine's side of the disk: a ledger remembers what is to happen
-// once each write is synced. State in memory runs ahead of the disk; whatever others
-// may rely on is sent only from the continuation. One failed write stops the ledger
-// for good: no continuation of a later write is told of success.
 package storage
 
 import (
+	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/statemachine"
 )
 
-// Then runs when a write is synced, or with the failure that prevented it.
+// Then is called when a write is synced, or with the failure that prevented it.
 type Then func(s *statemachine.Env, failure error)
 
-// Ledger orders a machine's writes.
+// Ledger orders a machine's writes, and remembers what is to happen once each is synced. State in
+// memory runs ahead of the disk; whatever others may rely on is sent only from a write's Then. One
+// failed write stops the ledger for good: no later write is reported as successful.
 type Ledger struct {
 	snapshot func() []byte
 	waiting  map[int64]Then
@@ -22,17 +21,17 @@
 	begun    bool
 }
 
-// NewLedger makes a ledger; snapshot gives the machine's whole state, and the log is
-// folded into a slot when it holds more than limit bytes. An empty disk gets a whole
-// snapshot first, whatever is to be written.
+// NewLedger returns a ledger. snapshot returns the machine's whole state; the log is replaced by a
+// snapshot when it would hold more than limit bytes. An empty disk gets a snapshot first, whatever is
+// to be written.
 func NewLedger(limit int, snapshot func() []byte, empty bool) *Ledger {
 	return &Ledger{snapshot: snapshot, waiting: map[int64]Then{}, limit: limit, begun: !empty}
 }
 
-// Failure is set once a write has failed.
+// Failure returns the error of the first write that failed; nil for none.
 func (l *Ledger) Failure() error { return l.failure }
 
-// Persist appends a message as a record.
+// Persist appends a message as a record, or writes a snapshot, which has to include it already.
 func (l *Ledger) Persist(s *statemachine.Env, record any, then Then) {
 	if l.failure != nil {
 		then(s, l.failure)
@@ -51,7 +50,7 @@
 	l.waiting[s.Append(body)] = then
 }
 
-// Compact writes the whole snapshot; the record in hand is part of it already.
+// Compact writes a whole snapshot.
 func (l *Ledger) Compact(s *statemachine.Env, then Then) {
 	if l.failure != nil {
 		then(s, l.failure)
@@ -61,7 +60,7 @@
 	l.waiting[s.Compact(l.snapshot())] = then
 }
 
-// Synced answers a ticket.
+// Synced takes the result of the write with a request id.
 func (l *Ledger) Synced(s *statemachine.Env, requestID int64, failure error) {
 	then, found := l.waiting[requestID]
 	if !found {
@@ -70,7 +69,7 @@
 	delete(l.waiting, requestID)
 	if failure != nil && l.failure == nil {
 		l.failure = failure
-		s.Event("disk-failed", 5003, 0, failure.Error())
+		s.Event("disk-failed", int(errcode.DiskFault), 0, failure.Error())
 	}
 	then(s, l.failure)
 }
