Short steps of a machine's clock no longer move usage into wrong windows

Ruled out: a median of all machines' clocks (needs their times in messages; a step of all would still pass); the steady clock alone (never corrected). Change: goroutine.Group.Wall follows a step of over 128 ms only after it has lasted 20 s; smaller corrections at once. Proxies, registries and calendars of routes go by it. A process that starts during a step is wrong until 20 s after. Test: with the reading handed through, TestAShortStepOfTheClockIsNotFollowed and TestShortStepsDoNotAddUp were red.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -140,7 +140,7 @@
 		if err != nil {
 			continue
 		}
-		usage, closed := p.frontend.Usage(time.Duration(time.Now().UnixNano()), sealed)
+		usage, closed := p.frontend.Usage(p.process.Group.Wall(), sealed)
 		p.process.Tell(proxy.Counted{Usage: usage, Closed: closed})
 	}
 }
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -114,7 +114,7 @@
 
 // Now, Wall, Dice, Queue, Open, After and Tell make it the desk's Backstage.
 func (t *Stages) Now() time.Duration     { return t.goroutines.Now() }
-func (t *Stages) Wall() time.Time        { return time.Now() }
+func (t *Stages) Wall() time.Time        { return time.Unix(0, int64(t.goroutines.Wall())) }
 func (t *Stages) Random() *mathrand.Rand { return t.random }
 func (t *Stages) Tell(tidings any)       { t.tell(tidings) }
 
--- a/internal/goroutine/goroutine.go
+++ b/internal/goroutine/goroutine.go
@@ -18,6 +18,7 @@
 	waiting   sync.WaitGroup
 	running   atomic.Int64
 	startedAt time.Time
+	wall      wallClock
 }
 
 // New returns an empty group.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 	ticker := time.NewTicker(h.Settings.TickEvery())
 	defer ticker.Stop()
 	apply := func(command statemachine.Command) {
-		env.Now, env.Wall = h.Group.Now(), time.Duration(time.Now().UnixNano())
+		env.Now, env.Wall = h.Group.Now(), h.Group.Wall()
 		command.Apply(h.machine, env)
 		for _, effect := range env.Drain() {
 			h.perform(effect)
