No holder of the usage duty comes back within its rest, whoever held it in between

Cause: voters refused only the holder before the last. With a lease-s of 10 s, three polite stops 1.3 s apart bring the first holder back after 2.7 s (A, B, C, A), and the platform sees A, B, A inside lease-s. With the 3 s of today's sites a takeover hid it most times.

Of the usage tag every holder of the last rest stands in the synced vote and is refused by voters, passed over as heir, and refused by itself. The other tags, which the platform doesn't see, keep the one rule: there a holder matters more.

Seen red before: TestNoHolderComesBackWithinItsRest ("1 held until 2.6s and again at 5.3s, order [1 2 3]").

Price: with a long rest and all voters stopped in turn, reports wait for the rest to end.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -31,6 +31,7 @@
 	synced    bool
 	promised  time.Duration
 	changedAt time.Duration
+	leftAt    map[string]time.Duration // when each voter that rests held the tag last, at the latest
 	reserved  string
 
 	reservedTo time.Duration
@@ -79,7 +80,7 @@
 	fit func(tag string) bool, took, lost func(s *statemachine.Env, tag string, epoch int64)) *Leases {
 	t := &Leases{settings: cfg, host: host, quorum: group, tags: map[string]*tagState{}, fit: fit, took: took, lost: lost}
 	for _, tag := range tags {
-		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true}
+		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true, leftAt: map[string]time.Duration{}}
 		t.order = append(t.order, tag)
 	}
 	sort.Strings(t.order)
@@ -121,6 +122,7 @@
 	for _, state := range t.tags {
 		// What was voted for before is taken to have held the tag.
 		state.changedAt, state.proven = s.Now, state.vote.Holder != ""
+		t.restAnew(state, s.Now)
 	}
 }
 
@@ -195,6 +197,9 @@
 			// A voter with a slower disk lets the others go first.
 			continue
 		}
+		if tag == settings.UsageTag && t.resting(tag, state, t.quorum.Voter, s.Now) {
+			continue
+		}
 		if state.mine && state.rival != "" && state.reserved != t.quorum.Voter && s.Now-state.rivalAt < t.settings.HolderRest() {
 			// It held the tag, then another did: its own rest binds it, whatever the
 			// voters know.
@@ -274,7 +279,7 @@
 func (t *Leases) Yield(s *statemachine.Env) {
 	for _, tag := range t.order {
 		if state := t.tags[tag]; state.holding {
-			t.yieldTo(s, tag, state, t.heir(s, state))
+			t.yieldTo(s, tag, state, t.heir(s, tag, state))
 		}
 		t.tags[tag].tryAt = s.Now + t.settings.Lease()*1000
 	}
@@ -286,7 +291,7 @@
 	for _, tag := range t.order {
 		state := t.tags[tag]
 		if state.holding && t.host.Failure() != nil {
-			t.yieldTo(s, tag, state, t.heir(s, state))
+			t.yieldTo(s, tag, state, t.heir(s, tag, state))
 			continue
 		}
 		t.drop(s, tag, "no vote")
@@ -296,11 +301,11 @@
 // heir names the voter that a stopping holder hands its tag to, so that nobody waits
 // for a campaign; "" leaves it open. The former holder is passed over within its rest,
 // or the tag would go back and forth.
-func (t *Leases) heir(s *statemachine.Env, state *tagState) string {
+func (t *Leases) heir(s *statemachine.Env, tag string, state *tagState) string {
 	heirs := []string{}
 	for _, peer := range t.host.Peers() {
 		status, _, told := t.quorum.LastStatus(peer.Voter)
-		resting := peer.Voter == state.vote.Former && s.Now-state.changedAt < t.settings.HolderRest()
+		resting := t.resting(tag, state, peer.Voter, s.Now)
 		if peer.Voter == "" || peer.Voter == t.quorum.Voter || peer.State != message.Alive || resting {
 			continue
 		}
@@ -407,7 +412,7 @@
 		answer.Reason = "another holds it"
 	case !same && state.reserved != "" && state.reserved != request.Voter && s.Now < state.reservedTo:
 		answer.Reason = "handed over to another"
-	case !same && request.Voter == state.vote.Former && s.Now-state.changedAt < t.settings.HolderRest():
+	case !same && t.resting(request.Tag, state, request.Voter, s.Now):
 		answer.Reason = "holder rest"
 	case request.Trial && !same && state.trial && s.Now < state.tryAt && state.trials <= 2 && t.goesBefore(request.Tag, request.Voter):
 		answer.Reason = "goes first here"
@@ -421,7 +426,7 @@
 	default:
 		if !same {
 			if state.proven {
-				state.vote.Former = state.vote.Holder
+				t.leave(request.Tag, state, s.Now)
 			}
 			state.proven = false
 			state.changedAt = s.Now
@@ -512,7 +517,7 @@
 func (t *Leases) Forget(s *statemachine.Env) {
 	for _, tag := range t.order {
 		t.drop(s, tag, "the voter is another's")
-		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true}
+		t.tags[tag] = &tagState{vote: message.Vote{Tag: tag}, synced: true, leftAt: map[string]time.Duration{}}
 	}
 	t.votesAt, t.written = -1, false
 }
--- a/internal/lease/regrant_test.go
+++ b/internal/lease/regrant_test.go
@@ -32,14 +32,17 @@
 }
 
 type electorate struct {
+	tag    string // that the voters share out
 	voters []*voter
 	taken  []string // who took the tag, in order
 }
 
 const tag = "d"
 
-func newElectorate(discovered bool) *electorate {
-	e := &electorate{}
+func newElectorate(discovered bool) *electorate { return newElectorateFor(tag, discovered) }
+
+func newElectorateFor(tag string, discovered bool) *electorate {
+	e := &electorate{tag: tag}
 	memberList := map[string]string{}
 	for index, name := range []string{"1", "2", "3"} {
 		identity := "identity of " + name
@@ -67,7 +70,7 @@
 func (v *voter) boot() {
 	v.up, v.writes = true, nil
 	v.quorum = quorum.NewQuorum("config-log", v.settings, v, copyState(v.state), func(s *statemachine.Env, fresh bool) { v.leases.BeginVoting(s, fresh) })
-	v.leases = NewLeases(v.settings, v, v.quorum, []string{tag}, v.votes, func(string) bool { return true },
+	v.leases = NewLeases(v.settings, v, v.quorum, []string{v.group.tag}, v.votes, func(string) bool { return true },
 		func(*statemachine.Env, string, int64) { v.group.taken = append(v.group.taken, v.voter) }, func(*statemachine.Env, string, int64) {})
 }
 
@@ -145,7 +148,7 @@
 
 func (e *electorate) holder() string {
 	for _, v := range e.voters {
-		if v.up && v.leases.Holding(tag, v.env.Now) {
+		if v.up && v.leases.Holding(e.tag, v.env.Now) {
 			return v.voter
 		}
 	}
--- a/internal/message/lease.go
+++ b/internal/message/lease.go
@@ -7,6 +7,7 @@
 	Holder   string // voter
 	Identity string // of the holder's disk
 	Former   string // holder before this one
+	Resting  string // holders of the last rest before this one, a comma between; of the usage tag only
 }
 
 // LeaseRequest asks the voters for a lease, or to renew it.
