--- a/internal/quorum/placement.go
+++ b/internal/quorum/placement.go
@@ -1,7 +1,8 @@
+package quorum
+
 // This file places voters: which of the machines that found a group become its voters,
 // which of them has to be among the founders, and which voters a newcomer may take. An
 // identity names its node and its zone, so that a member list says where voters stand.
-package quorum
 
 import (
 	"maps"
--- a/internal/quorum/placement_test.go
+++ b/internal/quorum/placement_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"beaconvane/internal/message"
 	"beaconvane/internal/settings"
+	"beaconvane/internal/statemachine"
 )
 
 // formedGroups counts the distinct groups that voters stand in.
@@ -158,3 +160,40 @@
 		c.Assert(newcomer.quorum.Majority(map[string]string{newcomer.quorum.Voter: newcomer.quorum.Signature()}), qt.IsFalse)
 	}
 }
+
+// The choice of founders is as good as the best of all choices with the same anchor: no
+// other loses fewer voters with the zones, or the regions, that may go.
+func TestNoChoiceOfFoundersOutlivesMore(t *testing.T) {
+	c := qt.New(t)
+	random := statemachine.NewEnv(17).Random
+	regions := map[string]string{"x": "east", "y": "east", "z": "west", "w": "south"}
+	for range 400 {
+		tolerated := []settings.Tolerated{{Zones: 1}, {Zones: 2}, {Regions: 1}}[random.IntN(3)]
+		cfg := settings.Default()
+		cfg.Tolerated, cfg.Regions = tolerated, regions
+		g := NewQuorum("config-log", cfg, &player{}, message.VoterState{}, nil)
+		identities := []string{}
+		for number := range 3 + random.IntN(7) {
+			zone := []string{"x", "y", "z", "w"}[random.IntN(4)]
+			identities = append(identities, NewIdentity(0, uint64(number), 1, fmt.Sprintf("n%d", number))+zoneMark+zone)
+		}
+		count := 1 + 2*random.IntN((len(identities)+1)/2)
+		anchor := identities[random.IntN(len(identities))]
+		chosen := g.chooseFounders(identities, anchor, count)
+		c.Assert(chosen, qt.HasLen, count)
+		c.Assert(chosen, qt.Contains, anchor)
+		best := count
+		for subset := range 1 << len(identities) {
+			other := []string{}
+			for index, identity := range identities {
+				if subset&(1<<index) != 0 {
+					other = append(other, identity)
+				}
+			}
+			if len(other) == count && slices.Contains(other, anchor) {
+				best = min(best, g.worstLoss(other))
+			}
+		}
+		c.Assert(g.worstLoss(chosen), qt.Equals, best, qt.Commentf("%+v of %q: %q", tolerated, identities, chosen))
+	}
+}
--- a/internal/routeconfig/calendar.go
+++ b/internal/routeconfig/calendar.go
@@ -1,10 +1,11 @@
+package routeconfig
+
 // This file is the calendar of a route: cron-like opening times in a named time zone,
 // read by a library. A calendar is a list of entries, each with the cron expression at
 // which it opens and for how many minutes; the route is open while any entry is, so
 // that overlapping entries join. Times are local to the zone: at a change of the
 // clocks an opening that does not exist that day is skipped by the library, and the
 // length counts in real minutes.
-package routeconfig
 
 import (
 	"fmt"
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -1,6 +1,7 @@
-// This file checks configurations: every fault is listed by its path.
 package routeconfig
 
+// This file checks configurations: every fault is listed by its path.
+
 import (
 	"fmt"
 	"slices"
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -1,4 +1,4 @@
-// Package blocking reads, checks and applies configurations: the operators' configuration.
+// Package routeconfig reads, checks and applies configurations: the operators' configuration.
 // A configuration is JSON, read and checked by gjson paths; a check lists every fault by its
 // path. Matching is by one normalised path: exact routes before prefixes, longer
 // prefixes before shorter, never two that could both win. The same code serves the
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,7 @@
+package settings
+
 // This file checks settings: what is missing or can't be read, and bounds that can't be
 // kept together. Every fault is listed with its path.
-package settings
 
 import (
 	"encoding/json"
--- a/internal/settings/fit.go
+++ b/internal/settings/fit.go
@@ -1,7 +1,8 @@
+package settings
+
 // This file fits timers to bounds that leave little room. A rule is kept in any case:
 // where two bounds can't both be kept, what is given up is a price, and a warning says
 // which. Nothing here refuses.
-package settings
 
 import (
 	"fmt"
--- a/internal/settings/ratios.go
+++ b/internal/settings/ratios.go
@@ -1,14 +1,33 @@
-// This file holds the ratios of every timer to the bounds of the settings.
 package settings
 
 import "time"
 
-// The ratios. Each timer of the system is one of these.
+// This file holds the ratios: every timer of the system is a part of a bound.
 
-func (c Settings) TickEvery() time.Duration    { return ms(c.Bounds.ConfigurationInForce) / 80 }
-func (c Settings) UpdatesEvery() time.Duration { return ms(c.Bounds.ConfigurationInForce) / 10 }
-func (c Settings) ParentLimit() time.Duration  { return ms(c.Bounds.ConfigurationInForce) / 4 }
-func (c Settings) Reparent() time.Duration     { return ms(c.Bounds.ConfigurationInForce) * 3 / 4 }
+const (
+	// ticksInForce is how many ticks fit in the time for a configuration to be in force.
+	ticksInForce = 80
+	// updatesInForce is how often updates go out within the time to be in force.
+	updatesInForce = 10
+	// renewalsInLease is how often a lease is renewed within its length.
+	renewalsInLease = 5
+	// heartbeatsInBound is how often heartbeats go on within the time that one holds.
+	heartbeatsInBound = 10
+)
+
+// TickEvery is the interval of a machine's clock.
+func (c Settings) TickEvery() time.Duration { return ms(c.Bounds.ConfigurationInForce) / ticksInForce }
+
+// UpdatesEvery is the interval of updates to proxies.
+func (c Settings) UpdatesEvery() time.Duration {
+	return ms(c.Bounds.ConfigurationInForce) / updatesInForce
+}
+
+// ParentLimit is the silence after which a relay's parent counts as lost.
+func (c Settings) ParentLimit() time.Duration { return ms(c.Bounds.ConfigurationInForce) / 4 }
+
+// Reparent is how long a relay tries a parent before it asks for another.
+func (c Settings) Reparent() time.Duration { return ms(c.Bounds.ConfigurationInForce) * 3 / 4 }
 
 // StaleReady is the age of configuration or roster past which a proxy is unready.
 func (c Settings) StaleReady() time.Duration {
@@ -23,23 +42,39 @@
 	return ms(c.Bounds.KeyWithdrawal) * 9 / 10
 }
 
+// Lease is how long a voter promises a tag to its holder.
 func (c Settings) Lease() time.Duration {
 	if c.Bounds.Lease > 0 {
 		return ms(c.Bounds.Lease)
 	}
 	return ms(c.Bounds.HolderRest) / 2
 }
-func (c Settings) LeaseHeld() time.Duration      { return c.Lease() * 9 / 10 }
-func (c Settings) RenewEvery() time.Duration     { return c.Lease() / 5 }
-func (c Settings) HolderRest() time.Duration     { return ms(c.Bounds.HolderRest) }
-func (c Settings) MoveBack() time.Duration       { return ms(c.Bounds.HolderRest) * 4 }
-func (c Settings) TakeOver() time.Duration       { return c.Lease()*2 + ms(c.Bounds.Sync)*4 }
+
+// LeaseHeld is how long the holder acts on a lease: it stops before the promises end.
+func (c Settings) LeaseHeld() time.Duration { return c.Lease() * 9 / 10 }
+
+// RenewEvery is the interval of renewals.
+func (c Settings) RenewEvery() time.Duration { return c.Lease() / renewalsInLease }
+
+// HolderRest is how long a former holder of a tag doesn't get it back.
+func (c Settings) HolderRest() time.Duration { return ms(c.Bounds.HolderRest) }
+
+// MoveBack is how long a holder keeps a tag that the settings want at another voter.
+func (c Settings) MoveBack() time.Duration { return c.HolderRest() * 4 }
+
+// TakeOver is how long a tag is without a holder at most after its holder was lost.
+func (c Settings) TakeOver() time.Duration {
+	return c.Lease()*2 + ms(c.Bounds.Sync)*syncsInLease
+}
+
+// HeartbeatBound is how long an upstream counts as there after a heartbeat.
 func (c Settings) HeartbeatBound() time.Duration { return ms(c.Bounds.Heartbeat) }
-func (c Settings) HeartbeatEvery() time.Duration { return ms(c.Bounds.Heartbeat) / 10 }
 
-// ServingProxyBound is how long a serving proxy gives an upstream work without hearing from it: it may
-// have said elsewhere that it leaves. DialFresh is how long a sign of life proves who
-// is at an address.
+// HeartbeatEvery is the interval at which what was heard of upstreams goes on.
+func (c Settings) HeartbeatEvery() time.Duration { return c.HeartbeatBound() / heartbeatsInBound }
+
+// ServingProxyBound is how long a serving proxy gives an upstream work without hearing
+// from it: it may have said elsewhere that it leaves.
 func (c Settings) ServingProxyBound() time.Duration {
 	if c.ByTarget() {
 		// Heartbeats come to the serving proxy alone, and a target proves itself.
@@ -47,62 +82,76 @@
 	}
 	return min(c.HeartbeatBound(), ms(c.Bounds.Drain)*4/5)
 }
-func (c Settings) DialFresh() time.Duration      { return c.HeartbeatBound() / 30 }
+
+// DialFresh is how long a sign of life proves who is at an address.
+func (c Settings) DialFresh() time.Duration { return c.HeartbeatBound() / 30 }
+
+// ConnectionIdle is how long a connection to an upstream is kept without a request.
 func (c Settings) ConnectionIdle() time.Duration { return c.HeartbeatBound() * 2 / 3 }
-func (c Settings) LookAgain() time.Duration      { return ms(c.Bounds.Restore) / 6 }
 
-// A lost voter is found, suspected and replaced within the time that a new core machine
-// has to catch up.
+// LookAgain is the interval at which the settings file is read again.
+func (c Settings) LookAgain() time.Duration { return ms(c.Bounds.Restore) / 6 }
+
+// ProbeEvery is the interval of the membership's probes: a lost voter is found,
+// suspected and replaced within the time that a new core machine has to catch up.
 func (c Settings) ProbeEvery() time.Duration {
 	return min(ms(c.Bounds.Restore)/60, ms(c.Bounds.CatchUp)/16)
 }
+
+// ProbeLimit is how long an answer to a probe may take.
 func (c Settings) ProbeLimit() time.Duration { return c.ProbeEvery() * 2 / 5 }
+
+// SuspectFor is how long a member is suspected before it counts as dead.
 func (c Settings) SuspectFor() time.Duration { return c.ProbeEvery() * 5 }
 
+// DiskRetryEvery is the interval at which a disk that refused a write is tried again.
+func (c Settings) DiskRetryEvery() time.Duration { return ms(c.Bounds.CatchUp) / 16 }
+
 // ClaimAfter is how long a voter has to be free before a newcomer claims it.
 func (c Settings) ClaimAfter() time.Duration { return ms(c.Bounds.CatchUp) / 10 }
 
-// DiskRetryEvery is how often a disk that refused a write is tried again.
-func (c Settings) DiskRetryEvery() time.Duration { return ms(c.Bounds.CatchUp) / 16 }
-
 // HandOverLimit is how long a leaving voter waits for its successor.
 func (c Settings) HandOverLimit() time.Duration { return c.Grace() / 4 }
-func (c Settings) ForgetAfter() time.Duration   { return ms(c.Bounds.Restore) * 4 }
-func (c Settings) JoinEvery() time.Duration     { return ms(c.Bounds.Restore) / 30 }
-func (c Settings) SealAfter() time.Duration     { return ms(c.Bounds.UsageLate) * 6 / 10 }
-func (c Settings) UsageLate() time.Duration     { return ms(c.Bounds.UsageLate) }
-func (c Settings) UsageWindow() time.Duration   { return ms(c.Bounds.UsageWindow) }
-func (c Settings) SaveEvery() time.Duration     { return ms(c.Bounds.Sync) / 5 }
-func (c Settings) SlowSync() time.Duration      { return ms(c.Bounds.Sync) }
-
-// CountEvery: counts begun at serving proxies are told once a fortieth of their window; a serving proxy's
-// death loses no more.
+
+// ForgetAfter is how long a dead member is remembered.
+func (c Settings) ForgetAfter() time.Duration { return ms(c.Bounds.Restore) * 4 }
+
+// JoinEvery is the interval at which a process without peers asks its seeds.
+func (c Settings) JoinEvery() time.Duration { return ms(c.Bounds.Restore) / 30 }
+
+// SealAfter is how long after its end a usage window is sealed.
+func (c Settings) SealAfter() time.Duration { return ms(c.Bounds.UsageLate) * 6 / 10 }
+
+// UsageLate is how long after its end a usage window's report falls due.
+func (c Settings) UsageLate() time.Duration { return ms(c.Bounds.UsageLate) }
+
+// UsageWindow is the length of a window of usage.
+func (c Settings) UsageWindow() time.Duration { return ms(c.Bounds.UsageWindow) }
+
+// SaveEvery is the interval at which counts are saved.
+func (c Settings) SaveEvery() time.Duration { return ms(c.Bounds.Sync) / 5 }
+
+// SlowSync is the time past which a sync counts as slow.
+func (c Settings) SlowSync() time.Duration { return ms(c.Bounds.Sync) }
+
+// CountEvery is the interval of counts to the registries. Those begun at serving proxies
+// go once a fortieth of their window: a serving proxy's death loses no more.
 func (c Settings) CountEvery() time.Duration {
 	if c.CountsBegun() {
 		return c.UsageWindow() / 40
 	}
 	return ms(c.Bounds.Sync) / 2
 }
+
+// ReportEvery is the interval at which a usage report is tried again.
 func (c Settings) ReportEvery() time.Duration { return ms(c.Bounds.UsageLate) / 20 }
-func (c Settings) DigestEvery() time.Duration { return ms(c.Bounds.ConfigurationInForce) / 10 }
+
+// DigestEvery is the interval of the voters' statuses.
+func (c Settings) DigestEvery() time.Duration { return c.UpdatesEvery() }
 
 // InForceWait is how long a call waits for a version to be in force everywhere, if it does
 // not say itself.
-func (c Settings) InForceWait() time.Duration    { return ms(c.Bounds.ConfigurationInForce) * 2 }
-func (c Settings) ConnectionDial() time.Duration { return ms(c.Bounds.Restore) / 60 }
-func (c Settings) OutcomeKept() time.Duration {
-	return min(ms(c.Limits.Request)*2, ms(c.Bounds.Restore)*8)
-}
-
-// AnswerKept is how long a serving proxy keeps whole answers for proxies that lost their connection and
-// ask again.
-func (c Settings) AnswerKept() time.Duration { return min(c.OutcomeKept(), c.UpdatesEvery()*10) }
-
-func (c Settings) RequestLimit() time.Duration { return ms(c.Limits.Request) }
-func (c Settings) WarmSpan() time.Duration     { return ms(c.Bounds.Heartbeat) * 2 / 3 }
-func (c Settings) Linger() time.Duration       { return ms(c.Limits.Linger) }
-func (c Settings) Grace() time.Duration        { return ms(c.Limits.Grace) }
-func (c Settings) RetryWindow() time.Duration  { return ms(c.Bounds.RetryWindow) }
+func (c Settings) InForceWait() time.Duration { return ms(c.Bounds.ConfigurationInForce) * 2 }
 
 // Operators give a node up after a second of silence, later for large bodies.
 const (
@@ -115,3 +164,30 @@
 func (c Settings) AnswerLimit(bodyBytes int) time.Duration {
 	return answerLimit + time.Duration(bodyBytes)*time.Second/answerBytesPerSec
 }
+
+// ConnectionDial is how long a connection may take to come up.
+func (c Settings) ConnectionDial() time.Duration { return ms(c.Bounds.Restore) / 60 }
+
+// OutcomeKept is how long a serving proxy keeps the outcome of a request.
+func (c Settings) OutcomeKept() time.Duration {
+	return min(ms(c.Limits.Request)*2, ms(c.Bounds.Restore)*8)
+}
+
+// AnswerKept is how long a serving proxy keeps whole answers for proxies that lost their
+// connection and ask again.
+func (c Settings) AnswerKept() time.Duration { return min(c.OutcomeKept(), c.UpdatesEvery()*10) }
+
+// RequestLimit is the longest that a request is held.
+func (c Settings) RequestLimit() time.Duration { return ms(c.Limits.Request) }
+
+// WarmSpan is how long an upstream counts as warming.
+func (c Settings) WarmSpan() time.Duration { return ms(c.Bounds.Heartbeat) * 2 / 3 }
+
+// Linger is how long a process that stops takes requests yet.
+func (c Settings) Linger() time.Duration { return ms(c.Limits.Linger) }
+
+// Grace is how long a process that stops may take.
+func (c Settings) Grace() time.Duration { return ms(c.Limits.Grace) }
+
+// RetryWindow is the span over which further tries are counted.
+func (c Settings) RetryWindow() time.Duration { return ms(c.Bounds.RetryWindow) }
