--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -318,20 +318,6 @@
 	m.commit(s)
 }
 
-// counters are the registries that are told the usage: one more than may be lost, so
-// that any majority that a new holder reads has one of them; of three all are told.
-func (m *Machine) counters(now time.Duration) []message.Member {
-	registries := m.membership.Lately(message.RoleRegistry, now)
-	if voters := len(m.settings.Voters); m.settings.CountsBegun() && voters > 3 && len(registries) > voters/2+1 {
-		alive := m.membership.Alive(message.RoleRegistry)
-		if len(alive) > voters/2+1 {
-			return alive[:voters/2+1]
-		}
-		return alive
-	}
-	return registries
-}
-
 // SealedBelow is the lowest window that some registry still has to seal.
 func (m *Machine) SealedBelow() int64 {
 	highest := int64(0)
