Only the running usage window is sent each time; what is over goes at a slower rhythm

Change: a window that is over is sent when it changes, when it closes, and every second round of heartbeats; in between only the running one is. An update without the windows that are over does not say that they are (Closed 0).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,7 +6,6 @@
 
 import (
 	"maps"
-	"reflect"
 	"slices"
 	"time"
 
@@ -86,10 +85,9 @@
 	locals         map[string]*local
 	ends           map[string]signOff
 	configurations map[string]*routeconfig.Configuration
-	begun          map[string]bool     // configurations that were known current in this life
-	forced         map[string]int64    // versions handed to the traffic side
-	response       message.UsageUpdate // the usage last sent, and when to repeat it
-	responseAt     time.Duration
+	begun          map[string]bool  // configurations that were known current in this life
+	forced         map[string]int64 // versions handed to the traffic side
+	usage          usageSender
 	sealed         map[string]int64
 	heartbeatAt    time.Duration
 	snapshotAt     time.Duration
@@ -290,18 +288,7 @@
 			}
 		}
 	case Counted:
-		response := message.UsageUpdate{Proxy: m.membership.Self().Name, Birth: m.life, Counts: asked.Usage, Closed: asked.Closed}
-		if response.Counts == nil {
-			response.Counts = []message.UsageCount{}
-		}
-		response.Number = m.response.Number
-		if !reflect.DeepEqual(response, m.response) || s.Now >= m.responseAt {
-			response.Number++
-			m.response, m.responseAt = response, s.Now+m.settings.HeartbeatEvery()
-			for _, registryNode := range m.counters(s.Now) {
-				s.Send(registryNode.Address, response)
-			}
-		}
+		m.sendUsage(s, asked)
 	case statemachine.Reseeded:
 		m.membership.Reseed(asked.Seeds)
 	case statemachine.ConnectionBroke:
@@ -318,14 +305,5 @@
 	m.commit(s)
 }
 
-// SealedBelow is the lowest window that some registry still has to seal.
-func (m *Machine) SealedBelow() int64 {
-	highest := int64(0)
-	for _, below := range m.sealed {
-		highest = max(highest, below)
-	}
-	return highest
-}
-
 // Synced never comes: nothing is written.
 func (m *Machine) Synced(*statemachine.Env, int64, error) {}
