Whoever joins is told the members of the parts that differ, not all

Change: members fall into 16 parts by name, a join request has a sum for each, and only the parts that differ are answered.

Tests: TestOnlyWhatDiffersIsAnswered (red before), TestANewNodeIsToldEverybody.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,8 +9,6 @@
 package membership
 
 import (
-	"fmt"
-	"hash/fnv"
 	"maps"
 	"math/bits"
 	"slices"
@@ -278,33 +276,11 @@
 	for _, target := range targets {
 		if !sent[target] {
 			sent[target] = true
-			s.Datagram(target, message.JoinRequest{From: c.self, Known: c.known()})
+			s.Datagram(target, message.JoinRequest{From: c.self, Known: c.digest()})
 		}
 	}
 }
 
-// known is the sum of what is known of every node, this one included. Suspicions come
-// and go and are no reason to tell everything.
-func (c *Membership) known() int64 {
-	sum := int64(0)
-	add := func(member message.Member) {
-		hash := fnv.New64a()
-		state := member.State
-		if state == message.Suspect {
-			state = message.Alive
-		}
-		fmt.Fprintf(hash, "%s|%s|%d|%d|%s", member.Name, member.Address, member.Birth, state, member.Voter)
-		sum += int64(hash.Sum64())
-	}
-	for _, known := range c.members {
-		if known.member.State <= message.Suspect {
-			add(known.member)
-		}
-	}
-	add(c.self)
-	return sum
-}
-
 func (c *Membership) probeNext(s *statemachine.Env) {
 	c.current = nil
 	for range len(c.members) + 1 {
@@ -395,22 +371,7 @@
 		s.Datagram(received.Address, message.Ping{Number: c.number, Target: received.Target, From: c.self})
 	case message.JoinRequest:
 		c.meet(s, received.From)
-		if received.Known == c.known() {
-			s.Datagram(received.From.Address, message.JoinResponse{From: c.self, Members: []message.Member{}})
-			return true
-		}
-		batch := []message.Member{}
-		flush := func() {
-			s.Datagram(received.From.Address, message.JoinResponse{From: c.self, Members: batch})
-			batch = []message.Member{}
-		}
-		for _, name := range c.names() {
-			batch = append(batch, c.members[name].member)
-			if len(batch) == membersPerResponse {
-				flush()
-			}
-		}
-		flush()
+		c.answerJoin(s, received)
 	case message.JoinResponse:
 		c.meet(s, received.From)
 		c.mergeAll(s, received.Members)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,8 @@
 package membership
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,3 +51,58 @@
 		c.Assert(asked, qt.DeepEquals, wanted)
 	}
 }
+
+// crowd makes a node that knows so many others.
+func crowd(s *statemachine.Env, name string, count int) *Membership {
+	node := New(settings.Default(), message.Member{Name: "proxy/" + name, Role: message.RoleProxy, Address: name, Birth: 1}, nil)
+	for number := range count {
+		other := fmt.Sprintf("proxy/%d", number)
+		node.Handle(s, "", message.JoinResponse{From: message.Member{Name: other, Role: message.RoleProxy, Zone: "z", Address: fmt.Sprintf("10.0.0.%d:7000", number), Birth: 1}})
+	}
+	s.Drain()
+	return node
+}
+
+// answers gives the members that a node is told when it asks another, and the bytes.
+func answers(c *qt.C, s *statemachine.Env, asker, asked *Membership) (members []message.Member, bytes int) {
+	asked.Handle(s, "", message.JoinRequest{From: asker.Self(), Known: asker.digest()})
+	for _, effect := range s.Drain() {
+		sent, isDatagram := effect.(statemachine.Datagram)
+		response, isResponse := sent.Message.(message.JoinResponse)
+		if !isDatagram || !isResponse {
+			continue
+		}
+		frame, err := message.Encode(response)
+		c.Assert(err, qt.IsNil)
+		members, bytes = append(members, response.Members...), bytes+len(frame)
+	}
+	return members, bytes
+}
+
+// Two nodes that differ in one member of eighty tell each other a few members, not all.
+func TestOnlyWhatDiffersIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	s := statemachine.NewEnv(1)
+	asker, asked := crowd(s, "asker", 80), crowd(s, "asked", 80)
+	asker.Handle(s, "", message.JoinResponse{From: asked.Self()})
+	asked.Handle(s, "", message.JoinResponse{From: asker.Self()})
+	s.Drain()
+	members, _ := answers(c, s, asker, asked)
+	c.Assert(len(members), qt.Equals, 0)
+
+	reborn := message.Member{Name: "proxy/17", Role: message.RoleProxy, Zone: "z", Address: "10.0.0.17:7000", Birth: 2}
+	asked.Handle(s, "", message.JoinResponse{From: reborn})
+	s.Drain()
+	members, bytes := answers(c, s, asker, asked)
+	c.Assert(slices.Contains(members, reborn), qt.IsTrue)
+	c.Assert(len(members) < 80/4, qt.IsTrue, qt.Commentf("%d members, %d bytes", len(members), bytes))
+}
+
+// Who knows nobody is told everybody.
+func TestANewNodeIsToldEverybody(t *testing.T) {
+	c := qt.New(t)
+	s := statemachine.NewEnv(1)
+	asker, asked := crowd(s, "asker", 0), crowd(s, "asked", 80)
+	members, _ := answers(c, s, asker, asked)
+	c.Assert(len(members) >= 80, qt.IsTrue)
+}
--- a/internal/message/member.go
+++ b/internal/message/member.go
@@ -67,7 +67,7 @@
 // JoinRequest introduces the sender and asks for the member list.
 type JoinRequest struct {
 	From  Member
-	Known int64 // checksum of the sender's member list: the list is sent only where it differs
+	Known []int64 // digest of what the sender knows, in parts: only the parts that differ are answered
 }
 
 // JoinResponse carries a part of the member list; it is empty when the lists are the same.
