Full upstreams are left alone for longer; calls of running requests are not given up for their aim

And the calls that running requests make were refused because their own aim (250 ms) could not be met behind a full link: 4,217 answers 500 by upstreams, each with the work of the request that had run.

Change: an upstream that says it is full rests 50 ms, doubled at each refusal in a row, up to 50 ms for every eight proxies (0.45 s at 77, as today at up to 8); requests that find all upstreams resting are refused at once, on this machine. A request without a tenant, where tenants are told, is a running request's: it bears no aim, and is sent to full upstreams too.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -60,6 +60,12 @@
 	begun         bool // counted as open
 }
 
+// nested says that a running request's upstream makes this one. Refusing it, be it too
+// late for its own aim, would waste the work of the running one.
+func (r *Request) nested() bool {
+	return r.Tenant == "" && r.Configuration != nil && !r.Configuration.Keyless()
+}
+
 // Final is the answer to the caller.
 type Final struct {
 	Code       errcode.Code
@@ -101,6 +107,8 @@
 	load       float64
 	reportedAt time.Duration
 	avoidUntil time.Duration
+	fullUntil  time.Duration // it is full: no request of a caller is sent to it
+	fullTimes  int           // refusals in a row because it is full
 	readySince time.Duration
 	seen       bool
 }
@@ -368,25 +376,12 @@
 	if now >= request.Deadline {
 		return f.giveUp(request, errcode.BusyDeadline)
 	}
-	near, far := []message.Registration{}, []message.Registration{}
-	known := 0
 	if request.Service == "" {
 		request.Service = request.Route.Pick(random.Float64())
 	}
-	for _, registration := range f.snapshot.Upstreams[request.Service] {
-		if registration.State != message.StateReady {
-			continue
-		}
-		known++
-		held := f.peer(peerKey(registration))
-		if request.Tried[peerKey(registration)] || now < held.avoidUntil {
-			continue
-		}
-		if registration.Zone == f.settings.Zone {
-			near = append(near, registration)
-		} else {
-			far = append(far, registration)
-		}
+	near, far, known := f.candidates(now, request, false)
+	if len(near)+len(far) == 0 && request.nested() {
+		near, far, known = f.candidates(now, request, true)
 	}
 	if len(near)+len(far) == 0 {
 		if known > 0 {
@@ -407,6 +402,27 @@
 	return nil
 }
 
+// candidates lists the upstreams of a request's service that may be tried now, by
+// whether they are in this zone, and counts those that are ready at all.
+func (f *Frontend) candidates(now time.Duration, request *Request, evenFull bool) (near, far []message.Registration, known int) {
+	for _, registration := range f.snapshot.Upstreams[request.Service] {
+		if registration.State != message.StateReady {
+			continue
+		}
+		known++
+		held := f.peer(peerKey(registration))
+		if request.Tried[peerKey(registration)] || now < held.avoidUntil || !evenFull && now < held.fullUntil {
+			continue
+		}
+		if registration.Zone == f.settings.Zone {
+			near = append(near, registration)
+		} else {
+			far = append(far, registration)
+		}
+	}
+	return near, far, known
+}
+
 // Judge takes an outcome: a final answer, or nil to choose again.
 func (f *Frontend) Judge(now time.Duration, request *Request, outcome message.Outcome) *Final {
 	f.lock.Lock()
@@ -420,10 +436,12 @@
 	}
 	switch ending {
 	case Answered:
+		held.notFull()
 		held.learnFailure(false)
 		f.learnPace(held, request.Route.Name, time.Duration(outcome.Took))
 		return &Final{Code: errcode.OK, Status: int(outcome.Status), Headers: notOwn(outcome.Headers), Body: outcome.Body}
 	case Unsure:
+		held.notFull()
 		held.learnFailure(true)
 	default:
 		f.learn(now, held, request, code)
@@ -439,10 +457,32 @@
 	})
 }
 
+// notFull notes that an upstream has begun a request.
+func (p *peer) notFull() { p.fullTimes, p.fullUntil = 0, 0 }
+
+// fullRest is how long an upstream that was full, so many times in a row, is left alone.
+// Where many proxies ask the same upstreams each may ask more seldom, and their requests
+// must not fill its proxy's link only to be refused.
+func (f *Frontend) fullRest(times int) time.Duration {
+	shortest := f.settings.UpdatesEvery() / 4
+	longest := min(shortest*time.Duration(max(1, f.snapshot.Proxies/proxiesPerRest)), f.settings.UpdatesEvery()*4)
+	return min(shortest<<min(times-1, fullDoublings), longest)
+}
+
+// How the rest of a full upstream grows: doubled so many times, and up to one shortest
+// rest for so many proxies.
+const (
+	fullDoublings  = 4
+	proxiesPerRest = 8
+)
+
 // learn takes a serving proxy's refusal into the choice at once.
 func (f *Frontend) learn(now time.Duration, held *peer, request *Request, code errcode.Code) {
 	switch code {
-	case errcode.BusySlotsFull, errcode.BusyQueueFull, errcode.BusyUnproven:
+	case errcode.BusySlotsFull, errcode.BusyQueueFull:
+		held.fullTimes++
+		held.fullUntil = now + f.fullRest(held.fullTimes)
+	case errcode.BusyUnproven:
 		held.avoidUntil = now + f.settings.UpdatesEvery()/4
 	case errcode.BusyServingProxyLost:
 		for _, list := range f.snapshot.Upstreams {
@@ -486,7 +526,7 @@
 		RawQuery: request.RawQuery, Headers: []message.HeaderLine{}, Body: request.Body, AnswerCap: f.settings.Limits.Answer,
 		Host: request.Host, Name: request.Name, Priority: request.Priority, Once: request.Route.Once}
 	remaining := request.Deadline - now
-	if request.Route.Aim > 0 {
+	if request.Route.Aim > 0 && !request.nested() {
 		forward.Aim = max(int64(request.Came+request.Route.Aim-now), 1)
 	}
 	forward.Remaining = int64(remaining - min(remaining/20, f.settings.UpdatesEvery()/10))
