Traffic waits for its turns on the link, control messages do not

Tests, red before: TestControlDoesNotWaitBehindTraffic (over loopback, the control message was not there after a second), TestABusyLinkRefusesAtOnce; TestReservationsFollowTheRate, TestNothingIsBoundedWithoutARate.

--- /dev/null
+++ b/internal/frontend/link_test.go
@@ -0,0 +1,58 @@
+// A machine's link that is full of what was sent before.
+package frontend
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+)
+
+// A request that would wait too long for the link is refused at once and told when to
+// come back. The call of a running request may wait longer, and an upstream beside this
+// proxy needs no link.
+func TestABusyLinkRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, tried := range []struct {
+		name    string
+		path    string
+		key     string
+		waits   float64 // backlog, in times of what a request may wait
+		local   bool
+		refused bool
+	}{
+		{"free link", "/pay/x", "secret", 0.5, false, false},
+		{"busy link", "/pay/x", "secret", 1.5, false, true},
+		{"busy link, local upstream", "/pay/x", "secret", 1.5, true, false},
+		{"busy link, nested call", "/check/x", "", 1.5, false, false},
+		{"very busy link, nested call", "/check/x", "", 2.5, false, true},
+	} {
+		f := crowded(77)
+		back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
+		back.backlog = time.Duration(tried.waits * float64(f.settings.LinkWait()))
+		address := "here:1"
+		if tried.local {
+			address = "serving-a"
+			f.snapshot.Upstreams["pay"] = f.snapshot.Upstreams["pay"][:1]
+		}
+		back.tracker = NewDesk(f.settings, f, backend.New(f.settings, f.Allowed), back, message.Member{Name: "me", Address: address})
+		var final *Final
+		back.tracker.Arrive(asked(tried.path, tried.key), func(time.Duration) {}, func(answer *Final) { final = answer })
+		if !tried.refused {
+			c.Check(final, qt.IsNil, qt.Commentf(tried.name))
+			continue
+		}
+		c.Assert(final, qt.IsNotNil, qt.Commentf(tried.name))
+		c.Check(final.Code, qt.Equals, errcode.BusyQueueFull, qt.Commentf(tried.name))
+		c.Check(final.RetryAfter > 0, qt.IsTrue, qt.Commentf(tried.name))
+		c.Check(back.connections, qt.HasLen, 0, qt.Commentf(tried.name))
+		for _, held := range f.peers {
+			c.Check(held.mine, qt.Equals, int64(0), qt.Commentf(tried.name))
+		}
+	}
+}
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -118,6 +118,9 @@
 func (t *Stages) Random() *mathrand.Rand { return t.random }
 func (t *Stages) Tell(tidings any)       { t.tell(tidings) }
 
+// Backlog is how long a frame that was posted now would wait for the machine's link.
+func (t *Stages) Backlog() time.Duration { return t.transport.Backlog() }
+
 // Queue puts an item before a stage; false when its queue is full.
 func (t *Stages) Queue(env Env, item any) bool {
 	switch env {
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -50,6 +50,9 @@
 	Open(servingProxy string, received func(msg any), closed func(connection Connection)) Connection
 	After(wait time.Duration, then func())
 	Tell(tidings any)
+
+	// Backlog is how long a frame that was posted now would wait for the machine's link.
+	Backlog() time.Duration
 }
 
 // Trip is a request on its way through this proxy.
@@ -185,6 +188,11 @@
 // was not started; otherwise only the serving proxy may say so.
 func (d *Tracker) forward(going *Trip) {
 	request := going.Request
+	if request.Target.ServingProxyAddress != d.address && d.linkIsBusy(request) {
+		d.frontend.Release(request)
+		d.finish(going, d.frontend.Abandon(request, false, errcode.BusyQueueFull))
+		return
+	}
 	frame := d.frontend.Forward(d.back.Now(), request, d.node, strconv.Itoa(request.Attempts))
 	connection := d.connectionTo(request.Target.ServingProxyAddress)
 	going.lock.Lock()
@@ -205,6 +213,20 @@
 	}
 }
 
+// linkIsBusy says that a request would wait too long for this machine's link, so that it
+// is better refused at once. A running request's calls may wait longer, since refusing
+// one wastes that request's work.
+func (d *Tracker) linkIsBusy(request *Request) bool {
+	limit := d.settings.LinkWait()
+	if request.nested() {
+		limit *= nestedLinkWaits
+	}
+	return d.back.Backlog() > limit
+}
+
+// nestedLinkWaits is how much longer a running request's calls may wait for the link.
+const nestedLinkWaits = 2
+
 // local passes a frame to this proxy's own backend.
 func (d *Tracker) local(msg any) {
 	d.Inbound(msg, func(reply any) error { d.received(reply); return nil })
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -35,11 +35,14 @@
 	connections []*fakeConnection
 	judged      []Judged
 	random      *rand.Rand
+	backlog     time.Duration
 }
 
-func (b *fakeBackstage) Now() time.Duration          { return time.Second }
-func (b *fakeBackstage) Wall() time.Time             { return time.Unix(0, 0) }
-func (b *fakeBackstage) Random() *rand.Rand          { return b.random }
+func (b *fakeBackstage) Now() time.Duration     { return time.Second }
+func (b *fakeBackstage) Wall() time.Time        { return time.Unix(0, 0) }
+func (b *fakeBackstage) Random() *rand.Rand     { return b.random }
+func (b *fakeBackstage) Backlog() time.Duration { return b.backlog }
+
 func (b *fakeBackstage) After(time.Duration, func()) {}
 func (b *fakeBackstage) Tell(any)                    {}
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	network.Pace(h.Settings.LinkShare())
 	h.Transport = network
 	network.OnBroke(func(address string) { h.Tell(statemachine.ConnectionBroke{Address: address}) })
 	if begin != nil {
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -492,6 +492,9 @@
 	return true
 }
 
+// Backlog is none: the links of the simulator have no width.
+func (b *backstage) Backlog() time.Duration { return 0 }
+
 func (b *backstage) After(wait time.Duration, then func()) {
 	b.node.world.after(b.node.trueWait(wait), func() { b.node.run(b.life, then) })
 }
--- /dev/null
+++ b/internal/transport/pacer_test.go
@@ -0,0 +1,105 @@
+// Turns on the link: traffic waits for them, control messages do not.
+package transport
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+)
+
+func TestReservationsFollowTheRate(t *testing.T) {
+	c := qt.New(t)
+	p := &pacer{rate: 100000}
+	began := time.Now()
+	var last time.Time
+	for range 100 {
+		p.reserve(1000, func(due time.Time) bool { last = due; return true })
+	}
+	// 99 frames of 10 ms each go before the last one, less what may be caught up on.
+	wait := last.Sub(began)
+	c.Assert(wait >= 990*time.Millisecond-pacedBurst, qt.IsTrue, qt.Commentf("%v", wait))
+	c.Assert(wait <= 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait))
+	backlog := p.backlog()
+	c.Assert(backlog > 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", backlog))
+
+	// What was not taken reserves nothing.
+	p.reserve(1<<20, func(time.Time) bool { return false })
+	c.Assert(p.backlog() <= backlog, qt.IsTrue)
+}
+
+func TestNothingIsBoundedWithoutARate(t *testing.T) {
+	c := qt.New(t)
+	p := &pacer{}
+	p.reserve(1<<30, func(due time.Time) bool {
+		c.Check(due.IsZero(), qt.IsTrue)
+		return true
+	})
+	c.Assert(p.backlog(), qt.Equals, time.Duration(0))
+}
+
+// receiver counts the bytes of traffic bodies and notes when a control message came.
+type receiver struct {
+	lock    sync.Mutex
+	traffic int
+	control chan struct{}
+}
+
+func (r *receiver) inbound(_ string, msg any, _ func(msg any) error) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	switch received := msg.(type) {
+	case message.Forward:
+		r.traffic += len(received.Body)
+	case message.UpdatesRequest:
+		close(r.control)
+	}
+}
+
+func (r *receiver) bytes() int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.traffic
+}
+
+// A proxy that has far more traffic to send than its link carries keeps the link's share
+// for it, and a control message goes at once, past the frames that wait.
+func TestControlDoesNotWaitBehindTraffic(t *testing.T) {
+	c := qt.New(t)
+	group := goroutine.New()
+	defer group.Stop(time.Second)
+	received := &receiver{control: make(chan struct{})}
+	const frameCap, queue, rate, body = 1 << 20, 512, 200000, 4000
+	from, err := New(group, "127.0.0.1:0", frameCap, queue, time.Second, func(string, any, func(any) error) {})
+	c.Assert(err, qt.IsNil)
+	to, err := New(group, "127.0.0.1:0", frameCap, queue, time.Second, received.inbound)
+	c.Assert(err, qt.IsNil)
+	from.Pace(rate)
+	from.Start()
+	to.Start()
+	defer from.Close()
+	defer to.Close()
+
+	began := time.Now()
+	traffic := from.Open(to.address, func(any) {})
+	for range 250 {
+		forward := message.Forward{Headers: []message.HeaderLine{}, Body: make([]byte, body)}
+		c.Assert(traffic.Post(forward), qt.IsNil)
+	}
+	c.Assert(from.Backlog() > time.Second, qt.IsTrue, qt.Commentf("%v", from.Backlog()))
+	c.Assert(from.Send(to.address, message.UpdatesRequest{Marks: []message.Mark{}}), qt.IsNil)
+	select {
+	case <-received.control:
+	case <-time.After(time.Second):
+		c.Fatal("the control message is not there after a second")
+	}
+	time.Sleep(300 * time.Millisecond)
+	took := time.Since(began) + pacedBurst
+	most := int(took.Seconds()*rate) + body
+	c.Assert(received.bytes() <= most, qt.IsTrue, qt.Commentf("%d bytes in %v, the link's share is %d", received.bytes(), took, most))
+	c.Assert(received.bytes() > 0, qt.IsTrue)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -25,6 +25,9 @@
 // bufferSize of a connection, each way: some frames.
 const bufferSize = 8 << 10
 
+// frameHead is the bytes of a frame's length, before the frame.
+const frameHead = 4
+
 // Inbound takes what arrives. Back answers on the same connection, for traffic frames.
 type Inbound func(from string, msg any, back func(msg any) error)
 
@@ -43,6 +46,7 @@
 	inConnections map[net.Conn]bool
 	broke         func(address string)
 	tally         tally
+	pacer         pacer
 }
 
 // OnBroke is told of control connections that ended.
@@ -107,7 +111,7 @@
 }
 
 func (w *Transport) serve(conn net.Conn) {
-	connection := newConnection(w, conn, conn.RemoteAddr().String())
+	connection := newConnection(w, conn, conn.RemoteAddr().String(), true)
 	defer func() {
 		connection.Close()
 		w.lock.Lock()
@@ -138,6 +142,7 @@
 	if _, err := w.packets.WriteTo(frame, target); err != nil {
 		return errcode.Wrap("transport.datagram", errcode.ConnectionLost, err)
 	}
+	w.pacer.charge(len(frame))
 	w.tally.add(wayUDP, outward, frame[0], len(frame))
 	return nil
 }
@@ -147,7 +152,7 @@
 	w.lock.Lock()
 	connection := w.connections[to]
 	if connection == nil || connection.Broken() {
-		connection = w.open(to, func(any) {}, w.broke)
+		connection = w.open(to, false, func(any) {}, w.broke)
 		w.connections[to] = connection
 	}
 	w.lock.Unlock()
@@ -156,11 +161,11 @@
 
 // Open makes a connection of its own for traffic; heard gets what comes back.
 func (w *Transport) Open(to string, received func(msg any)) *Connection {
-	return w.open(to, received, nil)
+	return w.open(to, true, received, nil)
 }
 
-func (w *Transport) open(to string, received func(msg any), broke func(address string)) *Connection {
-	connection := newConnection(w, nil, to)
+func (w *Transport) open(to string, traffic bool, received func(msg any), broke func(address string)) *Connection {
+	connection := newConnection(w, nil, to, traffic)
 	_ = connection.Post(message.Hello{Address: w.address})
 	w.goroutines.Go("transport.dial", func(ctx context.Context) {
 		dialer := net.Dialer{Timeout: w.dialLimit, Control: w.impatient}
@@ -211,13 +216,20 @@
 	peer      string
 	lock      sync.Mutex
 	conn      net.Conn
-	queue     chan []byte
+	queue     chan queued
+	traffic   bool // waits for its turn on the link, behind control messages
 	closed    chan struct{}
 	once      sync.Once
 }
 
-func newConnection(w *Transport, conn net.Conn, peer string) *Connection {
-	return &Connection{transport: w, peer: peer, conn: conn, queue: make(chan []byte, w.queue), closed: make(chan struct{})}
+// queued is a frame before it is written, and when its turn on the link comes.
+type queued struct {
+	frame []byte
+	due   time.Time
+}
+
+func newConnection(w *Transport, conn net.Conn, peer string, traffic bool) *Connection {
+	return &Connection{transport: w, peer: peer, conn: conn, traffic: traffic, queue: make(chan queued, w.queue), closed: make(chan struct{})}
 }
 
 func (connection *Connection) attach(conn net.Conn) bool {
@@ -274,34 +286,32 @@
 	if connection.Broken() {
 		return errcode.Wrap("transport.post", errcode.ConnectionLost, nil)
 	}
-	select {
-	case connection.queue <- frame:
-		return nil
-	default:
+	accepted := connection.transport.pacer.reserve(len(frame)+frameHead, func(due time.Time) bool {
+		if !connection.traffic {
+			due = time.Time{}
+		}
+		select {
+		case connection.queue <- queued{frame, due}:
+			return true
+		default:
+			return false
+		}
+	})
+	if !accepted {
 		return errcode.Wrap("transport.post", errcode.ConnectionFull, nil)
 	}
+	return nil
 }
 
 func (connection *Connection) write(ctx context.Context) {
 	defer connection.Close()
 	writer := bufio.NewWriterSize(connection.conn, bufferSize)
-	var head [4]byte
 	for {
 		select {
-		case frame := <-connection.queue:
-			binary.BigEndian.PutUint32(head[:], uint32(len(frame)))
-			if _, err := writer.Write(head[:]); err != nil {
-				return
-			}
-			if _, err := writer.Write(frame); err != nil {
+		case next := <-connection.queue:
+			if !connection.waitTurn(ctx, writer, next.due) || !connection.writeFrame(writer, next.frame) {
 				return
 			}
-			connection.transport.tally.add(wayTCP, outward, frame[0], len(head)+len(frame))
-			if len(connection.queue) == 0 {
-				if err := writer.Flush(); err != nil {
-					return
-				}
-			}
 		case <-connection.closed:
 			return
 		case <-ctx.Done():
@@ -310,9 +320,44 @@
 	}
 }
 
+// waitTurn waits until a frame's turn on the link, having flushed what went before.
+func (connection *Connection) waitTurn(ctx context.Context, writer *bufio.Writer, due time.Time) bool {
+	wait := time.Until(due)
+	if due.IsZero() || wait <= 0 {
+		return true
+	}
+	if err := writer.Flush(); err != nil {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-connection.closed:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// writeFrame writes a frame behind its length, and flushes when none waits behind it.
+func (connection *Connection) writeFrame(writer *bufio.Writer, frame []byte) bool {
+	var head [frameHead]byte
+	binary.BigEndian.PutUint32(head[:], uint32(len(frame)))
+	if _, err := writer.Write(head[:]); err != nil {
+		return false
+	}
+	if _, err := writer.Write(frame); err != nil {
+		return false
+	}
+	connection.transport.tally.add(wayTCP, outward, frame[0], len(head)+len(frame))
+	return len(connection.queue) > 0 || writer.Flush() == nil
+}
+
 func (connection *Connection) read(received func(msg any)) {
 	reader := bufio.NewReaderSize(connection.conn, bufferSize)
-	var head [4]byte
+	var head [frameHead]byte
 	for {
 		if _, err := io.ReadFull(reader, head[:]); err != nil {
 			return
