The fault of TestNeverTwice lasts twice as long, so that the danger is reached again

Full upstreams are left alone for longer, so fewer requests met the faulty one: 4 once-only requests had run with their answers lost where the test wants 5.

--- a/internal/simulation/never_test.go
+++ b/internal/simulation/never_test.go
@@ -52,7 +52,7 @@
 
 // 1: once-only requests ran, and their answers were lost with a serving proxy or an upstream.
 func TestNeverTwice(t *testing.T) {
-	result := simulate(t, "umuyoboro", 2, 500, Step{12 * second, "herd", "", second}, Step{14 * second, "upstream-faults", "dispatch/dispatch-2", 3 * second},
+	result := simulate(t, "umuyoboro", 2, 500, Step{12 * second, "herd", "", second}, Step{14 * second, "upstream-faults", "dispatch/dispatch-2", 6 * second},
 		Step{16 * second, "kill", "edge-2", second}, Step{18 * second, "upstream-kill", "dispatch/dispatch-4", second})
 	reached(t, "once-only requests that ran and whose answer was lost", counted(result.Record, func(asked checker.Asked, runs []checker.Ran) bool {
 		return asked.Once && len(runs) == 1 && unknown(asked)
