TestVanishedOwnersAddressGetsNothing no longer races its own listener

Ruled out: the product (the connections reset were the test's own).

Change: the test announces until every kept connection is made and waits until the old upstream has taken them all; what it asserts is unchanged, the count of kept connections now holds by construction and is still asserted.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -135,9 +135,16 @@
 	defer members.Stop(0)
 	old := newScripted(c, members, "127.0.0.1:0", func(int64) string { return good })
 	b := newBench(c, members, old.listener.Addr().String())
+	target := Target{Key: "pay/one", Address: b.address, Incarnation: 1}
+	guards := 1
+	for len(b.caller.idle[target]) < b.room.ConnectionsReady(target) {
+		// On a busy machine the sign of life was too old before all were made.
+		b.announce(c, "pay", "one", 1)
+		guards++
+	}
+	old.waitAccepted(c, guards+len(b.caller.idle[target]))
 	old.listener.Close()
 	heir := newScripted(c, members, b.address, func(int64) string { return good })
-	target := Target{Key: "pay/one", Address: b.address, Incarnation: 1}
 	c.Assert(len(b.caller.idle[target]), qt.Equals, b.room.ConnectionsReady(target))
 	c.Assert(b.request(c, "a", http.MethodPost).Kind, qt.Equals, message.StartedWhole)
 	c.Assert(old.reads.Load(), qt.Equals, int64(1))
--- a/internal/backend/calling_test.go
+++ b/internal/backend/calling_test.go
@@ -26,12 +26,25 @@
 	listener net.Listener
 	reads    atomic.Int64
 	seen     chan *http.Request
+	accepted chan struct{} // one for each connection that was taken
+}
+
+// waitAccepted returns once this many connections have been taken: one that still waits
+// in the kernel's queue is reset when the listener closes.
+func (s *scripted) waitAccepted(c *qt.C, connections int) {
+	for taken := range connections {
+		select {
+		case <-s.accepted:
+		case <-time.After(time.Minute):
+			c.Fatalf("%d of %d connections were taken", taken, connections)
+		}
+	}
 }
 
 func newScripted(c *qt.C, members *goroutine.Group, address string, answer func(number int64) string) *scripted {
 	listener, err := net.Listen("tcp", address)
 	c.Assert(err, qt.IsNil)
-	s := &scripted{listener: listener, seen: make(chan *http.Request, 100)}
+	s := &scripted{listener: listener, seen: make(chan *http.Request, 100), accepted: make(chan struct{}, 1000)}
 	c.Cleanup(func() { listener.Close() })
 	members.Go("scripted", func(ctx context.Context) {
 		for {
@@ -39,6 +52,7 @@
 			if err != nil {
 				return
 			}
+			s.accepted <- struct{}{}
 			members.Go("scripted.connection", func(context.Context) {
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
