Simulated runs wrong-answer and once-only, with counters of their danger

Cause: the simulator's upstreams gave outcomes, not bytes, so pairing was never played; nothing broke the connections between proxies alone.

Change: while they stray, upstreams put second answers (behind, meanwhile, late), ones without a name and halves on their connections, and the serving proxy reads them through backend.Pairing; a step breaks connections between proxies. A run that does not reach its danger fails (danger-not-reached).

--- a/internal/backend/pairing.go
+++ b/internal/backend/pairing.go
@@ -72,6 +72,11 @@
 	}
 	found.Received.Other = false
 	if p.nameless(response) && safeguard.AnswerWithoutName.On() {
+		if response.StatusCode < http.StatusMultipleChoices {
+			// A stray one: the own answer, which bears the name, may come behind it.
+			found.Received.Other = true
+			return found, nil
+		}
 		return Paired{}, errcode.Wrap("backend.head", errcode.AnswerMalformed, errors.New("an answer that names no request"))
 	}
 	behind := answers.reader.Buffered() > 0 && safeguard.BytesBehind.On()
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -247,6 +247,19 @@
 	return connection
 }
 
+// OutOn counts the attempts that are out on a connection.
+func (d *Tracker) OutOn(connection Connection) int {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	count := 0
+	for _, going := range d.waiting {
+		if going.on(connection) {
+			count++
+		}
+	}
+	return count
+}
+
 // lost settles what was out on a connection that broke: on that one alone, since another
 // connection to the same serving proxy says nothing of what this one carried.
 func (d *Tracker) lost(servingProxy string, connection Connection) {
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -151,14 +151,17 @@
 // upConnection is a connection to an upstream's process, idle or as a guard. It ends when that
 // process ends; of one whose machine vanished nothing is heard.
 type upConnection struct {
-	owner *Upstream
-	life  int
+	owner  *Upstream
+	life   int
+	stream *upstreamStream
 }
 
 func (u upConnection) there() bool { return u.owner.up && u.owner.life == u.life }
 
 // quiet: nothing has come on it, as its serving proxy sees it.
-func (u upConnection) quiet() bool { return u.there() || u.owner.vanished[u.life] }
+func (u upConnection) quiet() bool {
+	return (u.there() || u.owner.vanished[u.life]) && u.stream.quiet()
+}
 
 // guard opens the guard connection of an announced upstream and some to be kept ready, as
 // calling.go does.
@@ -172,7 +175,7 @@
 				n.room.Broke(n.Now(), target)
 				return
 			}
-			n.guards[target] = upConnection{owner, owner.life}
+			n.guards[target] = upConnection{owner: owner, life: owner.life}
 			n.fill(target)
 		})
 	})
@@ -181,7 +184,7 @@
 func (n *Node) fill(target backend.Target) {
 	owner := n.world.addresses[target.Address]
 	for owner != nil && owner.up && len(n.pools[target]) < n.room.ConnectionsReady(target) && n.room.Dialable(n.Now(), target) {
-		n.pools[target] = append(n.pools[target], upConnection{owner, owner.life})
+		n.pools[target] = append(n.pools[target], upConnection{owner: owner, life: owner.life})
 	}
 }
 
@@ -258,7 +261,7 @@
 			case !n.room.Dialable(n.Now(), target) || !guarded():
 				refuse(errcode.BusyUnproven)
 			default:
-				n.exchange(life, order, upConnection{owner, owner.life})
+				n.exchange(life, order, upConnection{owner: owner, life: owner.life})
 			}
 		})
 	})
@@ -269,6 +272,9 @@
 	w, target := n.world, order.Target
 	target.Pass = ""
 	limit := time.Duration(order.Forward.Remaining)
+	if connection.stream == nil {
+		connection.stream = &upstreamStream{}
+	}
 	over := false
 	end := func(outcome message.Outcome, broke bool) {
 		if over {
@@ -280,7 +286,7 @@
 				n.room.Doubt(target)
 			} else if outcome.Kind == message.StartedWhole {
 				n.room.Alive(n.Now(), target)
-				if connection.owner.serviceSpec.Closes {
+				if connection.owner.serviceSpec.Closes || !connection.stream.kept {
 					n.fill(target)
 				} else if n.room.Usable(n.Now(), target) {
 					n.pools[target] = append(n.pools[target], connection)
@@ -300,7 +306,8 @@
 		}
 		switch {
 		case connection.there():
-			connection.owner.run(n, order, end, lost)
+			connection.stream.sent(w)
+			connection.owner.run(n, order, connection.stream, end, lost)
 		case !connection.owner.vanished[connection.life]:
 			lost()
 		case w.addresses[target.Address] != nil:
@@ -312,7 +319,7 @@
 }
 
 // run is the work at the upstream.
-func (u *Upstream) run(servingProxy *Node, order backend.Order, end func(outcome message.Outcome, broke bool), lost func()) {
+func (u *Upstream) run(servingProxy *Node, order backend.Order, stream *upstreamStream, end func(outcome message.Outcome, broke bool), lost func()) {
 	w := u.world
 	u.running++
 	u.most = max(u.most, u.running)
@@ -365,10 +372,11 @@
 				headers = append(headers, message.HeaderLine{Name: frontend.CodeHeader, Value: "3101"})
 				w.dangers["answers that claim a code of the mesh's"]++
 			}
-			u.runs[index].Whole, u.runs[index].Answer, u.runs[index].Status, u.runs[index].Mark = w.now, answer, status, answer
-			w.after(w.transit()/2, func() {
-				end(message.Outcome{Kind: message.StartedWhole, Status: int64(status), Headers: headers, Body: []byte(answer)}, false)
-			})
+			read, whole := stream.say(w, w.now < w.strayUntil, order, message.Outcome{Status: int64(status), Headers: headers, Body: []byte(answer)})
+			if whole {
+				u.runs[index].Whole, u.runs[index].Answer, u.runs[index].Status, u.runs[index].Mark = w.now, answer, status, answer
+			}
+			w.after(w.transit()/2, func() { end(read, false) })
 		}
 	}
 	kind, _ := w.options.Deployment.Kind(order.Forward.Route)
--- /dev/null
+++ b/internal/simulation/answers_test.go
@@ -0,0 +1,64 @@
+// The runs "wrong-answer" and "once-only": they reach their danger and keep every promise;
+// with one check taken out each, they break the promise that it keeps.
+package simulation
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/safeguard"
+	"beaconvane/internal/workload"
+)
+
+// answersRate is how many requests a second these runs have; the danger wants some.
+const answersRate = 150
+
+func TestAnswersRuns(t *testing.T) {
+	for _, scenario := range []string{"wrong-answer", "once-only"} {
+		for _, deployment := range []string{"umuyoboro", "jendela"} {
+			t.Run(scenario+" "+deployment, func(t *testing.T) {
+				oneThread(t)
+				t.Parallel()
+				d, _ := workload.Named(deployment)
+				result := Run(d, scenario, 1, answersRate, nil)
+				for _, violation := range result.Review.Violations {
+					t.Errorf("%s: %s", violation.Rule, violation.Detail)
+				}
+				for _, danger := range wantedDangers[scenario] {
+					t.Logf("%s: %d", danger, result.Review.Seen["danger: "+danger])
+				}
+			})
+		}
+	}
+}
+
+// Not beside other tests: the check is out for all.
+func TestAnswersRunsWithoutAcheck(t *testing.T) {
+	oneThread(t)
+	for _, tried := range []struct {
+		scenario string
+		guard    safeguard.Guard
+		rule     string
+	}{
+		{"wrong-answer", safeguard.AnswerOfAnother, "own-answer"},
+		{"wrong-answer", safeguard.AnswerWithoutName, "own-answer"},
+		{"wrong-answer", safeguard.WholeAnswer, "own-answer"},
+		{"once-only", safeguard.OnceOnly, "once"},
+		{"once-only", safeguard.NeverAttached, "once"},
+		{"once-only", safeguard.NoPromiseAfterRun, "busy-ran"},
+	} {
+		t.Run(tried.scenario+" "+tried.guard.String(), func(t *testing.T) {
+			safeguard.Without(t, tried.guard)
+			d, _ := workload.Named("umuyoboro")
+			rules := map[string]int{}
+			for seed := uint64(1); seed <= 6 && rules[tried.rule] == 0; seed++ {
+				for _, violation := range Run(d, tried.scenario, seed, answersRate, nil).Review.Violations {
+					rules[violation.Rule]++
+				}
+			}
+			t.Logf("%v", rules)
+			qt.Assert(t, rules[tried.rule] > 0, qt.IsTrue)
+		})
+	}
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -177,6 +177,7 @@
 	n.room = backend.New(n.settings, func(forward message.Forward) errcode.Code { return n.frontend.Allowed(forward) })
 	n.room.UsePasses(func() string { return strconv.FormatUint(n.world.random.Uint64(), 36) })
 	n.frontend = frontend.New(n.settings, n.room.PassOf)
+	n.frontend.Speak(namedCallers{})
 	n.control = proxy.New(n.settings, self)
 	n.tracker = frontend.NewDesk(n.settings, n.frontend, n.room, &backstage{n, n.life}, self)
 	life := n.life
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -238,7 +238,9 @@
 	case "put", "put-huge", "withdraw", "restore-keys", "put-race", "put-bad", "put-and-kill", "put-and-kill-disk":
 		w.operate(step)
 	default:
-		w.doUpstream(step)
+		if !w.doAnswers(step) {
+			w.doUpstream(step)
+		}
 	}
 }
 
@@ -908,6 +910,7 @@
 	plan := Scenarios[scenario](d, rand.New(rand.NewPCG(seed, 5)))
 	result := Play(options(d, seed, rate, plan, log))
 	result.Scenario = scenario
+	result.dangersReached()
 	return result
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -85,6 +85,7 @@
 
 	collectorDown time.Duration // until when
 	collectorOdd  time.Duration
+	strayUntil    time.Duration  // until when upstreams send stray answers
 	dangers       map[string]int // how often a dangerous moment was reached
 	readiness     map[string]*readiness
 	couldServe    map[string]bool // requests refused while some upstream could have run them
@@ -266,6 +267,11 @@
 		w.record.Peaks = append(w.record.Peaks, checker.Peak{Instance: key, Most: w.upstreams[key].most, Slots: w.upstreams[key].slots})
 	}
 	sort.SliceStable(w.record.Keeping, func(i, j int) bool { return w.record.Keeping[i].At < w.record.Keeping[j].At })
+	runs := map[string]int{}
+	for _, ran := range w.record.Ran {
+		runs[ran.ID]++
+	}
+	w.countUnsure(runs)
 	review := checker.Check(w.record)
 	sound, count := w.linear()
 	review.Seen["book operations"] = count
