The limits for callers are applied: heads, bodies, head time, idle time

Cause: the configuration's limits were checked and not applied; the server's own read time cut every body after 30 s with 400 (counts as denied); a connection rested 2 minutes whatever was told, so a longer figure would have been broken; bodies together were unbounded in memory.

A pipelined request's time begins when its first byte came.

Left: bodies larger than the machine's bound still get 413; they would have to stream.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -27,6 +27,7 @@
 // Server is one HTTP server of a process.
 type Server struct {
 	server *http.Server
+	wrap   func(listener net.Listener) net.Listener // nil: as it is
 }
 
 // NewServer returns a server that serves one handler for every path.
@@ -53,6 +54,9 @@
 		if err != nil {
 			return errcode.Wrap("api.listen", errcode.ConnectionLost, err)
 		}
+		if s.wrap != nil {
+			listener = s.wrap(listener)
+		}
 		group.Go("api.serve", func(context.Context) { s.server.Serve(listener) })
 	}
 	return nil
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -56,15 +56,30 @@
 	process.OnTraffic(p.stages.Traffic)
 	process.OnPublish(func(snapshot any) { p.stages.Show(snapshot.(*proxy.Snapshot)) })
 	p.api = api.NewProxy(cfg, process, group, p.frontend, upstreams, p.stages)
+	limits := limitsInForce{p.frontend, group}
 	if p.callersApart() {
 		p.server = api.NewServer(p.api.Handler())
 		p.callers = api.NewServer(p.stages)
+		p.callers.ServeCallersBy(limits)
 	} else {
 		p.server = api.NewServer(p.api.HandlerWithCallers(p.stages))
+		p.server.ServeCallersBy(limits)
 	}
 	return p
 }
 
+// limitsInForce are the frontend's limits for callers, by the process's clock.
+type limitsInForce struct {
+	frontend   *frontend.Frontend
+	goroutines *goroutine.Group
+}
+
+// IdleTime is how long a caller's connection may rest now.
+func (l limitsInForce) IdleTime() time.Duration { return l.frontend.IdleTime(l.goroutines.Now()) }
+
+// HeadTime is how long a request's head may take now.
+func (l limitsInForce) HeadTime() time.Duration { return l.frontend.HeadTime() }
+
 // callersApart says whether callers have an address of their own, where every path is theirs.
 func (p *proxyProgram) callersApart() bool { return len(p.settings.Beacon) > 0 }
 
--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -42,6 +42,8 @@
 	RequestPassInvalid   Code = 3007
 	RequestUnreadable    Code = 3008
 	RequestRouteClosed   Code = 3009
+	RequestTooSlow       Code = 3010
+	RequestHeadTooLarge  Code = 3011
 )
 
 // Busy: nothing ran, and the caller may try again.
@@ -58,6 +60,7 @@
 	BusyBudget               Code = 3110
 	BusyDeadline             Code = 3111
 	BusyUnproven             Code = 3112
+	BusyBodies               Code = 3113
 )
 
 // Started, and without a whole answer of the upstream.
@@ -130,6 +133,8 @@
 	RequestBadPath:           {"RequestBadPath", 400, "the path holds dot segments, encoded slashes or control bytes"},
 	RequestPassInvalid:       {"RequestPassInvalid", 403, "the pass is not of a request that runs now"},
 	RequestUnreadable:        {"RequestUnreadable", 400, "the request broke off or is not HTTP/1.1 as the library reads it"},
+	RequestTooSlow:           {"RequestTooSlow", 408, "the request's body was not whole in the time that its caller gave; nothing ran"},
+	RequestHeadTooLarge:      {"RequestHeadTooLarge", 431, "the request's head is over the configuration's limit"},
 	RequestRouteClosed:       {"RequestRouteClosed", 503, "the route's calendar has it closed now; nothing ran"},
 	BusyQueueFull:            {"BusyQueueFull", 503, "a pending queue is full; nothing ran"},
 	BusyNoUpstream:           {"BusyNoUpstream", 503, "no ready upstream is known for the service; nothing ran"},
@@ -141,6 +146,7 @@
 	BusyUpstreamGone:         {"BusyUpstreamGone", 503, "the upstream refused the connection or stopped its heartbeats; nothing ran"},
 	BusyConfigurationDiffers: {"BusyConfigurationDiffers", 503, "the serving proxy's configuration does not allow the request (yet); nothing ran"},
 	BusyBudget:               {"BusyBudget", 503, "not started, and the service's retry budget is spent; nothing ran"},
+	BusyBodies:               {"BusyBodies", 503, "the bodies of other requests take all the memory there is for them; nothing ran"},
 	BusyUnproven:             {"BusyUnproven", 503, "no connection to the upstream that is proven to be its own is free; nothing ran"},
 	BusyDeadline:             {"BusyDeadline", 503, "the time was up before any upstream started; nothing ran"},
 	UnknownOutcome:           {"UnknownOutcome", 502, "the request was started and its answer was lost; it may have run"},
--- /dev/null
+++ b/internal/frontend/callerlimits_test.go
@@ -0,0 +1,169 @@
+// The limits of the configuration in force: sizes of heads and bodies, idle times that
+// change, and the memory that bodies take together.
+package frontend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+	"beaconvane/internal/proxy"
+	"beaconvane/internal/routeconfig"
+	"beaconvane/internal/settings"
+)
+
+func limited(limits string) *routeconfig.Configuration {
+	return routeconfig.Parse("main", 1, fmt.Appendf(nil, `{"services":["pay"],"limits":%s}`, limits), settings.Default().ConfigurationLimits())
+}
+
+// limitedStages has the read stage only: what passes it waits for ever.
+func limitedStages(limits string, alter func(cfg *settings.Settings)) *Stages {
+	cfg := settings.Default()
+	cfg.Limits.Body = 16 << 20
+	alter(&cfg)
+	front := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
+	group := goroutine.New()
+	room := backend.New(cfg, nil)
+	stages := NewStages(cfg, front, room, backend.NewCaller(cfg, room, group), group, message.Member{}, func(any) {})
+	front.Show(0, &proxy.Snapshot{Configurations: []*routeconfig.Configuration{limited(limits)}})
+	return stages
+}
+
+func statusOf(stages *Stages, request *http.Request) int {
+	recorder := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		stages.ServeHTTP(recorder, request)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return recorder.Code
+	case <-time.After(200 * time.Millisecond):
+		return 0 // passed on
+	}
+}
+
+// A body of more than 4 MiB was refused whatever the configuration allowed, and one that it
+// forbids was taken.
+func TestBodiesByTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	for _, tried := range []struct {
+		limits  string
+		size    int
+		chunked bool
+		status  int
+	}{
+		{`{"body_bytes":8388608}`, 6 << 20, false, 0},
+		{`{"body_bytes":8388608}`, 6 << 20, true, 0},
+		{`{"body_bytes":8388608}`, 9 << 20, false, http.StatusRequestEntityTooLarge},
+		{`{"body_bytes":8388608}`, 9 << 20, true, http.StatusRequestEntityTooLarge},
+		{`{"body_bytes":1000}`, 1000, false, 0},
+		{`{"body_bytes":1000}`, 1001, false, http.StatusRequestEntityTooLarge},
+		{`{"body_bytes":1000}`, 1001, true, http.StatusRequestEntityTooLarge},
+		{`{}`, 15 << 20, false, 0},
+		{`{"body_bytes":67108864}`, 17 << 20, false, http.StatusRequestEntityTooLarge}, // over what this machine holds
+	} {
+		stages := limitedStages(tried.limits, func(*settings.Settings) {})
+		request := httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(make([]byte, tried.size)))
+		if tried.chunked {
+			request.ContentLength = -1
+		}
+		c.Check(statusOf(stages, request), qt.Equals, tried.status, qt.Commentf("%+v", tried))
+	}
+}
+
+func TestHeadsByTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	for size, status := range map[int]int{3000: 0, 4200: http.StatusRequestHeaderFieldsTooLarge} {
+		request := httptest.NewRequest(http.MethodGet, "/x", nil)
+		request.Header.Set("Long", strings.Repeat("x", size))
+		c.Check(statusOf(limitedStages(`{"head_bytes":4096}`, func(*settings.Settings) {}), request), qt.Equals, status)
+	}
+}
+
+// Bodies that together take more than their part of the memory are refused at once, with a
+// promise and a time; what others took is free again when they are done.
+func TestBodiesTogether(t *testing.T) {
+	c := qt.New(t)
+	stages := limitedStages(`{}`, func(cfg *settings.Settings) { cfg.Limits.Memory, cfg.Limits.Body = 64, 4<<20 })
+	c.Assert(stages.settings.BodyRoom(), qt.Equals, int64(8<<20))
+	post := func(size int) *http.Request {
+		return httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(make([]byte, size)))
+	}
+	c.Assert(statusOf(stages, post(4<<20)), qt.Equals, 0)
+	c.Assert(statusOf(stages, post(3<<20)), qt.Equals, 0)
+	recorder := httptest.NewRecorder()
+	stages.ServeHTTP(recorder, post(2<<20))
+	c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(recorder.Header().Get(CodeHeader), qt.Equals, fmt.Sprint(int(errcode.BusyBodies)))
+	c.Assert(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+	stages.bodies.release(4 << 20)
+	c.Assert(statusOf(stages, post(2<<20)), qt.Equals, 0)
+}
+
+// stuck is a body that never comes whole.
+type stuck struct{}
+
+func (stuck) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// A body that is too slow has not run: 408, with a time, and nothing is kept of it.
+func TestASlowBody(t *testing.T) {
+	c := qt.New(t)
+	stages := limitedStages(`{}`, func(*settings.Settings) {})
+	before := stages.bodies.left
+	for _, length := range []int64{10, -1} {
+		request := httptest.NewRequest(http.MethodPost, "/x", io.NopCloser(stuck{}))
+		request.ContentLength = length
+		recorder := httptest.NewRecorder()
+		stages.ServeHTTP(recorder, request)
+		c.Check(recorder.Code, qt.Equals, http.StatusRequestTimeout)
+		c.Check(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+		c.Check(stages.bodies.left, qt.Equals, before)
+	}
+}
+
+// A lowered idle time counts on for the span that connections may have rested by the old
+// one; a raised one counts at once.
+func TestIdleTimesThatChange(t *testing.T) {
+	c := qt.New(t)
+	limits := callerLimits{}
+	show := func(now time.Duration, idle int) {
+		limits.take(now, []*routeconfig.Configuration{limited(fmt.Sprintf(`{"idle_ms":%d}`, idle))})
+	}
+	c.Assert(limits.idle(0), qt.Equals, defaultIdleTime+idleSlack)
+	show(0, 15000)
+	c.Assert(limits.idle(defaultIdleTime), qt.Equals, defaultIdleTime+idleSlack)
+	now := 1000 * time.Second
+	c.Assert(limits.idle(now), qt.Equals, 15*time.Second+idleSlack)
+	show(now, 5000)
+	c.Assert(limits.idle(now), qt.Equals, 15*time.Second+idleSlack)
+	show(now+time.Second, 3000)
+	c.Assert(limits.idle(now+15*time.Second), qt.Equals, 15*time.Second+idleSlack)
+	c.Assert(limits.idle(now+17*time.Second), qt.Equals, 3*time.Second+idleSlack)
+	show(now+20*time.Second, 30000)
+	c.Assert(limits.idle(now+20*time.Second), qt.Equals, 30*time.Second+idleSlack)
+}
+
+// A request's time begins with its first byte: one that waited behind another on its
+// connection is not held past its route's time.
+func TestTimeBeginsWithTheFirstByte(t *testing.T) {
+	c := qt.New(t)
+	f := hostedFrontend(c, upstream("one", "here"))
+	going := asked("/pay/x", "secret")
+	going.Came = old - time.Second
+	c.Assert(f.Admit(old, time.Now(), going), qt.IsNil)
+	c.Assert(going.Deadline, qt.Equals, old+2*time.Second)
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -66,6 +66,14 @@
 	return r.Tenant == "" && r.Configuration != nil && !r.Configuration.Keyless()
 }
 
+// since is when the request's time began: with its first byte, where that is known.
+func (r *Request) since(now time.Duration) time.Duration {
+	if r.Came > 0 {
+		return r.Came
+	}
+	return now
+}
+
 // Final is the answer to the caller.
 type Final struct {
 	Code       errcode.Code
@@ -78,7 +86,7 @@
 // Refusal makes a final answer of a code; busy ones say when to come back.
 func Refusal(code errcode.Code) *Final {
 	final := &Final{Code: code, Status: code.Status()}
-	if final.Status == http.StatusServiceUnavailable {
+	if final.Status == http.StatusServiceUnavailable || final.Status == http.StatusRequestTimeout {
 		final.RetryAfter = time.Second
 	}
 	return final
@@ -140,6 +148,7 @@
 	open     map[string]int64 // by tenant: begun, not answered yet
 	tallies  map[errcode.Code]int64
 	again    int64
+	limits   callerLimits
 }
 
 // New makes a frontend; passOf asks the backend of the same proxy.
@@ -155,6 +164,7 @@
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.snapshot = snapshot
+	f.limits.take(now, snapshot.Configurations)
 	present := map[string]bool{}
 	for _, list := range snapshot.Upstreams {
 		for _, registration := range list {
@@ -292,7 +302,7 @@
 		}
 		request.Configuration, request.Route, request.Tenant, request.Caller, request.Name = configuration, route, tenant, claimed, claims.Name
 		request.Priority = configuration.Priority(tenant, route)
-		request.Deadline = min(request.Deadline, now+route.Limit)
+		request.Deadline = min(request.Deadline, request.since(now)+route.Limit)
 		if claims.Wait > 0 {
 			request.Deadline = min(request.Deadline, request.Came+claims.Wait)
 		}
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -9,8 +9,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
-	"io"
 	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
@@ -46,6 +44,7 @@
 	judge  chan *Judged
 	starts chan *backend.Order
 	inside atomic.Int64
+	bodies bodyRoom
 	random *mathrand.Rand
 }
 
@@ -55,6 +54,7 @@
 	t := &Stages{settings: cfg, room: room, caller: caller, goroutines: members, tell: tell,
 		admit: make(chan *Trip, capacity), choose: make(chan *Trip, capacity), judge: make(chan *Judged, capacity*2+16),
 		starts: make(chan *backend.Order, capacity*4), random: mathrand.New(lockedSource{&sync.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())})}
+	t.bodies.left = cfg.BodyRoom()
 	t.Tracker = NewDesk(cfg, front, room, t, self)
 	return t
 }
@@ -196,24 +196,23 @@
 		return
 	}
 	defer t.inside.Dec()
-	came := t.goroutines.Now()
+	came := t.arrival(in)
 	request := &Request{ID: newID(), Method: in.Method, RawPath: rawPath(in), RawQuery: in.URL.RawQuery, Header: in.Header,
 		Host: in.Host, Came: came, Deadline: came + t.settings.RequestLimit()}
 	if in.URL.Opaque != "" || in.Method == http.MethodConnect {
 		t.refuse(out, errcode.RequestBadPath)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(out, in.Body, t.settings.Limits.Body))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			t.refuse(out, errcode.RequestTooLarge)
-		} else {
-			t.refuse(out, errcode.RequestUnreadable)
-		}
+	if headBytes(in) > t.frontend.limits.headBytes() {
+		t.refuse(out, errcode.RequestHeadTooLarge)
+		return
+	}
+	claimed, code := t.readBody(out, in, request)
+	defer t.bodies.release(claimed)
+	if code != errcode.OK {
+		t.refuse(out, code)
 		return
 	}
-	request.Body = body
 	answered, gated := make(chan *Final, 1), make(chan time.Duration, 1)
 	timer := time.NewTimer(t.frontend.Patience(request))
 	defer timer.Stop()
@@ -236,6 +235,41 @@
 	}
 }
 
+// readBody reads the body within its bounds of size and time.
+func (t *Stages) readBody(out http.ResponseWriter, in *http.Request, request *Request) (claimed int64, code errcode.Code) {
+	if in.ContentLength == 0 {
+		return 0, errcode.OK
+	}
+	// Whoever is slower than its own deadline has nothing to wait for.
+	reading := http.NewResponseController(out)
+	limit := min(request.Came+t.frontend.Patience(request)-t.goroutines.Now(), slowestBody)
+	_ = reading.SetReadDeadline(time.Now().Add(limit))
+	request.Body, claimed, code = t.bodies.readBody(in, t.frontend.limits.bodyBytes(t.settings))
+	if code == errcode.OK {
+		_ = reading.SetReadDeadline(time.Time{})
+	}
+	return claimed, code
+}
+
+// Arrival tells when the first byte of a connection's present request came; the faces put
+// it into the contexts of requests.
+type Arrival interface {
+	Came() time.Time
+}
+
+// ArrivalKey is the key of the Arrival in a request's context.
+type ArrivalKey struct{}
+
+// arrival is when a request's first byte came: one that was pipelined has waited since.
+func (t *Stages) arrival(in *http.Request) time.Duration {
+	now := t.goroutines.Now()
+	arrival, told := in.Context().Value(ArrivalKey{}).(Arrival)
+	if !told {
+		return now
+	}
+	return max(now-max(0, time.Since(arrival.Came())), 1)
+}
+
 func (t *Stages) refuse(out http.ResponseWriter, code errcode.Code) {
 	final := Refusal(code)
 	t.frontend.Count(0, &Request{}, final)
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -77,6 +77,8 @@
 	ranks      map[string]int64 // priorities of the tenants that have one
 	hosts      map[string]map[string][]int
 	kinds      map[string]Service
+
+	CallerLimits CallerLimits
 }
 
 // Keyless says that no tenants are told at all: then no request wants a key.
@@ -104,6 +106,7 @@
 	configuration := &Configuration{ConfigName: configName, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
 		ranks: map[string]int64{}, hosts: map[string]map[string][]int{}, kinds: map[string]Service{}}
 	root := gjson.ParseBytes(body)
+	configuration.CallerLimits = parseCallerLimits(root.Get("limits"))
 	for _, item := range root.Get("services").Array() {
 		service := Service{Name: item.String()}
 		if item.IsObject() {
--- a/internal/settings/ratios.go
+++ b/internal/settings/ratios.go
@@ -199,3 +199,15 @@
 // LinkWait is how long a request may wait for its turn on the link; one that would wait
 // longer is refused at once.
 func (c Settings) LinkWait() time.Duration { return c.UpdatesEvery() }
+
+// bodyRoomShare is the part of the memory that callers' bodies may take together: each
+// stands some times over on its way.
+const bodyRoomShare = 8
+
+// BodyRoom is how many bytes callers' bodies may take together; at least the largest one.
+func (c Settings) BodyRoom() int64 {
+	if c.Limits.Memory == 0 {
+		return c.Limits.Body * bodyRoomShare
+	}
+	return max(c.Limits.Memory<<20/bodyRoomShare, c.Limits.Body)
+}
