Steady timers follow the tightest bound, not the one for configurations alone

Cause: ticks, updates, statuses of voters and the search for a parent were parts of config-apply-s. With a wide one (10 s, 30 s) a status went out each second or three, longer than catch-up-s leaves for a lost voter's replacement; a tick outlasted the renewals of a short lease; and a lost parent was given up after the configuration counts as stale.

Change: Settings.Pace is the least of the time to be in force, 4/3 of the lease, half of catching up, 2/15 of the return and 4/10 of the withdrawal of keys, at least 0.4 s. With the bounds of today's sites it is the 2 s that it was (TestPaceFollowsTheTightestBound).

--- a/internal/settings/fit_test.go
+++ b/internal/settings/fit_test.go
@@ -89,3 +89,26 @@
 		c.Check(VotersFor(tried.tolerated, tried.seeds), qt.Equals, tried.wanted, qt.Commentf("%+v", tried))
 	}
 }
+
+// The pace is the default's own bound, and shorter where any other bound asks for it.
+func TestPaceFollowsTheTightestBound(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(Default().Pace(), qt.Equals, 2*time.Second)
+	for name, tried := range map[string]struct {
+		alter  func(bounds *Bounds)
+		wanted time.Duration
+	}{
+		"in force":       {func(b *Bounds) { b.ConfigurationInForce = 1000 }, time.Second},
+		"in force, long": {func(b *Bounds) { b.ConfigurationInForce = 30000 }, 2 * time.Second},
+		"lease":          {func(b *Bounds) { b.Lease = 600 }, 800 * time.Millisecond},
+		"catching up":    {func(b *Bounds) { b.CatchUp = 1000 }, 500 * time.Millisecond},
+		"restore":        {func(b *Bounds) { b.Restore = 7500 }, time.Second},
+		"keys":           {func(b *Bounds) { b.KeyWithdrawal = 2000 }, 800 * time.Millisecond},
+		"keys, 5 s":      {func(b *Bounds) { b.KeyWithdrawal = 5000 }, 2 * time.Second},
+		"floor":          {func(b *Bounds) { b.CatchUp = 200 }, shortestPace},
+	} {
+		cfg := Default()
+		tried.alter(&cfg.Bounds)
+		c.Check(cfg.Pace(), qt.Equals, tried.wanted, qt.Commentf(name))
+	}
+}
