--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -1,6 +1,7 @@
 // This file compares what two nodes know without sending it: the members fall into parts
 // by their names, and each part has a sum. Whoever joins names its sums, and is told the
 // members of those parts that differ.
+
 package membership
 
 import (
@@ -24,7 +25,7 @@
 
 // digest sums up what is known of every node, this one included, by part. Suspicions
 // come and go and are no reason to send anything.
-func (c *Membership) digest() []int64 {
+func (m *Membership) digest() []int64 {
 	sums := make([]int64, digestParts)
 	add := func(member message.Member) {
 		hash := fnv.New64a()
@@ -35,31 +36,31 @@
 		fmt.Fprintf(hash, "%s|%s|%d|%d|%s", member.Name, member.Address, member.Birth, state, member.Voter)
 		sums[partOf(member.Name)] += int64(hash.Sum64())
 	}
-	for _, known := range c.members {
+	for _, known := range m.members {
 		if known.member.State <= message.Suspect {
 			add(known.member)
 		}
 	}
-	add(c.self)
+	add(m.self)
 	return sums
 }
 
 // answerJoin sends the members of the parts in which the asker knows something else, in
 // as many responses as that takes; a single empty one where nothing differs.
-func (c *Membership) answerJoin(s *statemachine.Env, request message.JoinRequest) {
-	sums := c.digest()
+func (m *Membership) answerJoin(env *statemachine.Env, request message.JoinRequest) {
+	sums := m.digest()
 	batch := []message.Member{}
 	sent := false
 	flush := func() {
-		s.Datagram(request.From.Address, message.JoinResponse{From: c.self, Members: batch})
+		env.Datagram(request.From.Address, message.JoinResponse{From: m.self, Members: batch})
 		batch, sent = []message.Member{}, true
 	}
-	for _, name := range c.names() {
+	for _, name := range m.names() {
 		part := partOf(name)
 		if part < len(request.Known) && request.Known[part] == sums[part] {
 			continue
 		}
-		batch = append(batch, c.members[name].member)
+		batch = append(batch, m.members[name].member)
 		if len(batch) == membersPerResponse {
 			flush()
 		}
