--- a/internal/proxy/usage.go
+++ b/internal/proxy/usage.go
@@ -1,6 +1,7 @@
 // This file tells the registries how many requests the upstreams beside this proxy have
 // begun. Most of the time only the running window changes, and only that one is sent: the
 // windows that are over are repeated at a slower rhythm until they are sealed.
+
 package proxy
 
 import (
@@ -26,24 +27,24 @@
 
 // sendUsage sends the counts to the registries: all windows when a window that is over
 // has changed or the time has come, else the running one where that has changed.
-func (m *Machine) sendUsage(s *statemachine.Env, counted Counted) {
+func (m *Machine) sendUsage(env *statemachine.Env, counted Counted) {
 	over, running := splitUsage(counted)
 	sent := &m.usage
-	whole := counted.Closed != sent.closed || !reflect.DeepEqual(over, sent.over) || s.Now >= sent.wholeAt
+	whole := counted.Closed != sent.closed || !reflect.DeepEqual(over, sent.over) || env.Now >= sent.wholeAt
 	if !whole && reflect.DeepEqual(running, sent.running) {
 		return
 	}
 	sent.number++
 	sent.running = running
-	update := message.UsageUpdate{Proxy: m.membership.Self().Name, Birth: m.life, Number: sent.number, Counts: running}
+	update := message.UsageUpdate{Proxy: m.membership.Self().Name, Birth: m.birth, Number: sent.number, Counts: running}
 	if whole {
 		// Only what holds a window's last counts may say that the window is over.
 		update.Counts, update.Closed = append(append([]message.UsageCount{}, over...), running...), counted.Closed
 		sent.over, sent.closed = over, counted.Closed
-		sent.wholeAt = s.Now + usageRepeatHeartbeats*m.settings.HeartbeatEvery()
+		sent.wholeAt = env.Now + usageRepeatHeartbeats*m.settings.HeartbeatEvery()
 	}
-	for _, registryNode := range m.counters(s.Now) {
-		s.Send(registryNode.Address, update)
+	for _, registryNode := range m.counters(env.Now) {
+		env.Send(registryNode.Address, update)
 	}
 }
 
