--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -32,8 +32,8 @@
 // RunFromDisk opens the data folder, builds the machine and runs it. When a write fails
 // the machine stops voting; as soon as the disk takes writes again it is built anew from
 // what the disk holds, as after a restart of the process.
-func (h *Node) RunFromDisk(build Build) error {
-	folder, err := storage.NewDirFolder(h.Settings.Data)
+func (n *Node) RunFromDisk(build Build) error {
+	folder, err := storage.NewDirFolder(n.Settings.Data)
 	if err != nil {
 		return err
 	}
@@ -45,14 +45,14 @@
 	if err != nil {
 		return err
 	}
-	h.store, h.folder, h.build = store, folder, build
-	return h.Run(machine, nil)
+	n.store, n.folder, n.build = store, folder, build
+	return n.Run(machine, nil)
 }
 
 // recoverDisk tries until the disk works and the machine is replaced; false at the end
 // of the process.
-func (h *Node) recoverDisk(ctx context.Context) bool {
-	retry := time.NewTicker(h.Settings.DiskRetryEvery())
+func (n *Node) recoverDisk(ctx context.Context) bool {
+	retry := time.NewTicker(n.Settings.DiskRetryEvery())
 	defer retry.Stop()
 	for {
 		select {
@@ -60,20 +60,20 @@
 			return false
 		case <-retry.C:
 		}
-		store, machine, err := storage.Recover(h.folder, h.build)
+		store, machine, err := storage.Recover(n.folder, n.build)
 		if err != nil {
-			h.count("disk_recoveries_failed")
+			n.count("disk_recoveries_failed")
 			continue
 		}
-		h.store = store
-		return h.replaceMachine(ctx, machine)
+		n.store = store
+		return n.replaceMachine(ctx, machine)
 	}
 }
 
-func (h *Node) replaceMachine(ctx context.Context, machine DiskMachine) bool {
+func (n *Node) replaceMachine(ctx context.Context, machine DiskMachine) bool {
 	next := replacement{machine: machine, taken: make(chan struct{})}
 	select {
-	case h.replacements <- next:
+	case n.replacements <- next:
 	case <-ctx.Done():
 		return false
 	}
@@ -86,18 +86,18 @@
 }
 
 // takeReplacement runs in the control goroutine, the only one that queues writes.
-func (h *Node) takeReplacement(next replacement) {
-	h.machine = next.machine
-	for len(h.writes) > 0 {
-		<-h.writes
+func (n *Node) takeReplacement(next replacement) {
+	n.machine = next.machine
+	for len(n.writes) > 0 {
+		<-n.writes
 	}
-	h.lock.Lock()
-	waiting := h.replies
-	h.replies = map[int64]chan any{}
-	h.lock.Unlock()
+	n.lock.Lock()
+	waiting := n.replies
+	n.replies = map[int64]chan any{}
+	n.lock.Unlock()
 	for _, reply := range waiting {
 		reply <- errReplaced
 	}
-	h.logEvent(statemachine.Event{At: h.Group.Now(), EventName: "disk-recovered"})
+	n.record(statemachine.Event{At: n.Group.Now(), EventName: "disk-recovered"})
 	close(next.taken)
 }
