Calls of repeated runs draw on the retry budget of the service called

Cause: what a repeated run calls counts as a repeat at the service called (the rule BUDGET); here it counted as a first try and even paid for retries.

Change: the frame says whether an upstream was offered the request before; the proxy beside the upstream knows the share of repeats among what runs there, and a call made there draws on the budget with that chance, since calls don't say which run makes them.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,7 +75,7 @@
 	aliveAt      time.Duration // the last sign of life: an announcement or an answer
 	brokenAt     time.Duration
 	broken       bool
-	running      map[string]bool
+	running      map[string]bool // by attempt: whether it is a repeat
 	ghosts       []time.Duration
 	queue        []waiting
 	usual        map[string]time.Duration // by route: how long a request takes here
@@ -405,7 +405,7 @@
 			orders = append(orders, g.refuse(next.forward, code))
 			continue
 		}
-		held.running[next.forward.ID] = true
+		held.running[next.forward.ID] = next.forward.Repeat
 		g.remember(next.forward.ID, &kept{at: now, began: now})
 		pass := g.newPass()
 		g.passes[pass] = Pass{next.forward.Tenant, next.forward.Service, next.forward.ID}
@@ -524,7 +524,11 @@
 	outcome.ID = order.Forward.ID
 	held, known := g.upstreams[order.Forward.Service+"/"+order.Forward.Instance]
 	orders := []Order{}
-	if known && held.running[outcome.ID] {
+	started := false
+	if known {
+		_, started = held.running[outcome.ID]
+	}
+	if started {
 		delete(held.running, outcome.ID)
 		if code := errcode.Code(outcome.Code); outcome.Kind == message.StartedNoWhole && code != errcode.AnswerMalformed && code != errcode.AnswerTooLarge {
 			until := now + g.settings.RequestLimit()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -149,6 +149,7 @@
 	tallies  map[errcode.Code]int64
 	again    int64
 	limits   callerLimits
+	repeats  func() float64 // the share of repeats among what runs at the upstreams here
 }
 
 // New makes a frontend; passOf asks the backend of the same proxy.
@@ -350,6 +351,23 @@
 	held.firsts[f.bucketOf(now, held)]++
 }
 
+// RepeatsFrom sets who knows the share of repeats among the requests that run at the
+// upstreams beside this proxy; before it is used.
+func (f *Frontend) RepeatsFrom(share func() float64) { f.repeats = share }
+
+// paysFirst counts a request's first attempt. A call that a running repeat makes is itself
+// a repeat at the service called, and draws on its budget; since calls don't say which run
+// makes them, the share of repeats among those that run decides.
+func (f *Frontend) paysFirst(now time.Duration, request *Request, random *rand.Rand) bool {
+	if request.nested() && f.repeats != nil {
+		if share := f.repeats(); share > 0 && random.Float64() < share {
+			return f.mayRetry(now, request.Service)
+		}
+	}
+	f.first(now, request.Service)
+	return true
+}
+
 // mayRetry spends from the service's budget: a share of the first tries of the last
 // window and this proxy's part of the fleet's allowance.
 func (f *Frontend) mayRetry(now time.Duration, service string) bool {
@@ -403,11 +421,12 @@
 	if other, otherCost := f.cheapest(now, far, random); otherCost < cost {
 		chosen = other
 	}
+	if request.Attempts == 0 && !f.paysFirst(now, request, random) {
+		return f.giveUp(request, errcode.BusyBudget)
+	}
 	request.Target = chosen
 	request.Tried[peerKey(chosen)] = true
-	if request.Attempts++; request.Attempts == 1 {
-		f.first(now, request.Service)
-	}
+	request.Attempts++
 	f.peer(peerKey(chosen)).mine++
 	return nil
 }
@@ -534,7 +553,7 @@
 		Version: request.Configuration.Version, Route: request.Route.Name, Service: request.Service, Instance: request.Target.Instance,
 		Incarnation: request.Target.Incarnation, Tenant: request.Tenant, Caller: request.Caller, Method: request.Method, Path: request.Path,
 		RawQuery: request.RawQuery, Headers: []message.HeaderLine{}, Body: request.Body, AnswerCap: f.settings.Limits.Answer,
-		Host: request.Host, Name: request.Name, Priority: request.Priority, Once: request.Route.Once}
+		Host: request.Host, Name: request.Name, Priority: request.Priority, Once: request.Route.Once, Repeat: request.Sent > 0}
 	remaining := request.Deadline - now
 	if request.Route.Aim > 0 && !request.nested() {
 		forward.Aim = max(int64(request.Came+request.Route.Aim-now), 1)
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -31,6 +31,7 @@
 	Priority          int64  // 0 goes first
 	Aim               int64  // nanoseconds left within which an answer has its full worth; 0: not told
 	Once              bool   // must not run twice
+	Repeat            bool   // an upstream was offered the request before
 }
 
 // Outcome answers a Forward or an OutcomeRequest.
