Upstreams that requests reach late are spared

Change: the time that an attempt takes besides the upstream's own work is learned for each upstream (one that is given up counts too, if it was longer), counts half after 3 s, and adds to its cost, a quarter of a second as much as a whole usual time.

--- a/internal/frontend/choice.go
+++ b/internal/frontend/choice.go
@@ -3,7 +3,7 @@
 // serving proxies tell with their outcomes: in logarithms, since times of work have long tails,
 // and against the usual time of each route, which is learned beside it. The cost of an
 // upstream is its pace, more when its slots fill up, when it failed lately, when it is
-// fresh, and by a margin when it is in another zone. Of some candidates drawn at
+// fresh, when requests lag on their way to it, and by a margin when it is in another zone. Of some candidates drawn at
 // random the cheapest is taken.
 package frontend
 
@@ -23,6 +23,10 @@
 	failCost   = 4.0
 	fullCost   = 0.5 // of a pace, when all slots are taken
 	drawn      = 6   // candidates of each kind
+
+	lagShare = 1.0 / 2         // how much one attempt moves an upstream's lag
+	lagHalf  = 3 * time.Second // after which a lag that was not seen again counts half
+	lagCost  = 4.0             // of a second's lag, in paces
 )
 
 // learnPace takes the time that an upstream took for a whole answer.
@@ -41,6 +45,29 @@
 	f.usual[route] = usual + (response-held.pace-usual)*usualShare
 }
 
+// learnLag takes how long an attempt took besides the upstream's own work: on the links
+// of both machines and in the serving proxy's queue. A link that is full delays requests
+// by seconds while the upstream behind it, which few of them reach, looks idle and fast.
+func (held *peer) learnLag(now, lag time.Duration) {
+	known := held.lagAt(now)
+	held.lag = known + time.Duration(float64(max(0, lag)-known)*lagShare)
+	held.lagSeen = now
+}
+
+// learnUnanswered takes that an attempt was given up after so long a time: as a lag only
+// if that is longer than the known one, since the upstream may have been at work.
+func (held *peer) learnUnanswered(now, lag time.Duration) {
+	if lag > held.lagAt(now) {
+		held.learnLag(now, lag)
+	}
+}
+
+// lagAt is the lag as it counts now.
+func (held *peer) lagAt(now time.Duration) time.Duration {
+	age := float64(now-held.lagSeen) / float64(lagHalf)
+	return time.Duration(float64(held.lag) * math.Exp2(-age))
+}
+
 // learnFailure takes whether an attempt ended without the upstream's whole answer.
 func (held *peer) learnFailure(failed bool) {
 	outcome := 0.0
@@ -68,6 +95,7 @@
 		cost *= 2 - float64(since)/float64(f.settings.WarmSpan())
 	}
 	cost += failCost * held.failing
+	cost += lagCost * held.lagAt(now).Seconds()
 	if registration.Zone != f.settings.Zone {
 		cost += f.settings.Limits.SpillMargin
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -56,8 +57,9 @@
 	Tried         map[string]bool
 	Attempts      int
 	Target        message.Registration
-	Started       bool // some attempt may have started
-	begun         bool // counted as open
+	chosenAt      time.Duration // when the target was
+	Started       bool          // some attempt may have started
+	begun         bool          // counted as open
 }
 
 // nested says that a running request's upstream makes this one. Refusing it, be it too
@@ -117,6 +119,8 @@
 	avoidUntil time.Duration
 	fullUntil  time.Duration // it is full: no request of a caller is sent to it
 	fullTimes  int           // refusals in a row because it is full
+	lag        time.Duration // of attempts besides the upstream's work, when it was seen last
+	lagSeen    time.Duration
 	readySince time.Duration
 	seen       bool
 }
@@ -428,6 +432,7 @@
 	request.Tried[peerKey(chosen)] = true
 	request.Attempts++
 	f.peer(peerKey(chosen)).mine++
+	request.chosenAt = now
 	return nil
 }
 
@@ -463,6 +468,7 @@
 	if outcome.Slots > 0 {
 		held.reported, held.slots, held.load, held.reportedAt, held.mineThen = outcome.Outstanding, outcome.Slots, outcome.Load, now, held.mine
 	}
+	held.learnLag(now, now-request.chosenAt-time.Duration(outcome.Took))
 	switch ending {
 	case Answered:
 		held.notFull()
@@ -547,6 +553,17 @@
 	held.mine = max(0, held.mine-1)
 }
 
+// Unanswered notes that an attempt was given up before an outcome of it was here.
+func (f *Frontend) Unanswered(now time.Duration, request *Request) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	usual := time.Duration(0)
+	if logarithm, known := f.usual[request.Route.Name]; known {
+		usual = time.Duration(math.Exp(logarithm))
+	}
+	f.peer(peerKey(request.Target)).learnUnanswered(now, now-request.chosenAt-usual)
+}
+
 // Forward makes the frame for the chosen serving proxy.
 func (f *Frontend) Forward(now time.Duration, request *Request, self string, attempt string) message.Forward {
 	forward := message.Forward{ID: request.ID + "." + attempt, Proxy: self, ServingProxyBirth: request.Target.ServingProxyBirth, ConfigName: request.Configuration.ConfigName,
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -348,6 +348,7 @@
 		delete(d.waiting, forwarded)
 		d.lock.Unlock()
 		d.frontend.Release(going.Request)
+		d.frontend.Unanswered(d.back.Now(), going.Request)
 		if withdraw := (message.Withdraw{ID: forwarded}); connection != nil {
 			connection.Post(withdraw)
 		} else {
