Out of descriptors for a moment is no end; callers' resting connections make room

The loop that accepts other processes' connections, and the one that takes datagrams, then ended for good at the first failure: the process was deaf to updates and probes.

Change: both go on after a short rest until the socket is closed. With descriptors in the settings (the platform's max-fds) callers hold at most half of them; for a new connection beyond that the one that rested longest is closed.

Tests, red before: TestOutOfDescriptorsIsNotTheEndOfAccepting (accepts nothing any more), TestRestingConnectionsMakeRoom (40 of 40 connections open, now at most 8).

--- /dev/null
+++ b/internal/api/connections_test.go
@@ -0,0 +1,65 @@
+package api
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/goroutine"
+)
+
+// ask sends a request on a connection and reads the answer; an error where the other side
+// has closed it.
+func ask(conn net.Conn) error {
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+// Callers that come back on new connections, and let the old ones rest, don't use up the
+// descriptors of the process: the connection that rested longest goes for the newest.
+func TestRestingConnectionsMakeRoom(t *testing.T) {
+	c := qt.New(t)
+	group := goroutine.New()
+	defer group.Stop(time.Second)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	server := NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) }))
+	const most, callers = 8, 40
+	server.Bound(most)
+	c.Assert(server.Serve(group, address), qt.IsNil)
+	defer server.server.Close()
+	conns := []net.Conn{}
+	for range callers {
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		c.Assert(ask(conn), qt.IsNil)
+		conns = append(conns, conn)
+		time.Sleep(5 * time.Millisecond) // the server notes that it rests
+	}
+	served := 0
+	for _, conn := range conns {
+		if ask(conn) == nil {
+			served++
+		}
+	}
+	c.Assert(served <= most, qt.IsTrue, qt.Commentf("%d of %d connections are open", served, callers))
+	c.Assert(served >= most/2, qt.IsTrue, qt.Commentf("%d of %d connections are open", served, callers))
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -41,6 +41,10 @@
 	}}
 }
 
+// Bound lets at most so many connections be open at once, so that callers that come back
+// on new ones leave descriptors for the connections between processes; before Serve.
+func (s *Server) Bound(most int) { s.server.ConnState = newConnectionBound(most).changed }
+
 // newRouter returns a router that takes paths as they come, without cleaning or decoding.
 func newRouter() *mux.Router {
 	return mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -62,6 +62,9 @@
 		p.server = api.NewServer(p.api.Handler())
 		p.callers = api.NewServer(p.stages)
 		p.callers.ServeCallersBy(limits)
+		if most := cfg.CallerConnections(); most > 0 {
+			p.callers.Bound(most)
+		}
 	} else {
 		p.server = api.NewServer(p.api.HandlerWithCallers(p.stages))
 		p.server.ServeCallersBy(limits)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -224,7 +224,7 @@
 		"configuration_entries": l.Entries, "kept_configurations": l.KeptConfigurations, "fanout": l.Fanout,
 		"frame_bytes": l.Frame, "request_ms": l.Request, "grace_ms": l.Grace,
 	})
-	faults.bad(l.Linger < 0 || l.Memory < 0 || l.Link < 0 || l.Linger >= l.Grace, "limits", "linger_ms, memory_mb and link_bytes want 0 or more, linger_ms less than grace_ms")
+	faults.bad(l.Linger < 0 || l.Memory < 0 || l.Link < 0 || l.Descriptors < 0 || l.Linger >= l.Grace, "limits", "linger_ms, memory_mb, link_bytes and descriptors want 0 or more, linger_ms less than grace_ms")
 	faults.bad(l.Frame > maxFrame, "limits.frame_bytes", fmt.Sprintf("want at most %d", maxFrame))
 	faults.clash(l.Frame > 0 && l.Frame < max(l.Body, l.Answer, l.Configuration)+frameHead, "limits.frame_bytes",
 		"must hold a body, an answer or a configuration and 64 KiB more")
--- a/internal/settings/ratios.go
+++ b/internal/settings/ratios.go
@@ -222,3 +222,8 @@
 	}
 	return max(c.Limits.Memory<<20/bodyRoomShare, c.Limits.Body)
 }
+
+// CallerConnections is how many connections callers may hold open at a proxy, so that
+// descriptors are left for the connections to upstreams and between processes; 0: not
+// bounded.
+func (c Settings) CallerConnections() int { return int(c.Limits.Descriptors / 2) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,9 +60,10 @@
 	Request            int64   `json:"request_ms"`
 	Grace              int64   `json:"grace_ms"`
 	SpillMargin        float64 `json:"spill_margin"`
-	Linger             int64   `json:"linger_ms"`  // a polite stop takes requests for so long yet
-	Memory             int64   `json:"memory_mb"`  // of the process; 0: not told
-	Link               int64   `json:"link_bytes"` // that the machine's link carries each way in a second; 0: not told
+	Linger             int64   `json:"linger_ms"`   // a polite stop takes requests for so long yet
+	Memory             int64   `json:"memory_mb"`   // of the process; 0: not told
+	Link               int64   `json:"link_bytes"`  // that the machine's link carries each way in a second; 0: not told
+	Descriptors        int64   `json:"descriptors"` // that the process may hold open; 0: not told
 }
 
 // Proofs of whom a request reaches, and what becomes of unknown fields in configurations.
--- /dev/null
+++ b/internal/transport/accept_test.go
@@ -0,0 +1,68 @@
+// A process that is out of descriptors for a moment.
+package transport
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/goroutine"
+	"beaconvane/internal/message"
+)
+
+// exhausted fails its first accepts as the kernel does when no descriptor is left.
+type exhausted struct {
+	net.Listener
+	failures int
+}
+
+func (l *exhausted) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// exhaustedPackets fails its first receives.
+type exhaustedPackets struct {
+	net.PacketConn
+	failures int
+}
+
+func (p *exhaustedPackets) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	if p.failures > 0 {
+		p.failures--
+		return 0, nil, &net.OpError{Op: "read", Err: syscall.ENOBUFS}
+	}
+	return p.PacketConn.ReadFrom(buffer)
+}
+
+func TestOutOfDescriptorsIsNotTheEndOfAccepting(t *testing.T) {
+	c := qt.New(t)
+	group := goroutine.New()
+	defer group.Stop(time.Second)
+	heard := make(chan any, 16)
+	from, err := New(group, "127.0.0.1:0", 1<<20, 16, time.Second, func(string, any, func(any) error) {})
+	c.Assert(err, qt.IsNil)
+	to, err := New(group, "127.0.0.1:0", 1<<20, 16, time.Second, func(_ string, msg any, _ func(any) error) { heard <- msg })
+	c.Assert(err, qt.IsNil)
+	to.listener, to.packets = &exhausted{to.listener, 3}, &exhaustedPackets{to.packets, 3}
+	from.Start()
+	to.Start()
+	defer from.Close()
+	defer to.Close()
+
+	c.Assert(from.Send(to.address, message.UpdatesRequest{Marks: []message.Mark{}}), qt.IsNil)
+	c.Assert(from.Datagram(to.address, message.Ping{Number: 1, Gossip: []message.Member{}}), qt.IsNil)
+	for range 2 {
+		select {
+		case <-heard:
+		case <-time.After(2 * time.Second):
+			c.Fatal("it accepts nothing any more")
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -69,33 +69,69 @@
 
 // Start begins to accept.
 func (w *Transport) Start() {
-	w.goroutines.Go("transport.accept", func(ctx context.Context) {
-		for {
-			conn, err := w.listener.Accept()
-			if err != nil {
+	w.goroutines.Go("transport.accept", w.accept)
+	w.goroutines.Go("transport.packets", w.receivePackets)
+}
+
+// acceptPause is the rest after a failed accept or receive, as when the process is out of
+// descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// goesOn says, after a failed call on a listening socket, whether to try again: until the
+// socket is closed.
+func goesOn(ctx context.Context, err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// accept serves connections of others. Being out of descriptors for a moment must not
+// make this process deaf for good.
+func (w *Transport) accept(ctx context.Context) {
+	for {
+		conn, err := w.listener.Accept()
+		if err != nil {
+			if !goesOn(ctx, err) {
 				return
 			}
-			w.lock.Lock()
-			w.inConnections[conn] = true
-			w.lock.Unlock()
-			w.goroutines.Go("transport.serve", func(context.Context) { w.serve(conn) })
+			continue
 		}
-	})
-	w.goroutines.Go("transport.packets", func(ctx context.Context) {
-		buffer := make([]byte, 65536)
-		for {
-			size, from, err := w.packets.ReadFrom(buffer)
-			if err != nil {
+		w.lock.Lock()
+		w.inConnections[conn] = true
+		w.lock.Unlock()
+		w.goroutines.Go("transport.serve", func(context.Context) { w.serve(conn) })
+	}
+}
+
+// receivePackets takes datagrams.
+func (w *Transport) receivePackets(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		size, from, err := w.packets.ReadFrom(buffer)
+		if err != nil {
+			if !goesOn(ctx, err) {
 				return
 			}
-			if msg, err := message.Decode(buffer[:size]); err == nil {
-				w.tally.add(wayUDP, inward, buffer[0], size)
-				w.inbound(from.String(), msg, nil)
-			}
+			continue
 		}
-	})
+		if msg, err := message.Decode(buffer[:size]); err == nil {
+			w.tally.add(wayUDP, inward, buffer[0], size)
+			w.inbound(from.String(), msg, nil)
+		}
+	}
 }
 
+// maxDatagram is the largest datagram in bytes.
+const maxDatagram = 65536
+
 // Close ends the listeners and every connection.
 func (w *Transport) Close() {
 	w.listener.Close()
