Scenarios cutoff and same-version; a child leaves a root that knows nothing current

Held against each answer, lost ones too: one content a number, no refusal of what was taken, no older read than was acknowledged, nothing but "unavailable" from a cut-off node, and that within a second.

Now what was never known current counts from when the parent was joined, a first answer without current knowledge is passed over by a young child too, and the last resort goes round the roots, longest failed first.

--- a/internal/distribution/cutoff_test.go
+++ b/internal/distribution/cutoff_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -40,3 +41,20 @@
 		c.Assert(joined, qt.IsTrue, qt.Commentf("seed %d: nothing heard for %v", seed, l.s.Now-cutAt))
 	}
 }
+
+// A child that has just begun, and first meets a registry that is cut off and began anew
+// itself, so that it knows no configuration: it goes on to one that does.
+func TestYoungChildLeavesARootThatKnowsNothing(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		l := newLobby(c, seed, "near", "far")
+		l.ages["near"] = func() time.Duration { return -1 }
+		l.version["near"] = 0
+		began := l.s.Now
+		current := func() bool {
+			_, fresh := l.distribution.FreshAt(ConfigurationTopic("main"))
+			return fresh
+		}
+		c.Assert(l.play(l.settings.Reparent()*2, current), qt.IsTrue, qt.Commentf("seed %d: no current configuration %v after its start", seed, l.s.Now-began))
+	}
+}
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -318,14 +318,19 @@
 }
 
 // late: some topic has not been known current for longer than a change of its source
-// takes. A slice whose holder died is nowhere fresher until another is active for it.
+// takes. A slice whose holder died is nowhere fresher until another is active for it. What was
+// never known current counts from when this parent was joined.
 func (c *Distribution) late(now time.Duration) bool {
 	for _, topic := range c.wanted() {
 		limit := c.settings.Reparent()
 		if !IsConfiguration(topic) {
 			limit += c.settings.TakeOver()
 		}
-		if held := c.topicStates[topic]; held.known && held.freshAt != never && now-held.freshAt > limit {
+		since := c.topicStates[topic].freshAt
+		if since == never {
+			since = c.joinedAt
+		}
+		if now-since > limit {
 			return true
 		}
 	}
@@ -342,7 +347,7 @@
 	}
 	for _, item := range items {
 		held, known := c.topicStates[item.Mark.Topic]
-		if !IsConfiguration(item.Mark.Topic) || !known || !held.known || now-held.freshAt <= c.settings.Reparent() {
+		if !IsConfiguration(item.Mark.Topic) || !known || held.freshAt != never && now-held.freshAt <= c.settings.Reparent() {
 			continue
 		}
 		if item.Age < 0 || now-askedAt+time.Duration(item.Age) > c.settings.Reparent() {
@@ -412,11 +417,7 @@
 	case len(candidates) > 0:
 		c.parent, c.parentAt = candidates[0].member.Name, candidates[0].member.Address
 	case len(roots) > 0:
-		others := slices.DeleteFunc(slices.Clone(roots), func(root message.Member) bool { return root.Name == c.lastRoot || s.Now < c.failed[root.Name] })
-		if len(others) > 0 {
-			roots = others
-		}
-		chosenRoot := roots[s.Random.IntN(len(roots))]
+		chosenRoot := c.lastResort(s, roots)
 		c.parent, c.parentAt, c.resort = chosenRoot.Name, chosenRoot.Address, true
 	default:
 		return
@@ -425,6 +426,23 @@
 	c.requests = map[int64]time.Duration{}
 }
 
+// lastResort picks a root when all are shunned: the one that failed longest ago, and not the
+// one that was just left, so that several fruitless moves go round all of them.
+func (c *Distribution) lastResort(s *statemachine.Env, roots []message.Member) message.Member {
+	others := slices.DeleteFunc(slices.Clone(roots), func(root message.Member) bool { return root.Name == c.lastRoot })
+	if len(others) > 0 {
+		roots = others
+	}
+	first := s.Random.IntN(len(roots))
+	chosen := roots[first]
+	for offset := range roots {
+		if root := roots[(first+offset)%len(roots)]; c.failed[root.Name] < c.failed[chosen.Name] {
+			chosen = root
+		}
+	}
+	return chosen
+}
+
 func (c *Distribution) request(s *statemachine.Env) {
 	c.requestAt = s.Now + c.settings.UpdatesEvery()
 	if c.hungry() {
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"beaconvane/internal/backend"
 	"beaconvane/internal/checker"
 	"beaconvane/internal/errcode"
@@ -511,7 +513,7 @@
 	})
 }
 
-// put has an operator put a configuration at a registry.
+// write has an operator send a configuration to a registry, once.
 func (w *World) write(version int64, tenants []loadgen.Tenant, body []byte, committed func(code errcode.Code)) {
 	boards := w.alive(message.RoleRegistry)
 	if len(boards) == 0 {
@@ -519,23 +521,19 @@
 	}
 	chosenBoard := boards[w.random.IntN(len(boards))]
 	w.mark("put %d at %s", version, chosenBoard.name)
-	operation := &configLogOperation{request: configLogRequest{write: true, version: version, entry: fmt.Sprintf("%d:%s", version, checker.Digest(body))}, from: w.now}
+	digest := checker.Digest(body)
+	operation := &configLogOperation{request: configLogRequest{write: true, version: version, entry: fmt.Sprintf("%d:%s", version, digest)}, from: w.now}
 	if tenants != nil {
 		w.operations = append(w.operations, operation)
+		w.contents[digest] = version
 	}
 	chosenBoard.request(registry.WriteConfiguration{ConfigName: "main", Version: version, Body: body}, func(answer any) {
-		code := answer.(registry.Answer).Code
+		given := answer.(registry.Answer)
+		code := given.Code
 		operation.answer, operation.to, operation.answered = configLogAnswer{code: code}, w.now, true
 		w.mark("put %d answered %s", version, code)
-		if code == errcode.OK {
-			write := checker.Write{ConfigName: "main", Version: version, At: w.now, Services: map[string]string{}, Keys: map[string]string{}, Digest: checker.Digest(body)}
-			for _, kind := range w.options.Deployment.Kinds {
-				write.Services[kind.Route] = kind.Service
-			}
-			for _, tenant := range tenants {
-				write.Keys[tenant.Key] = tenant.Name
-			}
-			w.record.Writes = append(w.record.Writes, write)
+		if code == errcode.OK && gjson.GetBytes(given.Body, "version").Int() == version {
+			w.acknowledged(version, digest, tenants)
 		}
 		if committed != nil {
 			committed(code)
--- /dev/null
+++ b/internal/simulation/control_test.go
@@ -0,0 +1,58 @@
+// The control side under the worst days: each run must have reached the danger that it is
+// about, and broken no promise.
+package simulation
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/workload"
+)
+
+const controlRate = 10 // requests a second; these runs are about the operators' side
+
+func playControl(t *testing.T, deployment, scenario string, seeds ...uint64) map[string]int {
+	oneThread(t)
+	d, known := workload.Named(deployment)
+	qt.Assert(t, known, qt.IsTrue)
+	seen := map[string]int{}
+	for _, seed := range seeds {
+		result := Run(d, scenario, seed, controlRate, nil)
+		for _, violation := range result.Review.Violations {
+			t.Errorf("%s %s seed %d: %s: %s", deployment, scenario, seed, violation.Rule, violation.Detail)
+		}
+		if t.Failed() {
+			t.Fatalf("replay: simulate --deployment %s --scenario %s --rate %d --count 1 --seed %d --log\n%v", deployment, scenario, controlRate, seed, result.Plan)
+		}
+		for name, count := range result.Review.Seen {
+			seen[name] += count
+		}
+	}
+	return seen
+}
+
+func TestCutOffNodeSaysUnavailable(t *testing.T) {
+	for deployment, seeds := range map[string][]uint64{"umuyoboro": {1}, "jendela-platform": {1}, "voters-3": {2}} {
+		t.Run(deployment, func(t *testing.T) {
+			t.Parallel()
+			seen := playControl(t, deployment, "cutoff", seeds...)
+			reached(t, "orders answered by a cut-off node", seen["danger: orders answered by a cut-off node"], 10)
+			reached(t, "reads answered by a cut-off node", seen["danger: reads answered by a cut-off node"], 20)
+		})
+	}
+}
+
+func TestOneContentUnderOneVersion(t *testing.T) {
+	for deployment, seeds := range map[string][]uint64{"small": {1}, "umuyoboro-platform": {1}, "jendela-platform": {2}} {
+		t.Run(deployment, func(t *testing.T) {
+			t.Parallel()
+			seen := playControl(t, deployment, "same-version", seeds...)
+			reached(t, "answers to operators that were lost", seen["danger: answers to operators that were lost"], 50)
+			reached(t, "orders sent again that had been taken", seen["danger: orders sent again that had been taken"], 50)
+			reached(t, "orders sent again that are older than what is kept", seen["danger: orders sent again that are older than what is kept"], 20)
+			reached(t, "rival orders that were refused", seen["danger: rival orders that were refused"], 10)
+			reached(t, "rival orders that were taken", seen["danger: rival orders that were taken"], 10)
+		})
+	}
+}
--- a/internal/simulation/linear.go
+++ b/internal/simulation/linear.go
@@ -16,12 +16,14 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/registry"
+	"beaconvane/internal/settings"
 )
 
 type configLogRequest struct {
 	write   bool
 	version int64
 	entry   string // version and digest of a put
+	highest bool   // an overtaken version is acknowledged and alters nothing
 }
 
 type configLogAnswer struct {
@@ -78,7 +80,10 @@
 			return []any{state}
 		case answer.code == errcode.OK && request.version > current:
 			return []any{applied}
-		case answer.code == errcode.ConfigurationConflict && request.version <= current && !held:
+		case answer.code == errcode.ConfigurationConflict && !request.highest && request.version <= current && !held:
+			return []any{state}
+		case answer.code == errcode.ConfigurationConflict && request.highest && !held && numberTaken(committed, request.version),
+			answer.code == errcode.OK && request.highest && request.version < current && !numberTaken(committed, request.version):
 			return []any{state}
 		}
 		return nil
@@ -86,10 +91,16 @@
 	Equal: func(one, other any) bool { return one == other },
 }
 
+// numberTaken says that some content was committed under a version.
+func numberTaken(committed string, version int64) bool {
+	return strings.Contains(" "+committed, fmt.Sprintf(" %d:", version))
+}
+
 // linear checks the operations of a run; few runs take long, those are given up.
 func (w *World) linear() (bool, int) {
 	history := []porcupine.Operation{}
 	for index, operation := range w.operations {
+		operation.request.highest = w.options.Deployment.Writes == settings.WritesHighest
 		answer, to := operation.answer, int64(operation.to)
 		if !operation.answered || answer.code == errcode.ConfigurationUnsure {
 			answer, to = configLogAnswer{unknown: true}, math.MaxInt64
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -424,6 +424,9 @@
 	n.world.connectionsLost(n)
 }
 
+// wasFrozen says that the process stood still at some time since.
+func (n *Node) wasFrozen(since time.Duration) bool { return n.frozenAt >= since }
+
 func (n *Node) freeze() {
 	if n.up && !n.frozen {
 		n.closeSpan()
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -238,7 +238,7 @@
 	case "put", "put-huge", "withdraw", "restore-keys", "put-race", "put-bad", "put-and-kill", "put-and-kill-disk":
 		w.operate(step)
 	default:
-		if !w.doAnswers(step) {
+		if !w.doAnswers(step) && !w.doCutoff(step) && !w.doSameVersion(step) {
 			w.doUpstream(step)
 		}
 	}
@@ -509,11 +509,13 @@
 		w.at(step.At, func() { w.do(planned) })
 	}
 	ends := loadBegins + options.Load
+	w.ordersEnd = ends + 10*time.Second
 	w.at(time.Second, func() { w.requestReady(ends) })
 	w.at(2*time.Second, func() { w.readConfigLog(700*time.Millisecond, ends) })
 	w.Run(ends + 14*time.Second)
 	w.closing()
 	w.Run(ends + 18*time.Second)
+	w.settled()
 	result := Result{Seed: options.Seed, Plan: options.Plan, Trace: w.trace, Steps: w.steps, Last: last}
 	result.Review = w.Finish()
 	result.Record = w.record
@@ -599,7 +601,9 @@
 
 // Scenarios make plans from dice for a deployment.
 var Scenarios = map[string]func(d workload.Deployment, random *rand.Rand) []Step{
-	"calm": func(workload.Deployment, *rand.Rand) []Step { return nil },
+	"calm":         func(workload.Deployment, *rand.Rand) []Step { return nil },
+	"cutoff":       cutoffPlan,
+	"same-version": sameVersionPlan,
 	"holder-killed": func(d workload.Deployment, random *rand.Rand) []Step {
 		tag := allTags(d)
 		return []Step{
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -80,8 +80,18 @@
 	serial     int // of machines added
 	tenants    int // how many tenants the newest configuration has
 	operations []*configLogOperation
-	sent       map[int64]int // control messages by second
-	frameMax   int
+
+	orders      []*order
+	ordersEnd   time.Duration            // operators give up then
+	taken       map[int64]string         // digest of what was confirmed under a version, also by a lost answer
+	contents    map[string]int64         // version by digest of all that was sent
+	newestAcked int64                    // version that an operator was told is taken
+	answersLost time.Duration            // until when answers to operators are lost
+	lostShare   float64                  // and how many of them
+	severed     map[string]time.Duration // core machines cut off from all others, since when
+
+	sent     map[int64]int // control messages by second
+	frameMax int
 
 	collectorDown time.Duration // until when
 	collectorOdd  time.Duration
@@ -100,7 +110,8 @@
 func NewWorld(options Options) *World {
 	w := &World{options: options, random: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
 		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
-		sent: map[int64]int{}, dangers: map[string]int{}, readiness: map[string]*readiness{}, couldServe: map[string]bool{}, unvouched: map[string]bool{}, loss: 0.002, delay: 300 * time.Microsecond}
+		sent: map[int64]int{}, dangers: map[string]int{}, readiness: map[string]*readiness{}, couldServe: map[string]bool{}, unvouched: map[string]bool{},
+		taken: map[int64]string{}, contents: map[string]int64{}, severed: map[string]time.Duration{}, loss: 0.002, delay: 300 * time.Microsecond}
 	w.record.Bounds = checker.BriefBounds(options.Deployment.Withdrawal)
 	w.record.Window, w.record.Epoch = time.Duration(settings.Default().Bounds.UsageWindow)*time.Millisecond, epoch
 	w.record.KeptMost = int(settings.Default().Limits.KeptConfigurations)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -34,6 +34,7 @@
 	DiskDelay  time.Duration // of one sync
 	Cores      int           // core machines; 0 is three
 	VoterCount int64         // the processes find their voters; 0: the settings name them
+	Writes     string        // how the configuration store takes orders; "": by the default
 }
 
 // Umuyoboro is the deployment that sends patient messages in Kigali.
@@ -65,6 +66,7 @@
 func (d Deployment) Vanish() time.Duration { return 150 * time.Millisecond }
 
 // Named returns a deployment by name. "small" is Umuyoboro with few machines, for quick runs;
+// the ones ending in "-platform" are set up as on the users' platform;
 // "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has a
 // core machine more than voters.
 func Named(name string) (Deployment, bool) {
@@ -73,6 +75,10 @@
 		return Umuyoboro(), true
 	case "jendela":
 		return Jendela(), true
+	case "umuyoboro-platform":
+		return onPlatform(Umuyoboro(), 3), true
+	case "jendela-platform":
+		return onPlatform(Jendela(), 5), true
 	case "small":
 		small := Umuyoboro()
 		small.Name, small.Proxies, small.Rate = "small", 3, 120
@@ -91,6 +97,14 @@
 	return Deployment{}, false
 }
 
+// onPlatform is a deployment with the settings that the users' platform gives: the core
+// processes find their voters, and the highest version holds.
+func onPlatform(d Deployment, voters int) Deployment {
+	d.Name += "-platform"
+	d.Cores, d.VoterCount, d.Writes = voters, int64(voters), settings.WritesHighest
+	return d
+}
+
 // Tenants returns the deployment's eight tenants, each with a key.
 func (d Deployment) Tenants() []loadgen.Tenant {
 	tenants := []loadgen.Tenant{}
@@ -177,6 +191,9 @@
 		cfg.Voter, cfg.Voters, cfg.VoterCount = "", settings.VoterNames(d.VoterCount), d.VoterCount
 		cfg.Active, cfg.Found = map[string]string{}, true
 	}
+	if d.Writes != "" {
+		cfg.Writes = d.Writes
+	}
 	if d.Withdrawal {
 		cfg.Bounds.KeyWithdrawal = 5000
 	}
