A voter that missed the last change hears of it

Cause: the holder told a change only while it was in flight. A voter that was away or cut off meanwhile learned of it at the next change or from the next holder: in quiet times never, and the newest change lay on a bare majority, one loss nearer to none.

The holder remembers what each voter has confirmed of its term, and while nothing is in flight names the log's end, each tenth of the bound for configurations, to those that have not confirmed it, as the members they are now; the voter pulls what it lacks. The simulator checks at the end of every run that each store with a vote holds the newest version acknowledged.

--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -76,19 +76,20 @@
 	history        *versionHistory
 	hash           int64 // over the history and the kept versions
 
-	mode     mode
-	term     int64
-	reads    map[string]message.LogPositionResponse
-	source   message.LogPositionResponse
-	acks     map[string]string
-	inFlight *message.StoredConfiguration
-	asker    queuedWrite
-	writes   []queuedWrite
-	answers  []unconfirmedAnswer
-	sentAt   time.Duration
-	pullAt   time.Duration
-	stopping bool
-	adoption message.LogRecommit
+	mode      mode
+	term      int64
+	reads     map[string]message.LogPositionResponse
+	source    message.LogPositionResponse
+	acks      map[string]string
+	followers map[string]message.LogAppended // what each voter confirmed of this term
+	inFlight  *message.StoredConfiguration
+	asker     queuedWrite
+	writes    []queuedWrite
+	answers   []unconfirmedAnswer
+	sentAt    time.Duration
+	pullAt    time.Duration
+	stopping  bool
+	adoption  message.LogRecommit
 }
 
 // New restores a machine from what its disk held.
@@ -251,6 +252,7 @@
 
 func (m *Machine) took(s *statemachine.Env, _ string, epoch int64) {
 	m.term, m.mode, m.sentAt = epoch, reading, 0
+	m.followers = map[string]message.LogAppended{}
 	at := m.position()
 	m.reads = map[string]message.LogPositionResponse{m.quorum.Voter: {Epoch: epoch, Voter: m.quorum.Voter, Identity: m.quorum.State.Identity,
 		AtEpoch: at.epoch, AtSeq: at.seq, Hash: at.hash}}
@@ -334,6 +336,8 @@
 	case serving:
 		if m.inFlight != nil {
 			m.sendInFlight(s)
+		} else {
+			m.tellLaggards(s)
 		}
 	}
 }
@@ -453,6 +457,8 @@
 func (m *Machine) handleAdopt(s *statemachine.Env, from string, adopt message.LogRecommit) {
 	at := m.position()
 	switch {
+	case m.missed(adopt):
+		m.pull(s, from)
 	case m.epoch == adopt.Epoch:
 		m.confirm(s, from)
 	case at == position{adopt.AtEpoch, adopt.AtSeq, adopt.Hash}:
@@ -532,6 +538,7 @@
 	if committed.Epoch != m.term {
 		return
 	}
+	m.noteFollower(committed)
 	switch {
 	case m.mode == adopting:
 		m.acks[committed.Voter] = committed.Identity
--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -56,3 +56,14 @@
 		})
 	}
 }
+
+// A voter that was away during the last change has it at the end, though no other change
+// and no other holder comes.
+func TestVoterThatMissedTheLastChangeCatchesUp(t *testing.T) {
+	oneThread(t)
+	for _, deployment := range []string{"voters-3", "small"} {
+		d, _ := workload.Named(deployment)
+		result := Play(options(d, 1, controlRate, []Step{{12 * second, "kill", "core-2", 3 * second}, {13 * second, "put", "", 0}}, nil))
+		qt.Assert(t, result.Review.Violations, qt.HasLen, 0, qt.Commentf("%s", deployment))
+	}
+}
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -513,6 +513,7 @@
 	w.at(time.Second, func() { w.requestReady(ends) })
 	w.at(2*time.Second, func() { w.readConfigLog(700*time.Millisecond, ends) })
 	w.Run(ends + 14*time.Second)
+	w.caughtUp()
 	w.closing()
 	w.Run(ends + 18*time.Second)
 	w.settled()
@@ -523,6 +524,16 @@
 	return result
 }
 
+// caughtUp: at the end every store that has a vote holds the newest version acknowledged.
+func (w *World) caughtUp() {
+	for _, store := range w.alive(message.RoleConfigStore) {
+		machine, isStore := store.control.(*configstore.Machine)
+		if isStore && machine.Voting() && machine.Newest("main") < w.newestAcked {
+			w.fail("%s holds version %d, %d was acknowledged", store.name, machine.Newest("main"), w.newestAcked)
+		}
+	}
+}
+
 // closing reads back, through each voter, every version kept and every window.
 func (w *World) closing() {
 	for _, nodeName := range w.alive(message.RoleRegistry) {
