A configuration is checked before its order enters the control thread

Change: the registry's HTTP goroutine checks, and the findings go with the order; the store, which alone may refuse, tells them. It checks itself only where nobody has.

Test: TestContentIsCheckedBeforeItComes (does not compile on the old code: there was no finding to bring).

--- a/internal/api/registry.go
+++ b/internal/api/registry.go
@@ -120,7 +120,8 @@
 	if !whole {
 		return
 	}
-	h.answer(out, in, registry.WriteConfiguration{ConfigName: configName(in), Version: number(in, "version"), Body: body})
+	h.answer(out, in, registry.WriteConfiguration{ConfigName: configName(in), Version: number(in, "version"), Body: body,
+		Check: registry.CheckContent(h.settings, body)})
 }
 
 // inForce answers once a version is in force on every proxy, or when the caller's time
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -64,9 +64,13 @@
 	return message.StoreResponse{}, true
 }
 
-// check looks for faults in the content.
+// check tells the faults in the content, as the registry found them or, if it did not look, as
+// they are found here.
 func (m *Machine) check(write message.WriteRequest, number gjson.Result) (response message.StoreResponse, found bool) {
-	faults, tooLarge := routeconfig.Check(write.Body, m.settings.ConfigurationLimits())
+	faults, tooLarge := write.Check.Faults, write.Check.TooLarge
+	if !write.Check.Done {
+		faults, tooLarge = routeconfig.Check(write.Body, m.settings.ConfigurationLimits())
+	}
 	if tooLarge {
 		return refusal(write, errcode.ConfigurationTooLarge, "", faults), true
 	}
--- a/internal/configstore/writes_test.go
+++ b/internal/configstore/writes_test.go
@@ -135,3 +135,24 @@
 		c.Assert(response.Version, qt.Equals, int64(9))
 	}
 }
+
+// What the registry has checked is not checked again on the thread that renews the lease,
+// and its findings are what the operator is told.
+func TestContentIsCheckedBeforeItComes(t *testing.T) {
+	c := qt.New(t)
+	b := newConfigLog(c, settings.WritesRising)
+	send := func(version int64, body string, check message.ContentCheck) message.StoreResponse {
+		b.response = nil
+		b.m.Handle(b.env, "10.0.0.9:1", message.WriteRequest{RequestID: version, ConfigName: "main", Version: version, Body: []byte(body), Check: check})
+		b.drain()
+		b.sync()
+		c.Assert(b.response, qt.HasLen, 1)
+		return b.response[0]
+	}
+	refused := send(1, configName(""), message.ContentCheck{Done: true, Faults: []string{"found elsewhere"}})
+	c.Assert(errcode.Code(refused.Code), qt.Equals, errcode.ConfigurationBad)
+	c.Assert(refused.Faults, qt.DeepEquals, []string{"found elsewhere"})
+	c.Assert(errcode.Code(send(1, configName(""), message.ContentCheck{Done: true, TooLarge: true}).Code), qt.Equals, errcode.ConfigurationTooLarge)
+	c.Assert(errcode.Code(send(1, "no check would let this pass", message.ContentCheck{Done: true}).Code), qt.Equals, errcode.OK)
+	c.Assert(errcode.Code(send(2, "no check would let this pass", message.ContentCheck{}).Code), qt.Equals, errcode.ConfigurationBad)
+}
--- a/internal/message/configuration.go
+++ b/internal/message/configuration.go
@@ -17,12 +17,21 @@
 	Digest     []byte
 }
 
+// ContentCheck is what the registry found in a configuration before it asked for the write. The
+// check of a large one takes too long for a thread that renews leases.
+type ContentCheck struct {
+	Done     bool
+	TooLarge bool
+	Faults   []string
+}
+
 // WriteRequest asks the log's lease holder to commit a version of a configuration.
 type WriteRequest struct {
 	RequestID  int64
 	ConfigName string
 	Version    int64
 	Body       []byte
+	Check      ContentCheck
 }
 
 // ReadRequest asks the log's lease holder for a version, or for the list of versions.
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -14,6 +14,7 @@
 	"beaconvane/internal/distribution"
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
+	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/statemachine"
 )
@@ -24,6 +25,7 @@
 		ConfigName string
 		Version    int64
 		Body       []byte
+		Check      message.ContentCheck
 	}
 	GetConfiguration struct {
 		ConfigName string
@@ -80,6 +82,13 @@
 
 func newOutside(m *Machine) *outside { return &outside{m: m, waiting: map[int64]*outsideRequest{}} }
 
+// CheckContent looks for faults in a configuration, on the caller's thread and not on the one
+// that renews leases and answers heartbeats.
+func CheckContent(cfg settings.Settings, body []byte) message.ContentCheck {
+	faults, tooLarge := routeconfig.Check(body, cfg.ConfigurationLimits())
+	return message.ContentCheck{Done: true, TooLarge: tooLarge, Faults: faults}
+}
+
 // Asked takes a question.
 func (m *Machine) Asked(s *statemachine.Env, requestID int64, question any) {
 	o := m.outside
@@ -87,7 +96,7 @@
 	case WriteConfiguration:
 		o.lastRequestID++
 		o.waiting[o.lastRequestID] = &outsideRequest{outer: requestID, until: s.Now + m.settings.AnswerLimit(len(asked.Body)),
-			write: &message.WriteRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, Body: asked.Body}}
+			write: &message.WriteRequest{RequestID: o.lastRequestID, ConfigName: asked.ConfigName, Version: asked.Version, Body: asked.Body, Check: asked.Check}}
 		o.tick(s)
 	case GetConfiguration:
 		o.lastRequestID++
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -527,7 +527,7 @@
 		w.operations = append(w.operations, operation)
 		w.contents[digest] = version
 	}
-	chosenBoard.request(registry.WriteConfiguration{ConfigName: "main", Version: version, Body: body}, func(answer any) {
+	chosenBoard.request(registry.WriteConfiguration{ConfigName: "main", Version: version, Body: body, Check: registry.CheckContent(chosenBoard.settings, body)}, func(answer any) {
 		given := answer.(registry.Answer)
 		code := given.Code
 		operation.answer, operation.to, operation.answered = configLogAnswer{code: code}, w.now, true
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -77,7 +77,7 @@
 	}
 	w.mark("order %d %s at %s", o.version, o.digest, board.name)
 	told := false
-	w.askBoard(board, registry.WriteConfiguration{ConfigName: "main", Version: o.version, Body: o.body}, func(answer registry.Answer) {
+	w.askBoard(board, registry.WriteConfiguration{ConfigName: "main", Version: o.version, Body: o.body, Check: registry.CheckContent(board.settings, o.body)}, func(answer registry.Answer) {
 		told = true
 		if w.orderAnswered(o, answer) {
 			w.after(min(orderPause*time.Duration(o.tries), orderPauseMax), func() { w.persist(o) })
