Scenarios second-loss and hundreds, each with the counters of its danger

second-loss: a disk wiped and back, a machine replaced by an empty one at another address, a planned replacement (new one first; also with the leaving voter one of a bare majority that has the newest change; also with the newcomer dying in the middle); as soon as the newcomer's votes stand another core machine is killed, wiped or cut off for 8 s. Held to: an order taken within 6 s of the second loss, every acknowledged write at the end on every store with a vote, the other checks of a run. hundreds: 620 changes, each 60th of 2,500 routes, with voters killed, cut off, wiped and the lease holder killed twice. Held to: who comes back holds within catch_up_ms what had been acknowledged when it came, at most 24 MiB on a store's disk, frames under the cap.

--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -67,3 +67,23 @@
 		qt.Assert(t, result.Review.Violations, qt.HasLen, 0, qt.Commentf("%s", deployment))
 	}
 }
+
+func TestSecondLossRightAfterARepair(t *testing.T) {
+	for deployment, seeds := range map[string][]uint64{"voters-3": {1, 2, 3}, "voters-5": {1, 2, 3}, "small": {1}} {
+		t.Run(deployment, func(t *testing.T) {
+			t.Parallel()
+			seen := playControl(t, deployment, "second-loss", seeds...)
+			losses := seen["danger: second losses right after a newcomer's vote"] + seen["danger: newcomers lost in the middle of a planned replacement"]
+			reached(t, "losses within a moment of a repair", losses, len(seeds))
+			reached(t, "orders taken while the second is away", seen["danger: orders taken while the second is away"], 10)
+		})
+	}
+}
+
+func TestHundredsOfChanges(t *testing.T) {
+	seen := playControl(t, "voters-3", "hundreds", 1)
+	reached(t, "changes acknowledged", seen["danger: changes acknowledged"], 600)
+	reached(t, "large changes", seen["danger: large changes"], 10)
+	reached(t, "stores that came back behind", seen["danger: stores that came back behind"], 1)
+	reached(t, "versions they were behind", seen["danger: versions they were behind"], 200)
+}
--- /dev/null
+++ b/internal/simulation/hundreds.go
@@ -0,0 +1,140 @@
+// This file is the scenario of hundreds of changes, large ones among them, while core
+// machines are away for part of it, are restarted, lose a disk, and hold the lease. Who
+// comes back catches up in bounded time, what lies on disk stays bounded, no frame is
+// over its cap, and no read is older than what was acknowledged.
+package simulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"beaconvane/internal/configstore"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
+	"beaconvane/internal/workload"
+)
+
+const (
+	changesWanted = 620
+	largeEvery    = 60   // every so many changes one is large
+	largeRoutes   = 2500 // and has so many routes
+	changesFor    = 75 * time.Second
+	diskMost      = 24 << 20 // bytes on one store's disk
+)
+
+func hundredsPlan(d workload.Deployment, random *rand.Rand) []Step {
+	names := d.CoreNames()
+	chosen := random.Perm(len(names))
+	return []Step{
+		{At: 9 * time.Second, Do: "hundreds", For: changesFor},
+		{At: span(random, 11, 13), Do: "kill", Target: names[chosen[0]], For: span(random, 6, 9)},
+		{At: span(random, 26, 28), Do: "cut-core", Target: names[chosen[1]], For: span(random, 5, 8)},
+		{At: span(random, 40, 42), Do: "kill-holder", Target: settings.ConfigLogTag, For: span(random, 0.3, 2)},
+		{At: span(random, 48, 50), Do: "kill-disk", Target: names[chosen[2]], For: span(random, 0.3, 2)},
+		{At: span(random, 58, 60), Do: "kill", Target: names[chosen[1]], For: span(random, 3, 6)},
+		{At: span(random, 70, 71), Do: "kill-holder", Target: settings.ConfigLogTag, For: span(random, 0.3, 2)},
+	}
+}
+
+// changeInTurn sends changes one after another until there are enough.
+func (w *World) changeInTurn(left int, until time.Duration) {
+	if left == 0 {
+		w.dangers["hundreds of changes made"]++
+		return
+	}
+	if w.now > until {
+		w.fail("%d changes were not made in time", left)
+		return
+	}
+	w.versions++
+	tenants := w.options.Deployment.Tenants()[:w.tenants]
+	routes := int(w.versions) % 50
+	if left%largeEvery == 0 {
+		routes = largeRoutes
+		w.dangers["large changes"]++
+	}
+	w.persist(w.newOrder(w.versions, tenants, w.options.Deployment.Configuration(tenants, routes+int(w.versions)), func(code errcode.Code) {
+		if code == errcode.OK {
+			w.dangers["changes acknowledged"]++
+		}
+		w.measureDisks()
+		w.after(time.Duration(w.random.Int64N(int64(60*time.Millisecond))), func() { w.changeInTurn(left-1, until) })
+	}))
+}
+
+// measureDisks keeps the largest sum of a store's files.
+func (w *World) measureDisks() {
+	for _, store := range w.of(message.RoleConfigStore) {
+		size := 0
+		for _, file := range store.disk.files {
+			size += len(file.current)
+		}
+		if size > w.diskMost {
+			w.diskMost = size
+		}
+	}
+}
+
+// newestOf is the newest version that a store's log holds.
+func newestOf(store *Node) int64 {
+	if machine, isStore := store.control.(*configstore.Machine); isStore {
+		return machine.Newest("main")
+	}
+	return 0
+}
+
+// expectCaughtUp: a store that came back holds, within the bound, what had been
+// acknowledged when it came.
+func (w *World) expectCaughtUp(store *Node) {
+	wanted, life := w.newestAcked, store.life
+	if wanted == 0 || store.role != message.RoleConfigStore {
+		return
+	}
+	behind := wanted - newestOf(store)
+	w.after(time.Duration(store.settings.Bounds.CatchUp)*time.Millisecond, func() {
+		if !store.up || store.frozen || store.life != life || w.cutOff(store.machine) || !w.majorityStood(store.settings.Bounds.CatchUp) {
+			return
+		}
+		if behind > 0 {
+			w.dangers["stores that came back behind"]++
+			w.dangers["versions they were behind"] += int(behind)
+		}
+		if held := newestOf(store); held < wanted {
+			w.fail("%s holds version %d %d ms after its start, %d had been acknowledged", store.name, held, store.settings.Bounds.CatchUp, wanted)
+		}
+	})
+}
+
+// majorityStood: all stores but one have been up and joined for some time.
+func (w *World) majorityStood(milliseconds int64) bool {
+	since, standing := w.now-time.Duration(milliseconds)*time.Millisecond, 0
+	for _, store := range w.alive(message.RoleConfigStore) {
+		if store.born <= since && !w.cutOff(store.machine) {
+			standing++
+		}
+	}
+	return standing*2 > len(w.cores())
+}
+
+// bounded checks the sizes at the end of a run.
+func (w *World) bounded() {
+	if w.diskMost > diskMost {
+		w.fail("%d bytes on one store's disk, %d are the most", w.diskMost, diskMost)
+	}
+	for _, store := range w.of(message.RoleConfigStore) {
+		if limit := store.settings.Limits.Frame; int64(w.frameMax) > limit {
+			w.fail("a frame of %d bytes, the cap is %d", w.frameMax, limit)
+		}
+		return
+	}
+}
+
+// doHundreds carries out the scenario's own step; false when the step is another's.
+func (w *World) doHundreds(step Step) bool {
+	if step.Do != "hundreds" {
+		return false
+	}
+	w.changeInTurn(changesWanted, w.now+step.For)
+	return true
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -70,6 +70,7 @@
 	inside    int // callers' requests not answered yet
 	stopping  bool
 	retired   bool // its machine was taken away for good
+	leaving   bool // it is once the process has ended
 	deaf      bool // takes no new requests: its listener is closed
 	spanOn    bool
 }
@@ -168,6 +169,7 @@
 		return
 	}
 	n.world.mark("boot %s", n.name)
+	n.world.expectCaughtUp(n)
 	n.openSpan()
 	n.every(n.life, n.settings.TickEvery(), n.tick)
 }
@@ -323,6 +325,7 @@
 		n.world.record.Keeping = append(n.world.record.Keeping, checker.Keeping{Tag: tag, Voter: n.place(), Epoch: done.Epoch, At: n.world.now})
 	case "voter-recovered":
 		n.world.dangers["voters taken by an empty disk"]++
+		n.world.recovered(n)
 	case "voter-lost":
 		n.world.dangers["voters lost to another machine"]++
 	case "configuration-in-force":
@@ -341,6 +344,12 @@
 	n.run(n.life, func() { n.apply(statemachine.Asked{RequestID: requestID, Question: question}) })
 }
 
+// stopForGood ends the process politely, and its machine does not come back.
+func (n *Node) stopForGood() {
+	n.leaving = true
+	n.stop(0)
+}
+
 // stop ends the process politely, as cli does on a signal: the others are told,
 // what has not started is refused, the rest is finished, then it ends.
 func (n *Node) stop(down time.Duration) {
@@ -356,7 +365,8 @@
 			if n.role == message.RoleProxy {
 				n.world.record.Stopped = append(n.world.record.Stopped, checker.Span{Name: n.machine, From: began, To: n.world.now})
 			}
-			n.kill(false, false)
+			n.kill(false, n.leaving)
+			n.retired = n.retired || n.leaving
 			n.world.after(down, n.boot)
 		}
 	}
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -238,7 +238,7 @@
 	case "put", "put-huge", "withdraw", "restore-keys", "put-race", "put-bad", "put-and-kill", "put-and-kill-disk":
 		w.operate(step)
 	default:
-		if !w.doAnswers(step) && !w.doCutoff(step) && !w.doSameVersion(step) {
+		if !w.doAnswers(step) && !w.doCutoff(step) && !w.doSameVersion(step) && !w.doSecondLoss(step) && !w.doHundreds(step) {
 			w.doUpstream(step)
 		}
 	}
@@ -517,6 +517,7 @@
 	w.closing()
 	w.Run(ends + 18*time.Second)
 	w.settled()
+	w.bounded()
 	result := Result{Seed: options.Seed, Plan: options.Plan, Trace: w.trace, Steps: w.steps, Last: last}
 	result.Review = w.Finish()
 	result.Record = w.record
@@ -528,8 +529,8 @@
 func (w *World) caughtUp() {
 	for _, store := range w.alive(message.RoleConfigStore) {
 		machine, isStore := store.control.(*configstore.Machine)
-		if isStore && machine.Voting() && machine.Newest("main") < w.newestAcked {
-			w.fail("%s holds version %d, %d was acknowledged", store.name, machine.Newest("main"), w.newestAcked)
+		if isStore && machine.Voting() && newestOf(store) < w.newestAcked {
+			w.fail("%s holds version %d, %d was acknowledged", store.name, newestOf(store), w.newestAcked)
 		}
 	}
 }
@@ -615,6 +616,8 @@
 	"calm":         func(workload.Deployment, *rand.Rand) []Step { return nil },
 	"cutoff":       cutoffPlan,
 	"same-version": sameVersionPlan,
+	"second-loss":  secondLossPlan,
+	"hundreds":     hundredsPlan,
 	"holder-killed": func(d workload.Deployment, random *rand.Rand) []Step {
 		tag := allTags(d)
 		return []Step{
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -89,6 +89,9 @@
 	answersLost time.Duration            // until when answers to operators are lost
 	lostShare   float64                  // and how many of them
 	severed     map[string]time.Duration // core machines cut off from all others, since when
+	armed       *armedLoss               // the second loss that waits for a newcomer's vote
+	voting      map[string]int           // programs of a machine whose newcomers have their votes
+	diskMost    int                      // the most bytes on one store's disk
 
 	sent     map[int64]int // control messages by second
 	frameMax int
@@ -111,7 +114,7 @@
 	w := &World{options: options, random: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
 		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
 		sent: map[int64]int{}, dangers: map[string]int{}, readiness: map[string]*readiness{}, couldServe: map[string]bool{}, unvouched: map[string]bool{},
-		taken: map[int64]string{}, contents: map[string]int64{}, severed: map[string]time.Duration{}, loss: 0.002, delay: 300 * time.Microsecond}
+		taken: map[int64]string{}, contents: map[string]int64{}, severed: map[string]time.Duration{}, voting: map[string]int{}, loss: 0.002, delay: 300 * time.Microsecond}
 	w.record.Bounds = checker.BriefBounds(options.Deployment.Withdrawal)
 	w.record.Window, w.record.Epoch = time.Duration(settings.Default().Bounds.UsageWindow)*time.Millisecond, epoch
 	w.record.KeptMost = int(settings.Default().Limits.KeptConfigurations)
@@ -295,6 +298,7 @@
 		review.Seen["danger: "+danger] = count
 	}
 	review.Worst["largest-frame-bytes"] = float64(w.frameMax)
+	review.Worst["store-disk-bytes"] = float64(w.diskMost)
 	if !sound {
 		review.Violations = append(review.Violations, checker.Violation{Rule: "config-log-order", Detail: fmt.Sprintf("%d puts and reads fit no order", count)})
 	}
