Tests of the backend begin with every proven connection made

Ruled out: the product, which refuses such a request on purpose.

Change: the harness announces until the connections are there; no assertion changed.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -136,13 +136,7 @@
 	old := newScripted(c, members, "127.0.0.1:0", func(int64) string { return good })
 	b := newBench(c, members, old.listener.Addr().String())
 	target := Target{Key: "pay/one", Address: b.address, Incarnation: 1}
-	guards := 1
-	for len(b.caller.idle[target]) < b.room.ConnectionsReady(target) {
-		// On a busy machine the sign of life was too old before all were made.
-		b.announce(c, "pay", "one", 1)
-		guards++
-	}
-	old.waitAccepted(c, guards+len(b.caller.idle[target]))
+	old.waitAccepted(c, b.guards+len(b.caller.idle[target]))
 	old.listener.Close()
 	heir := newScripted(c, members, b.address, func(int64) string { return good })
 	c.Assert(len(b.caller.idle[target]), qt.Equals, b.room.ConnectionsReady(target))
--- a/internal/backend/calling_test.go
+++ b/internal/backend/calling_test.go
@@ -81,20 +81,34 @@
 	members   *goroutine.Group
 	address   string
 	forwarded int
+	guards    int // guards that were made, each by a dial
 }
 
 func newBench(c *qt.C, members *goroutine.Group, address string) *bench {
 	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
 	b := &bench{room: room, caller: NewCaller(settings.Default(), room, members), members: members, address: address}
+	target := Target{Key: "pay/one", Address: b.address, Incarnation: 1}
 	b.announce(c, "pay", "one", 1)
+	for b.kept(target) < room.ConnectionsReady(target) {
+		// On a busy machine the sign of life was too old before all connections were made.
+		b.announce(c, "pay", "one", 1)
+	}
 	return b
 }
 
+// kept is how many proven connections are ready.
+func (b *bench) kept(target Target) int {
+	b.caller.lock.Lock()
+	defer b.caller.lock.Unlock()
+	return len(b.caller.idle[target])
+}
+
 func (b *bench) announce(c *qt.C, service, instance string, incarnation int64) {
 	response := Announcement{Service: service, Instance: instance, Incarnation: incarnation, Address: b.address, Zone: "d", Slots: 4}
 	accepted, _, _ := b.room.Announce(b.members.Now(), response)
 	c.Assert(accepted, qt.IsTrue)
 	b.caller.Guard(response)
+	b.guards++
 }
 
 // ask carries one request and gives its outcome, with the backend told of the end.
