The simulator loses whole zones: a deployment with two core machines a zone

Deployment voters-zones and scenario zones-lost: all core machines of each zone in turn go for some six seconds. TestLostZoneIsNoPause holds that reports are at most 3 s late.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,7 +89,7 @@
 func placesOf(deployment workload.Deployment) []*place {
 	places := []*place{}
 	for index, voter := range workload.Voters {
-		zone := deployment.Zones[index%len(deployment.Zones)]
+		zone := deployment.CoreZone(index)
 		host := fmt.Sprintf("127.77.1.%d", index+1)
 		places = append(places,
 			&place{role: message.RoleRegistry, node: voter, voter: voter, zone: zone, host: host},
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -82,7 +82,7 @@
 		seeds = append(seeds, fmt.Sprintf("10.1.0.%d:7400", index+1))
 	}
 	for index, voter := range d.CoreNames() {
-		zone := d.Zones[index%len(d.Zones)]
+		zone := d.CoreZone(index)
 		host := fmt.Sprintf("10.1.0.%d", index+1)
 		w.addNode(message.RoleRegistry, voter, voter, zone, host+":7400", seeds)
 		w.addNode(message.RoleConfigStore, voter, voter, zone, host+":7500", seeds)
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -700,6 +700,20 @@
 	"core-replaced": func(d workload.Deployment, random *rand.Rand) []Step {
 		return []Step{{At: span(random, 10, 12), Do: "replace-core", Target: core(d, random), For: span(random, 0.3, 4)}, {At: span(random, 10, 13), Do: "put"}, {At: span(random, 16, 18), Do: "put"}}
 	},
+	"zones-lost": func(d workload.Deployment, random *rand.Rand) []Step {
+		// All core machines of a zone go at once and come back; then those of the next.
+		plan := []Step{}
+		for number, zone := range d.Zones {
+			at := 10 + float64(number)*12
+			for index, name := range d.CoreNames() {
+				if d.CoreZone(index) == zone {
+					plan = append(plan, Step{At: span(random, at, at+0.1), Do: "kill", Target: name, For: span(random, 5.5, 6)})
+				}
+			}
+			plan = append(plan, Step{At: span(random, at+3.5, at+4), Do: "put"})
+		}
+		return plan
+	},
 	"cores-replaced": func(d workload.Deployment, random *rand.Rand) []Step {
 		// One after another, until all that founded are gone.
 		plan := []Step{}
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -112,3 +112,14 @@
 		})
 	}
 }
+
+// Each zone in turn loses all its core machines for some six seconds. Voters stand in all
+// zones, so a majority is left and usage goes on being reported; with two voters in the
+// lost zone reports wait until it is back (6.3 s late with seed 1).
+func TestLostZoneIsNoPause(t *testing.T) {
+	t.Parallel()
+	const lateAtMost = 3000 // ms; a takeover and a report's next try
+	result := play(t, "voters-zones", "zones-lost", 1)
+	qt.Assert(t, result.Review.Worst["usage-late-ms"] < lateAtMost, qt.IsTrue, qt.Commentf("%v", result.Review.Worst))
+	reached(t, "takeovers", result.Review.Seen["takeovers"], 1)
+}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -35,6 +35,10 @@
 	Cores      int           // core machines; 0 is three
 	VoterCount int64         // the processes find their voters; 0: the settings name them
 	Writes     string        // how the configuration store takes orders; "": by the default
+	// CoreZones are the zones of the core machines, in order; none: the zones in turn.
+	CoreZones []string
+	// Tolerated is what the voters are placed to outlive.
+	Tolerated settings.Tolerated
 }
 
 // Umuyoboro is the deployment that sends patient messages in Kigali.
@@ -68,7 +72,8 @@
 // Named returns a deployment by name. "small" is Umuyoboro with few machines, for quick runs;
 // the ones ending in "-platform" are set up as on the users' platform;
 // "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has a
-// core machine more than voters.
+// core machine more than voters, and "voters-zones" two core machines a zone, for three voters of
+// which a lost zone leaves a majority.
 func Named(name string) (Deployment, bool) {
 	switch name {
 	case "umuyoboro":
@@ -84,13 +89,18 @@
 		small.Name, small.Proxies, small.Rate = "small", 3, 120
 		small.Services[0].Count, small.Services[1].Count = 3, 2
 		return small, true
-	case "voters-3", "voters-5", "voters-3-4":
+	case "voters-3", "voters-5", "voters-3-4", "voters-zones":
 		discovered, _ := Named("small")
 		discovered.Name, discovered.Cores, discovered.VoterCount = name, 3, 3
 		if name == "voters-5" {
 			discovered.Cores, discovered.VoterCount = 5, 5
 		} else if name == "voters-3-4" {
 			discovered.Cores = 4
+		} else if name == "voters-zones" {
+			discovered.Cores, discovered.Tolerated = 6, settings.Tolerated{Zones: 1}
+			for _, zone := range discovered.Zones {
+				discovered.CoreZones = append(discovered.CoreZones, zone, zone)
+			}
 		}
 		return discovered, true
 	}
@@ -177,6 +187,14 @@
 	return names
 }
 
+// CoreZone is the zone of a core machine, by its place among them.
+func (d Deployment) CoreZone(index int) string {
+	if index < len(d.CoreZones) {
+		return d.CoreZones[index]
+	}
+	return d.Zones[index%len(d.Zones)]
+}
+
 // Settings returns the settings of one process of the deployment. Addresses and seeds are "ip:port",
 // data is the folder of a core process.
 func (d Deployment) Settings(role, nodeName, voter, zone, address, outside string, seeds []string, data string) settings.Settings {
@@ -194,6 +212,7 @@
 	if d.Writes != "" {
 		cfg.Writes = d.Writes
 	}
+	cfg.Tolerated = d.Tolerated
 	if d.Withdrawal {
 		cfg.Bounds.KeyWithdrawal = 5000
 	}
