--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -16,13 +16,16 @@
 	checksumBytes = 4
 	// maxByteSlice, in bytes, is above any frame limit that the settings allow.
 	maxByteSlice = 256 << 20
+	// maxElements of an array; a frame that claims more is refused before memory is taken for
+	// them. The longest arrays are rosters and routes, of some tens of thousands.
+	maxElements = 1 << 18
 )
 
 var checksumTable = crc32.MakeTable(crc32.Castagnoli)
 
 // codec lifts the library's limit of 1 MiB on a byte string: the frame limit of the settings
 // bounds what is read before it comes here.
-var codec = avro.Config{MaxByteSliceSize: maxByteSlice}.Freeze()
+var codec = avro.Config{MaxByteSliceSize: maxByteSlice, MaxSliceAllocSize: maxElements}.Freeze()
 
 // Encode returns the frame of a message: kind byte, Avro record, checksum. The checksum is needed
 // since the library takes a record that ends early for one with empty fields.
--- /dev/null
+++ b/internal/routeconfig/fuzz_test.go
@@ -0,0 +1,57 @@
+package routeconfig
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Any bytes are refused with faults or give a configuration that answers every question;
+// the same bytes always get the same verdict, for every voter checks alone.
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(configName), "host", "/x/y")
+	f.Add([]byte(strings.Replace(configName, "[", "{", 1)), "", "/")
+	f.Add([]byte(`{"version":1,"services":[{"name":"a","weight":1e400}],"routes":[{"name":"r","host":"h","prefix":"/p","split":{"a":9223372036854775807}}]}`), "h", "/p/..")
+	f.Add([]byte(`{"services":["a"],"routes":[{"name":"r","service":"a","path":"/%2e","open":{"zone":"UTC"}}]}`), "", "/%2E")
+	f.Add([]byte(`null`), "", "")
+	f.Fuzz(func(t *testing.T, body []byte, host, path string) {
+		for _, lenient := range []bool{false, true} {
+			checked := limits
+			checked.Lenient = lenient
+			faults, tooLarge := Check(body, checked)
+			again, tooLargeAgain := Check(body, checked)
+			if fmt.Sprint(faults) != fmt.Sprint(again) || tooLarge != tooLargeAgain {
+				t.Fatalf("two verdicts: %v and %v", faults, again)
+			}
+			if len(faults) > 0 || tooLarge {
+				continue
+			}
+			configuration := Parse("main", 1, body, checked)
+			configuration.Keyless()
+			configuration.Tenant(path)
+			if route, found := configuration.Match("GET", path); found {
+				route.Allows(host, path)
+			}
+			if route, found := configuration.Find(host, "GET", path); found {
+				configuration.Priority("t", route)
+				configuration.Service(route.Pick(0.5))
+			}
+		}
+	})
+}
+
+func FuzzNormalPath(f *testing.F) {
+	f.Add("/x/y")
+	f.Add("/%7e/%2f")
+	f.Add("/a/../b")
+	f.Fuzz(func(t *testing.T, raw string) {
+		normal, err := NormalPath(raw)
+		if err != nil {
+			return
+		}
+		again, err := NormalPath(normal)
+		if err != nil || again != normal {
+			t.Fatalf("%q becomes %q, and that becomes %q (%v)", raw, normal, again, err)
+		}
+	})
+}
