--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -1,8 +1,9 @@
+package distribution
+
 // This file is the history of one configuration: its last versions as differences, each
 // from the version before, so that a child that is a few versions behind is sent those
 // instead of the whole configuration. A relay keeps the differences that it was sent and
 // passes them on as they are.
-package distribution
 
 import (
 	"beaconvane/internal/delta"
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -493,7 +493,7 @@
 }
 
 // notFull notes that an upstream has begun a request.
-func (p *peer) notFull() { p.fullTimes, p.fullUntil = 0, 0 }
+func (held *peer) notFull() { held.fullTimes, held.fullUntil = 0, 0 }
 
 // fullRest is how long an upstream that was full, so many times in a row, is left alone.
 // Where many proxies ask the same upstreams each may ask more seldom, and their requests
--- a/internal/transport/pacer.go
+++ b/internal/transport/pacer.go
@@ -1,8 +1,9 @@
+package transport
+
 // This file gives traffic its turns on the machine's link. Whatever is posted reserves the
 // time that its bytes take at a rate somewhat below the link's; traffic frames are written
 // when their time comes, control messages at once. So the kernel's buffers and the link's
 // queue stay short, and a control message does not wait behind requests and answers.
-package transport
 
 import (
 	"sync"
