--- a/internal/fleet/play.go
+++ b/internal/fleet/play.go
@@ -39,6 +39,13 @@
 	ExtraP99    float64 `json:"extra_p99_ms"`
 }
 
+const (
+	// readyLimit is how long a fleet may take to become ready.
+	readyLimit = 30 * time.Second
+	// sealLimit is how long the last usage window of the load may take to be reported.
+	sealLimit = 12 * time.Second
+)
+
 // Play runs one scenario from start to outcome; slack stretches the bounds in time.
 func Play(deployment workload.Deployment, bin, folder, scenario string, length time.Duration, seed uint64, slack float64) (Outcome, error) {
 	outcome := Outcome{Scenario: scenario}
@@ -46,57 +53,71 @@
 	if !known {
 		return outcome, errcode.Wrap("fleet.play", errcode.ConfigBadValue, fmt.Errorf("no scenario %q", scenario))
 	}
-	fleetRun, err := New(deployment, bin, folder)
+	f, err := New(deployment, bin, folder)
 	if err != nil {
 		return outcome, err
 	}
 	begin := time.Now()
-	if err := fleetRun.StartAll(); err != nil {
+	if err := f.StartAll(); err != nil {
 		return outcome, err
 	}
-	defer fleetRun.StopAll()
-	placed := fleetRun.Until(30*time.Second, func() bool {
-		status, err := fleetRun.Write(1, deployment.Tenants(), 0)
-		return err == nil && status == http.StatusOK
-	})
-	if !placed || !fleetRun.Until(30*time.Second, fleetRun.Ready) || !fleetRun.Until(30*time.Second, fleetRun.upstreamsReady) {
-		return outcome, errcode.Wrap("fleet.play", errcode.BusyNotReady, fmt.Errorf("the fleet did not become ready (configuration put: %t); logs in %s", placed, folder))
+	defer f.StopAll()
+	if err := f.becomeReady(); err != nil {
+		return outcome, err
 	}
 	outcome.ReadyMS = time.Since(begin).Milliseconds()
-	fleetRun.Watch()
+	f.Watch()
 	acted := make(chan struct{})
-	fleetRun.Group.Go("fleet.act", func(context.Context) {
+	f.Group.Go("fleet.act", func(context.Context) {
 		defer close(acted)
-		act(fleetRun, length, &outcome)
+		act(f, length, &outcome)
 	})
-	asked := fleetRun.Load(deployment.Rate, length, seed)
+	asked := f.Load(deployment.Rate, length, seed)
 	<-acted
 	outcome.Summary = loadgen.Summarise(asked)
-	asked = append(asked, fleetRun.uploads...)
-	outcome.Uses = fleetRun.Uses()
-	// The windows of the load are sealed a while after they end.
-	newest := int64((time.Duration(fleetRun.Base.UnixNano()) + fleetRun.since()) / (time.Duration(settings.Default().Bounds.UsageWindow) * time.Millisecond))
-	fleetRun.Until(12*time.Second, func() bool {
-		fleetRun.lock.Lock()
-		defer fleetRun.lock.Unlock()
-		for _, report := range fleetRun.reported {
-			if report.Window >= newest {
-				return true
-			}
-		}
-		return false
-	})
-	outcome.Writes = fleetRun.answers
+	asked = append(asked, f.uploads...)
+	outcome.Uses = f.Uses()
+	f.awaitUsage()
+	outcome.Writes = f.answers
 	if len(outcome.Pairs) > 0 {
 		// Half of these requests went past the mesh on purpose: nothing to hold it to.
 		return outcome, nil
 	}
-	record := fleetRun.Record(asked)
+	record := f.Record(asked)
 	record.Bounds = record.Bounds.Stretch(slack)
 	outcome.Review = checker.Check(record)
 	return outcome, nil
 }
 
+// becomeReady writes the first configuration and waits for proxies and upstreams to be ready.
+func (f *Fleet) becomeReady() error {
+	written := f.Until(readyLimit, func() bool {
+		status, err := f.Write(1, f.Deployment.Tenants(), 0)
+		return err == nil && status == http.StatusOK
+	})
+	if !written || !f.Until(readyLimit, f.Ready) || !f.Until(readyLimit, f.upstreamsReady) {
+		return errcode.Wrap("fleet.play", errcode.BusyNotReady, fmt.Errorf("the fleet did not become ready (configuration written: %t); logs in %s", written, f.Folder))
+	}
+	return nil
+}
+
+// awaitUsage waits until the window that runs now is reported: windows are sealed a while after they
+// end.
+func (f *Fleet) awaitUsage() {
+	window := time.Duration(settings.Default().Bounds.UsageWindow) * time.Millisecond
+	newest := int64((time.Duration(f.Base.UnixNano()) + f.since()) / window)
+	f.Until(sealLimit, func() bool {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		for _, report := range f.reported {
+			if report.Window >= newest {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // upstreamsReady reports whether every registry lists every upstream as ready.
 func (f *Fleet) upstreamsReady() bool {
 	for _, process := range f.Of(message.RoleRegistry) {
--- a/internal/scaletest/measure.go
+++ b/internal/scaletest/measure.go
@@ -153,64 +153,98 @@
 	<-timer.C
 }
 
+const (
+	wholeInterval   = 100 * time.Millisecond // between two checks of a starting fleet
+	reachedInterval = 20 * time.Millisecond  // between two checks of a configuration
+	restoreInterval = 50 * time.Millisecond  // between two checks after a restart
+)
+
 // Measure runs a fleet of one size through the phases of a course and returns its rows.
 func Measure(plan Plan, course Course) ([]Row, error) {
 	sum := &rows{size: plan.Proxies, at: map[string]int{}}
 	began := time.Now()
-	fleetRun, err := Start(plan)
+	f, err := Start(plan)
 	if err != nil {
 		return nil, err
 	}
-	defer fleetRun.Stop()
-	var failure error
-	if !until(course.Limit, 100*time.Millisecond, func() bool { _, failure = fleetRun.write(); return failure == nil }) {
-		return nil, failure
-	}
-	if !until(course.Limit, 100*time.Millisecond, fleetRun.whole) {
-		return nil, errcode.Wrap("scaletest.measure", errcode.BusyNotReady, fmt.Errorf("the fleet did not become whole: %+v", fleetRun.state()))
+	defer f.Stop()
+	if err := f.becomeWhole(course.Limit); err != nil {
+		return nil, err
 	}
 	sum.add(Steady, "fleet", "whole_ms", float64(time.Since(began).Milliseconds()))
 	pause(course.Settle)
 	for _, phase := range course.Phases {
 		for range course.Repeats {
-			before := fleetRun.read(CommandRead)
-			switch phase {
-			case Steady:
-				pause(course.Window)
-			case Configurations:
-				err = fleetRun.changes(sum, course)
-			case Restarts:
-				err = fleetRun.restarts(sum, course)
-			}
-			if err != nil {
+			if err := f.measurePhase(sum, course, phase); err != nil {
 				return nil, err
 			}
-			fleetRun.compare(sum, phase, before, fleetRun.read(CommandRead))
-			state := fleetRun.state()
-			sum.add(phase, "fleet", "depth", float64(state.Depth))
-			sum.add(phase, "fleet", "mean_depth", state.MeanDepth)
-			sum.add(phase, "fleet", "age_ms", float64(state.Age))
-			sum.add(phase, "fleet", "moves", float64(state.Moves))
-			sum.add(phase, "fleet", "ready", float64(state.Ready))
 		}
 		if phase == Steady {
-			for role, readings := range fleetRun.read(CommandWeigh) {
-				live, held := 0.0, 0.0
-				for _, reading := range readings {
-					if role == message.RoleProxy {
-						live, held = live+float64(reading.Live)/float64(plan.Proxies), held+float64(reading.Resident)/float64(plan.Proxies)
-					} else {
-						live, held = max(live, float64(reading.Live)), max(held, float64(reading.Resident))
-					}
-				}
-				sum.add(phase, role, "live", live)
-				sum.add(phase, role, "resident", held)
-			}
+			f.weigh(sum, phase)
 		}
 	}
 	return sum.list, nil
 }
 
+// becomeWhole writes the first configuration and waits until every proxy knows all.
+func (f *Fleet) becomeWhole(limit time.Duration) error {
+	var failure error
+	written := until(limit, wholeInterval, func() bool {
+		_, failure = f.write()
+		return failure == nil
+	})
+	if !written {
+		return failure
+	}
+	if !until(limit, wholeInterval, f.whole) {
+		return errcode.Wrap("scaletest.measure", errcode.BusyNotReady, fmt.Errorf("the fleet did not become whole: %+v", f.state()))
+	}
+	return nil
+}
+
+// measurePhase measures one window of a phase.
+func (f *Fleet) measurePhase(sum *rows, course Course, phase string) error {
+	before := f.read(CommandRead)
+	var err error
+	switch phase {
+	case Steady:
+		pause(course.Window)
+	case Configurations:
+		err = f.changes(sum, course)
+	case Restarts:
+		err = f.restarts(sum, course)
+	}
+	if err != nil {
+		return err
+	}
+	f.compare(sum, phase, before, f.read(CommandRead))
+	state := f.state()
+	sum.add(phase, "fleet", "depth", float64(state.Depth))
+	sum.add(phase, "fleet", "mean_depth", state.MeanDepth)
+	sum.add(phase, "fleet", "age_ms", float64(state.Age))
+	sum.add(phase, "fleet", "moves", float64(state.Moves))
+	sum.add(phase, "fleet", "ready", float64(state.Ready))
+	return nil
+}
+
+// weigh measures memory: the mean of the proxies, the largest of a core role.
+func (f *Fleet) weigh(sum *rows, phase string) {
+	for role, readings := range f.read(CommandWeigh) {
+		live, resident := 0.0, 0.0
+		for _, reading := range readings {
+			if role == message.RoleProxy {
+				live += float64(reading.Live) / float64(f.plan.Proxies)
+				resident += float64(reading.Resident) / float64(f.plan.Proxies)
+			} else {
+				live = max(live, float64(reading.Live))
+				resident = max(resident, float64(reading.Resident))
+			}
+		}
+		sum.add(phase, role, "live", live)
+		sum.add(phase, role, "resident", resident)
+	}
+}
+
 // changes writes configurations at a steady interval and waits for each to be in force everywhere.
 func (f *Fleet) changes(sum *rows, course Course) error {
 	for end := time.Now().Add(course.Window); time.Now().Before(end); {
@@ -220,7 +254,7 @@
 		}
 		sum.add(Configurations, "fleet", "settled_ms", float64(time.Since(began).Milliseconds()))
 		var lastAt int64
-		reached := until(course.Limit, 20*time.Millisecond, func() bool {
+		reached := until(course.Limit, reachedInterval, func() bool {
 			number := 0
 			for _, held := range f.processes[message.RoleProxy] {
 				if answer := held.do(Request{Command: CommandReached}); answer.State != nil {
@@ -251,7 +285,7 @@
 				return errcode.Wrap("scaletest.restarts", errcode.Internal, fmt.Errorf("%s", answer.Fault))
 			}
 		}
-		if !until(course.Limit, 50*time.Millisecond, f.whole) {
+		if !until(course.Limit, restoreInterval, f.whole) {
 			return errcode.Wrap("scaletest.restarts", errcode.BusyNotReady, fmt.Errorf("not whole again: %+v", f.state()))
 		}
 		sum.add(Restarts, "fleet", "restored_ms", float64(time.Since(began).Milliseconds()))
