A registry that lost contact gives no roster out as current; what else it may say

Cause: a registry that was cut off answered its roster, and the state of "the newest" configuration, as 200 for ever: 9 s after a cut, and with no age in the roster.

Counter: views asked of a cut-off node.

--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -241,6 +241,10 @@
 // configurationStatus says which proxy has which version in force, as its heartbeats tell.
 func (m *Machine) configurationStatus(s *statemachine.Env, configName string, wanted int64) Answer {
 	version, _, known := m.distribution.ConfigName(configName)
+	code := errcode.OK
+	if wanted == 0 {
+		code = m.vouches(s, distribution.ConfigurationTopic(configName))
+	}
 	wanted = max(wanted, version)
 	lacking := []string{}
 	if !known {
@@ -263,7 +267,17 @@
 			lacking = append(lacking, proxyNode.Name)
 		}
 	}
-	return answerJSON(errcode.OK, map[string]any{"configuration": configName, "version": version, "age_ms": age.Milliseconds(), "in_force": inForce, "everywhere": everywhere, "wanted": wanted, "lacking": lacking})
+	return answerJSON(code, map[string]any{"configuration": configName, "version": version, "age_ms": age.Milliseconds(), "in_force": inForce, "everywhere": everywhere, "wanted": wanted, "lacking": lacking})
+}
+
+// vouches says whether this registry may still give a topic out as current: it has heard
+// from the topic's source within the time after which it is not ready either. A registry
+// that lost contact goes on to say what it knows, and how old that is, as a 503.
+func (m *Machine) vouches(s *statemachine.Env, topic string) errcode.Code {
+	if age, known := m.distribution.Age(topic, s.Now); !known || age > m.settings.StaleReady() {
+		return errcode.BusyStale
+	}
+	return errcode.OK
 }
 
 func (m *Machine) ready(s *statemachine.Env) Answer {
@@ -320,14 +334,20 @@
 }
 
 func (m *Machine) roster(s *statemachine.Env) Answer {
-	slices := map[string][]map[string]any{}
+	slices, ages, code := map[string][]map[string]any{}, map[string]int64{}, errcode.OK
 	for _, tag := range m.settings.Zones {
 		slices[tag] = []map[string]any{}
+		if stale := m.vouches(s, distribution.SliceTopic(tag)); stale != errcode.OK {
+			code = stale
+		}
+		if age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now); known {
+			ages[tag] = age.Milliseconds()
+		}
 		for _, registration := range m.slices[tag].List() {
 			slices[tag] = append(slices[tag], map[string]any{"service": registration.Service, "instance": registration.Instance,
 				"incarnation": registration.Incarnation, "address": registration.Address, "slots": registration.Slots,
 				"state": registration.State, "serving_proxy": registration.ServingProxy})
 		}
 	}
-	return answerJSON(errcode.OK, map[string]any{"slices": slices})
+	return answerJSON(code, map[string]any{"slices": slices, "ages_ms": ages})
 }
--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -39,6 +39,7 @@
 			seen := playControl(t, deployment, "cutoff", seeds...)
 			reached(t, "orders answered by a cut-off node", seen["danger: orders answered by a cut-off node"], 10)
 			reached(t, "reads answered by a cut-off node", seen["danger: reads answered by a cut-off node"], 20)
+			reached(t, "views asked of a cut-off node", seen["danger: views asked of a cut-off node"], 20)
 		})
 	}
 }
--- a/internal/simulation/cutoff.go
+++ b/internal/simulation/cutoff.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/registry"
 	"beaconvane/internal/settings"
@@ -154,11 +155,29 @@
 	for _, severed := range []bool{true, false} {
 		if board := w.side(severed); board != nil {
 			w.askBoard(board, registry.GetConfiguration{ConfigName: "main"}, func(registry.Answer) {})
+			w.readViews(board)
 		}
 	}
 	w.after(cutReadEvery, func() { w.readAtAllSides(until) })
 }
 
+// readViews: who has been cut off for long gives neither roster nor state of configurations
+// out as current.
+func (w *World) readViews(board *Node) {
+	since, severed := w.severed[board.machine]
+	if !severed || w.now-since < board.settings.StaleReady()+settleTime {
+		return
+	}
+	for _, question := range []any{registry.ReadRoster{}, registry.ConfigurationStatus{ConfigName: "main"}} {
+		board.request(question, func(answer any) {
+			w.dangers["views asked of a cut-off node"]++
+			if code := answer.(registry.Answer).Code; code == errcode.OK {
+				w.fail("%s, cut off for %s, answered %T as current", board.name, w.now-since, question)
+			}
+		})
+	}
+}
+
 // restartWithSeveredSeed restarts some proxies, whose settings now name the cut-off machine
 // first.
 func (w *World) restartWithSeveredSeed(down time.Duration) {
