--- a/cmd/simulate/explore.go
+++ b/cmd/simulate/explore.go
@@ -1,4 +1,5 @@
 // This file is the subcommand explore: it searches the states of the control machines.
+
 package main
 
 import (
--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -74,11 +74,11 @@
 		members.Go("simulate.run", func(context.Context) {
 			defer waiting.Done()
 			for index := range seeds {
-				var print func(string)
+				var printLine func(string)
 				if log && count == 1 {
-					print = func(line string) { fmt.Println(line) }
+					printLine = func(line string) { fmt.Println(line) }
 				}
-				results[index] = simulation.Run(d, scenario, first+uint64(index), rate, print)
+				results[index] = simulation.Run(d, scenario, first+uint64(index), rate, printLine)
 			}
 		})
 	}
--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -1,6 +1,7 @@
 // This file is the server towards callers: HTTP with times that follow the configuration in
 // force. A connection may rest and a head may take as long as the limits say at that
 // moment; a body and an answer take their time, which the request's own deadline bounds.
+
 package api
 
 import (
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -128,7 +128,7 @@
 	return &Backend{settings: cfg, allows: allows, newPass: randomPass, upstreams: map[string]*upstream{}, outcomes: map[string]*kept{}, passes: map[string]Pass{}, ended: map[string]time.Duration{}}
 }
 
-// UsePasses replaces the source of passes, for the simulator's dice.
+// UsePasses replaces the source of passes, for the simulator's random source.
 func (g *Backend) UsePasses(newPass func() string) { g.newPass = newPass }
 
 func randomPass() string {
@@ -278,8 +278,8 @@
 	return orders
 }
 
-// Carried takes a request from another proxy (or this one): started, pending, or
-// refused. A pending one gives no order now.
+// Forwarded takes a request from another proxy, or from this one, and returns the orders that follow:
+// it is started or refused; one that waits in the queue gives no order now.
 func (g *Backend) Forwarded(now time.Duration, forward message.Forward) []Order {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/internal/backend/calling.go
+++ b/internal/backend/calling.go
@@ -19,6 +19,7 @@
 // names its upstream, and any other at that address refuses it; then no connection needs
 // proof, no guard is kept, and connections are made when they are wanted. An answer is then
 // known by the request's name: one that belongs to another is passed over.
+
 package backend
 
 import (
--- a/internal/backend/pairing.go
+++ b/internal/backend/pairing.go
@@ -4,6 +4,7 @@
 // few things (docs/request-safety.md, "At the upstream"): this request's own whole answer,
 // the word that it did not run, another's answer, or nothing that anybody may rely on. Of
 // the last it is never concluded that the request did not run.
+
 package backend
 
 import (
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -1,6 +1,7 @@
 // This file is the port towards upstreams' ways of speaking: what a request tells its
 // upstream, and what an answer's head says besides its status. House is the product's
 // own manner; adapters bring others.
+
 package backend
 
 import (
--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -2,6 +2,7 @@
 // before the next one, and a group whose newest change lies on a bare majority is one loss
 // nearer to having none. The holder tells who has not confirmed its position what that
 // position is; the voter pulls what it lacks.
+
 package configstore
 
 import (
--- a/internal/configstore/history.go
+++ b/internal/configstore/history.go
@@ -3,6 +3,7 @@
 // was lost sends the same order again, at times much later; the digest tells a resent
 // order, which must be acknowledged again, from another content under a taken number,
 // which must not be confirmed.
+
 package configstore
 
 import (
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -3,6 +3,7 @@
 // sends it and in either mode; what is in order is committed. No answer is given
 // before a majority is known to have stood behind this holder since the write came: a
 // commit shows that by itself, every other answer waits for a renewal.
+
 package configstore
 
 import (
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -26,9 +26,11 @@
 	"beaconvane/internal/statemachine"
 )
 
-// Topic names.
+// ConfigurationTopic names the topic of a configuration.
 func ConfigurationTopic(configName string) string { return "configuration:" + configName }
-func SliceTopic(zone string) string               { return "slice:" + zone }
+
+// SliceTopic names the topic of a zone's slice of the roster.
+func SliceTopic(zone string) string { return "slice:" + zone }
 
 // IsConfiguration tells the two kinds apart.
 func IsConfiguration(topic string) bool { return strings.HasPrefix(topic, "configuration:") }
@@ -207,7 +209,7 @@
 	return held.freshAt, true
 }
 
-// Configuration gives a configuration's number and bytes.
+// ConfigName returns the version and the body of a configuration, and whether there is one.
 func (c *Distribution) ConfigName(configName string) (int64, []byte, bool) {
 	held, found := c.topicStates[ConfigurationTopic(configName)]
 	if !found || !held.known {
--- a/internal/distribution/slice.go
+++ b/internal/distribution/slice.go
@@ -2,6 +2,7 @@
 // their position, and the last changes, so that a follower that is a little behind
 // gets changes and one that is far behind gets the snapshot. The digest is a sum over
 // the registrations, so it can be kept up to date change by change.
+
 package distribution
 
 import (
--- a/internal/explore/checks.go
+++ b/internal/explore/checks.go
@@ -1,4 +1,5 @@
 // This file holds the promises that every run is checked against.
+
 package explore
 
 import (
--- a/internal/explore/faults.go
+++ b/internal/explore/faults.go
@@ -1,6 +1,7 @@
 // This file carries actions out. An action that makes no sense where it stands (its
 // process is not up, its message is not there, a loss would be one too many) does
 // nothing, so that every part of a plan is a plan.
+
 package explore
 
 import (
@@ -202,11 +203,11 @@
 }
 
 // ask hands an operator's order or question to a process at once; it counts as asked now.
-func (w *World) ask(p *process, asked *operation, message func(id int64) any) {
+func (w *World) ask(p *process, asked *operation, messageOf func(id int64) any) {
 	id := w.history.begin(w, asked)
 	w.step++
 	p.requests[id] = request{asked, w.step}
-	order := item{step: w.step, from: operatorAddress, to: p, life: p.life, message: message(id)}
+	order := item{step: w.step, from: operatorAddress, to: p, life: p.life, message: messageOf(id)}
 	w.queue = append([]item{order}, w.queue...)
 }
 
--- a/internal/explore/history.go
+++ b/internal/explore/history.go
@@ -1,5 +1,6 @@
 // This file is the operators' view: what was asked and answered, checked as it comes
 // and, at the end of a run, for an order in which each took effect at one moment.
+
 package explore
 
 import (
--- a/internal/explore/process.go
+++ b/internal/explore/process.go
@@ -1,4 +1,5 @@
 // This file is one process: a real machine with its disk and its clock.
+
 package explore
 
 import (
--- a/internal/explore/run.go
+++ b/internal/explore/run.go
@@ -1,4 +1,5 @@
 // This file plays plans: drawn, replayed and shrunk.
+
 package explore
 
 // Options shape an exploration.
--- a/internal/explore/sweep.go
+++ b/internal/explore/sweep.go
@@ -1,4 +1,5 @@
 // This file plays many walks at once and tells how it goes.
+
 package explore
 
 import (
--- a/internal/explore/walk.go
+++ b/internal/explore/walk.go
@@ -1,6 +1,7 @@
 // This file is the random walk: each walk has a few kinds of trouble of its own and is
 // guided to the moments that matter, i.e. messages and writes of a commit, of a lease
 // and of a change of voters.
+
 package explore
 
 import (
--- a/internal/frontend/bodies.go
+++ b/internal/frontend/bodies.go
@@ -1,5 +1,6 @@
 // This file reads the bodies of callers' requests. What all of them take together is
 // bounded: a body that doesn't fit now is refused at once, with a time to come back.
+
 package frontend
 
 import (
--- a/internal/frontend/callerlimits.go
+++ b/internal/frontend/callerlimits.go
@@ -1,5 +1,6 @@
 // This file holds the limits for callers that are in force: those of the configurations,
 // within what the machine can hold, and where they don't say, the product's own.
+
 package frontend
 
 import (
--- a/internal/frontend/choice.go
+++ b/internal/frontend/choice.go
@@ -5,6 +5,7 @@
 // upstream is its pace, more when its slots fill up, when it failed lately, when it is
 // fresh, when requests lag on their way to it, and by a margin when it is in another zone. Of some candidates drawn at
 // random the cheapest is taken.
+
 package frontend
 
 import (
--- a/internal/frontend/protocol.go
+++ b/internal/frontend/protocol.go
@@ -2,6 +2,7 @@
 // key, its name and its time, by which path its route is found, what must not reach an
 // upstream, and how the mesh's own answers are put. House is the product's own manner;
 // adapters bring others.
+
 package frontend
 
 import (
--- a/internal/frontend/question.go
+++ b/internal/frontend/question.go
@@ -2,6 +2,7 @@
 // says is running is waited for, as long as a connection to it stands and the request has
 // time: an upstream at work is no reason to end a request, and only what nobody answers
 // for is unknown.
+
 package frontend
 
 import (
--- a/internal/frontend/retry.go
+++ b/internal/frontend/retry.go
@@ -3,6 +3,7 @@
 // docs/request-safety.md. An attempt has one of four endings. Two of them say that the
 // request did not run, and never will, by that attempt; one is the upstream's answer;
 // after the last nobody knows.
+
 package frontend
 
 import (
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -3,6 +3,7 @@
 // gate, choose and judge are small crews of workers; the serving proxy stage starts calls. The
 // number of requests inside is capped at the read stage, so the judge queue can always
 // take a outcome; every other full queue refuses at once.
+
 package frontend
 
 import (
@@ -59,12 +60,13 @@
 	return t
 }
 
-// lockedSource lets the choose workers share dice.
+// lockedSource lets the choose workers share a random source.
 type lockedSource struct {
 	lock   *sync.Mutex
 	source mathrand.Source
 }
 
+// Uint64 returns the next random number.
 func (l lockedSource) Uint64() uint64 {
 	l.lock.Lock()
 	defer l.lock.Unlock()
@@ -112,11 +114,17 @@
 	}
 }
 
-// Now, Wall, Dice, Queue, Open, After and Tell make it the desk's Backstage.
-func (t *Stages) Now() time.Duration     { return t.goroutines.Now() }
-func (t *Stages) Wall() time.Time        { return time.Unix(0, int64(t.goroutines.Wall())) }
+// Now returns the process clock.
+func (t *Stages) Now() time.Duration { return t.goroutines.Now() }
+
+// Wall returns the time of day.
+func (t *Stages) Wall() time.Time { return time.Unix(0, int64(t.goroutines.Wall())) }
+
+// Random returns the random source of the traffic side.
 func (t *Stages) Random() *mathrand.Rand { return t.random }
-func (t *Stages) Tell(tidings any)       { t.tell(tidings) }
+
+// Tell hands a notice to the control machine.
+func (t *Stages) Tell(tidings any) { t.tell(tidings) }
 
 // Backlog is how long a frame that was posted now would wait for the machine's link.
 func (t *Stages) Backlog() time.Duration { return t.transport.Backlog() }
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -3,6 +3,7 @@
 // backend are started or concluded. It keeps no goroutine, clock or socket of its
 // own; those come through the Backstage port, so that the simulator drives this very
 // code. stages.go is the port of the real process.
+
 package frontend
 
 import (
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -1,6 +1,7 @@
 // This file is what the two core programs share around the quorum and the leases:
 // writes through the ledger, who the peers are, and the addresses remembered for the
 // next life, so that a node finds the others when every seed was swapped.
+
 package quorum
 
 import (
@@ -55,6 +56,7 @@
 // SyncTime is about how long a write takes here, waiting included.
 func (c *Core) SyncTime() time.Duration { return c.sync }
 
+// CompactNow writes a whole snapshot.
 func (c *Core) CompactNow(s *statemachine.Env, then storage.Then) { c.ledger.Compact(s, then) }
 
 // Failure is set once a write has failed.
@@ -85,10 +87,10 @@
 	}
 }
 
-// Sit says in the membership which voter this node holds.
+// HoldVoter tells the members which voter this process holds.
 func (c *Core) HoldVoter(voter string) { c.membership.HoldVoter(voter) }
 
-// Superseded: this node's name lives on elsewhere.
+// Superseded says whether a later life of this node's name is at another address.
 func (c *Core) Superseded() bool { return c.membership.Superseded() }
 
 // Depart begins a polite stop: the voter is handed over to a newcomer, where there is
--- a/internal/quorum/discovery.go
+++ b/internal/quorum/discovery.go
@@ -30,6 +30,7 @@
 // have said for a lease to be dead or gone; it needs f+1 grants on one member list. A claim
 // that is half made has written its identity on some member lists, whence it spreads to all; it
 // waits for the rest of its grants, and who dies in it is replaced as any dead holder.
+
 package quorum
 
 import (
@@ -78,7 +79,7 @@
 	return strconv.FormatUint(hash.Sum64(), 36)
 }
 
-// sought: the settings name no voter.
+// Discovered says whether the processes find their voters themselves, since the settings only count them.
 func (g *Quorum) Discovered() bool { return g.settings.VoterCount > 0 }
 
 // needed is how many grants of others a newcomer needs, and how many voters decide.
@@ -121,7 +122,7 @@
 	return ""
 }
 
-// Spare: a whole group is heard, and this process has no voter in it.
+// Spare says whether a whole group is known and this process has no voter in it.
 func (g *Quorum) Spare(s *statemachine.Env) bool {
 	if !g.Discovered() || g.State.Formed || g.State.Voter != "" {
 		return false
--- a/internal/quorum/handover.go
+++ b/internal/quorum/handover.go
@@ -10,6 +10,7 @@
 // the newer one before they granted, and sign nothing on the earlier list after that. Any
 // decision on the earlier list was made by f+1 of the same 2f+1, so one granter had taken
 // part in it and told it.
+
 package quorum
 
 import (
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -76,7 +76,7 @@
 	forget      bool                // what the disk holds rests on a voter that was handed over
 }
 
-// NewQuorum restores a quorum; an empty state gets an identity from the dice on
+// NewQuorum restores a quorum; an empty state gets a random identity on
 // the first tick.
 func NewQuorum(group string, cfg settings.Settings, host Host, state message.VoterState, beginVoting func(s *statemachine.Env, fresh bool)) *Quorum {
 	if state.MemberList == nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -170,6 +170,7 @@
 // StateForGrant and AbsorbGrants, with the core's methods, make it a quorum.Host.
 func (m *Machine) StateForGrant() []byte { return m.snapshot() }
 
+// AbsorbGrants takes what the granters of this voter know.
 func (m *Machine) AbsorbGrants(s *statemachine.Env, states [][]byte) {
 	for _, body := range states {
 		decoded, err := message.Decode(body)
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -3,6 +3,7 @@
 // A put that was sent and not answered is sent again with the same bytes, which the
 // store answers alike; when the time is up its outcome is said to be unknown, never
 // that it was refused.
+
 package registry
 
 import (
@@ -21,12 +22,14 @@
 
 // Questions that the HTTP side asks of the machine.
 type (
+	// WriteConfiguration asks for a version of a configuration to be committed.
 	WriteConfiguration struct {
 		ConfigName string
 		Version    int64
 		Body       []byte
 		Check      message.ContentCheck
 	}
+	// GetConfiguration asks for a version (0: the current one), or for the list of versions.
 	GetConfiguration struct {
 		ConfigName string
 		Version    int64
@@ -37,11 +40,16 @@
 		ConfigName string
 		Version    int64
 	}
-	ReadUsage  struct{ Window int64 }
+	// ReadUsage asks for a sealed usage window.
+	ReadUsage struct{ Window int64 }
+	// ReadStatus asks for members, leases, relays and configurations.
 	ReadStatus struct{}
+	// ReadRoster asks for the registrations by zone.
 	ReadRoster struct{}
-	Ready      struct{}
-	Stop       struct{}
+	// Ready asks whether this process does its part.
+	Ready struct{}
+	// Stop asks the machine to hand its leases over, since the process stops.
+	Stop struct{}
 )
 
 // Answer is what goes back outside.
@@ -311,11 +319,11 @@
 	for _, tag := range append(append([]string{}, m.settings.Zones...), settings.UsageTag) {
 		leases[tag] = map[string]any{"epoch": m.leases.Epoch(tag), "holder": m.leases.Holder(tag), "here": m.leases.Holding(tag, s.Now)}
 	}
-	slices := map[string]any{}
+	sliceStatus := map[string]any{}
 	for _, tag := range m.settings.Zones {
 		mark := m.slices[tag].Mark
 		age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now)
-		slices[tag] = map[string]any{"epoch": mark.Epoch, "seq": mark.Seq, "count": mark.Count, "age_ms": age.Milliseconds(), "known": known, "whole": m.whole[tag]}
+		sliceStatus[tag] = map[string]any{"epoch": mark.Epoch, "seq": mark.Seq, "count": mark.Count, "age_ms": age.Milliseconds(), "known": known, "whole": m.whole[tag]}
 	}
 	configNames := map[string]any{}
 	for _, configName := range m.settings.ConfigNames {
@@ -329,14 +337,14 @@
 	}
 	parent, path, moves := m.distribution.Parent()
 	return answerJSON(errcode.OK, map[string]any{"node": m.settings.Node, "voter": m.quorum.Voter, "voting": m.quorum.Voting(), "shut_out": m.quorum.ShutOut,
-		"members": members, "relays": relays, "leases": leases, "slices": slices, "configurations": configNames,
+		"members": members, "relays": relays, "leases": leases, "slices": sliceStatus, "configurations": configNames,
 		"updates": map[string]any{"from": parent, "path": path, "moves": moves}, "usage": map[string]any{"reported": m.usage.reported}})
 }
 
 func (m *Machine) roster(s *statemachine.Env) Answer {
-	slices, ages, code := map[string][]map[string]any{}, map[string]int64{}, errcode.OK
+	registrations, ages, code := map[string][]map[string]any{}, map[string]int64{}, errcode.OK
 	for _, tag := range m.settings.Zones {
-		slices[tag] = []map[string]any{}
+		registrations[tag] = []map[string]any{}
 		if stale := m.vouches(s, distribution.SliceTopic(tag)); stale != errcode.OK {
 			code = stale
 		}
@@ -344,10 +352,10 @@
 			ages[tag] = age.Milliseconds()
 		}
 		for _, registration := range m.slices[tag].List() {
-			slices[tag] = append(slices[tag], map[string]any{"service": registration.Service, "instance": registration.Instance,
+			registrations[tag] = append(registrations[tag], map[string]any{"service": registration.Service, "instance": registration.Instance,
 				"incarnation": registration.Incarnation, "address": registration.Address, "slots": registration.Slots,
 				"state": registration.State, "serving_proxy": registration.ServingProxy})
 		}
 	}
-	return answerJSON(code, map[string]any{"slices": slices, "ages_ms": ages})
+	return answerJSON(code, map[string]any{"slices": registrations, "ages_ms": ages})
 }
--- a/internal/registry/usage.go
+++ b/internal/registry/usage.go
@@ -4,6 +4,7 @@
 // on a majority under its epoch, and only then reports it. A new holder first reads a
 // majority: a value found there is settled again unchanged, so that a window has one
 // value for ever, whoever reports it.
+
 package registry
 
 import (
--- a/internal/routeconfig/callerlimits.go
+++ b/internal/routeconfig/callerlimits.go
@@ -1,5 +1,6 @@
 // This file reads what a configuration allows callers: how large the heads and bodies of
 // their requests may be, how long a head may take, and how long a connection may rest.
+
 package routeconfig
 
 import (
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -1,5 +1,6 @@
 // This file is who is around the mesh: upstreams that announce and run, callers that
 // ask at a rate, operators that put configurations, and the collector of usage reports.
+
 package simulation
 
 import (
--- a/internal/simulation/answers.go
+++ b/internal/simulation/answers.go
@@ -4,6 +4,7 @@
 // It also breaks the connections between proxies. The danger is counted: how often a stray
 // answer stood at the place of the next one, and how many once-only requests ran and lost
 // their answer. A run of these scenarios that does not reach its danger fails.
+
 package simulation
 
 import (
--- a/internal/simulation/brief_test.go
+++ b/internal/simulation/brief_test.go
@@ -39,7 +39,7 @@
 // faultsOf lists what is wrong with a ledger.
 func faultsOf(ledger string, tests map[string]bool) []string {
 	faults := []string{}
-	real := strings.Split(fleet.ScenarioNames(), ", ")
+	realScenarios := strings.Split(fleet.ScenarioNames(), ", ")
 	rows := map[string]string{}
 	for _, line := range strings.Split(ledger, "\n") {
 		cells := strings.Split(line, "|")
@@ -51,7 +51,7 @@
 		named := namedProof.FindAllStringSubmatch(proof, -1)
 		for _, name := range named {
 			_, simulated := Scenarios[name[2]]
-			there := name[1] == "scenario:" && simulated || name[1] == "real:" && slices.Contains(real, name[2]) || name[1] == "Test" && tests["Test"+name[2]]
+			there := name[1] == "scenario:" && simulated || name[1] == "real:" && slices.Contains(realScenarios, name[2]) || name[1] == "Test" && tests["Test"+name[2]]
 			if !there {
 				faults = append(faults, fmt.Sprintf("%s names %s%s, which does not exist", id, name[1], name[2]))
 			}
--- a/internal/simulation/causes.go
+++ b/internal/simulation/causes.go
@@ -1,5 +1,6 @@
 // This file puts each request that was not answered to a cause, so that what could not
 // be helped is told apart from what the mesh refused although it could have served.
+
 package simulation
 
 import (
--- a/internal/simulation/cutoff.go
+++ b/internal/simulation/cutoff.go
@@ -1,6 +1,7 @@
 // This file is the scenario of a core machine that is cut off for twenty seconds, both
 // ways or one way, while operators send orders and read at all sides, processes restart on
 // both sides, and some begin with seeds that name the cut-off machine first.
+
 package simulation
 
 import (
--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -58,6 +58,7 @@
 	return nil
 }
 
+// Append writes behind the end of a file.
 func (d *Disk) Append(name string, body []byte) error {
 	file, found := d.files[name]
 	if !found || !d.works() {
@@ -67,6 +68,7 @@
 	return nil
 }
 
+// Sync makes a file's content durable.
 func (d *Disk) Sync(name string) error {
 	file, found := d.files[name]
 	if !found || !d.works() {
@@ -76,6 +78,7 @@
 	return nil
 }
 
+// Truncate cuts a file to a size in bytes.
 func (d *Disk) Truncate(name string, size int64) error {
 	file, found := d.files[name]
 	if !found || !d.works() {
@@ -85,6 +88,7 @@
 	return nil
 }
 
+// SyncFolder makes the list of files durable.
 func (d *Disk) SyncFolder() error {
 	if !d.works() {
 		return errDisk
--- a/internal/simulation/hundreds.go
+++ b/internal/simulation/hundreds.go
@@ -2,6 +2,7 @@
 // machines are away for part of it, are restarted, lose a disk, and hold the lease. Who
 // comes back catches up in bounded time, what lies on disk stays bounded, no frame is
 // over its cap, and no read is older than what was acknowledged.
+
 package simulation
 
 import (
@@ -122,12 +123,14 @@
 	if w.diskMost > diskMost {
 		w.fail("%d bytes on one store's disk, %d are the most", w.diskMost, diskMost)
 	}
-	for _, store := range w.of(message.RoleConfigStore) {
-		if limit := store.settings.Limits.Frame; int64(w.frameMax) > limit {
-			w.fail("a frame of %d bytes, the cap is %d", w.frameMax, limit)
-		}
+	stores := w.of(message.RoleConfigStore)
+	if len(stores) == 0 {
 		return
 	}
+	// All stores have the same limits.
+	if limit := stores[0].settings.Limits.Frame; int64(w.frameMax) > limit {
+		w.fail("a frame of %d bytes, the cap is %d", w.frameMax, limit)
+	}
 }
 
 // doHundreds carries out the scenario's own step; false when the step is another's.
--- a/internal/simulation/linear.go
+++ b/internal/simulation/linear.go
@@ -2,6 +2,7 @@
 // was asked and answered, must fit one order in which each takes effect at one moment
 // between the two. A put without a known outcome may have taken effect at any later
 // time, or never.
+
 package simulation
 
 import (
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -1,6 +1,7 @@
 // This file is a simulated process: a real machine with its stage, its own clock, its
 // disk, and for a proxy the real desk, frontend and backend. A frozen node takes
 // nothing and its clock runs on; what came meanwhile is there when it wakes.
+
 package simulation
 
 import (
@@ -475,10 +476,16 @@
 	life int
 }
 
+// Now returns the simulated process clock.
 func (b *backstage) Now() time.Duration { return b.node.Now() }
-func (b *backstage) Wall() time.Time    { return b.node.Wall() }
+
+// Wall returns the simulated time of day.
+func (b *backstage) Wall() time.Time { return b.node.Wall() }
+
+// Random returns the random source of the run.
 func (b *backstage) Random() *rand.Rand { return b.node.world.random }
 
+// Tell hands a notice to the control machine.
 func (b *backstage) Tell(tidings any) { b.node.apply(statemachine.Asked{Question: tidings}) }
 
 // Queue passes an item to its stage a moment later, as the workers would.
@@ -509,6 +516,7 @@
 // Backlog is none: the links of the simulator have no width.
 func (b *backstage) Backlog() time.Duration { return 0 }
 
+// After calls a function at a later time.
 func (b *backstage) After(wait time.Duration, then func()) {
 	b.node.world.after(b.node.trueWait(wait), func() { b.node.run(b.life, then) })
 }
@@ -527,6 +535,7 @@
 	lastBack time.Duration
 }
 
+// Open opens a simulated connection to a serving proxy.
 func (b *backstage) Open(servingProxy string, received func(msg any), closed func(connection frontend.Connection)) frontend.Connection {
 	n := b.node
 	connection := &simConnection{from: n, lifeFrom: b.life, received: received, broke: closed}
@@ -574,10 +583,16 @@
 	w.after(time.Duration(w.random.Int64N(int64(20*time.Millisecond))), func() { s.from.run(s.lifeFrom, func() { s.broke(s) }) })
 }
 
-func (s *simConnection) Broken() bool   { return s.closed }
+// Broken says whether the connection has ended.
+func (s *simConnection) Broken() bool { return s.closed }
+
+// Attached says whether the connection was made.
 func (s *simConnection) Attached() bool { return s.attached }
-func (s *simConnection) Close()         { s.closed = true }
 
+// Close ends the connection.
+func (s *simConnection) Close() { s.closed = true }
+
+// Post sends a message.
 func (s *simConnection) Post(msg any) error {
 	if s.closed {
 		return errcode.Wrap("simulation.post", errcode.ConnectionLost, nil)
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -3,6 +3,7 @@
 // and sends the same bytes until it is told yes or no. Every answer, also one that is lost
 // on its way, is held against what was told before: one content for a number, and no
 // refusal of what was taken.
+
 package simulation
 
 import (
--- a/internal/simulation/platform.go
+++ b/internal/simulation/platform.go
@@ -1,6 +1,7 @@
 // This file is the platform that asks every proxy once a second whether it is ready,
 // and what its answers are held to: who says ready must not refuse a moment later for
 // want of updates, and who could serve must not stay unready.
+
 package simulation
 
 import (
--- a/internal/simulation/sameversion.go
+++ b/internal/simulation/sameversion.go
@@ -1,6 +1,7 @@
 // This file is the scenario of two operators under one version with different contents:
 // answers are lost in turn and the same order goes to another node, up to eight orders
 // are under way, and orders that were taken long ago come again.
+
 package simulation
 
 import (
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -1,6 +1,7 @@
 // This file has the scenarios as data: a plan is a list of steps, each a fault or an
 // operator's deed at a time. Named scenarios make their plans from the seed; "any"
 // draws steps at random. A failing plan is made smaller by leaving steps out.
+
 package simulation
 
 import (
--- a/internal/simulation/secondloss.go
+++ b/internal/simulation/secondloss.go
@@ -2,6 +2,7 @@
 // that was wiped, a machine replaced by an empty one at another address, a planned
 // replacement with the new machine first, a machine taken away. As soon as a newcomer has
 // its vote another core machine is lost; orders go on and must be taken while it is away.
+
 package simulation
 
 import (
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -1,6 +1,7 @@
 // This file is the world: true time, the queue of events, the network between nodes
 // with delays, loss, cuts and one-way cuts, and the trace, a hash over every delivery
 // by which two runs of one seed are compared.
+
 package simulation
 
 import (
@@ -31,9 +32,13 @@
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
 }
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an event, for package heap.
 func (q *eventQueue) Push(item any) {
 	*q = append(*q, item.(*event))
 }
+
+// Pop removes the last event, for package heap.
 func (q *eventQueue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
--- a/internal/transport/tally.go
+++ b/internal/transport/tally.go
@@ -1,6 +1,7 @@
 // This file counts the frames of a process by way (tcp or udp), direction and kind of
 // message, with their bytes as they stand on the connection, frame heads included. The counts
 // only grow; whoever wants a rate reads them twice.
+
 package transport
 
 import (
