--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -31,71 +31,101 @@
 		RunE: func(*cobra.Command, []string) error { return scaletest.Serve(os.Stdin, os.Stdout) }}
 }
 
+// measurement is what the measure command was asked for.
+type measurement struct {
+	plan   scaletest.Plan
+	course scaletest.Course
+	target int
+	share  int // proxies in one process; 0: all of a fleet
+	asJSON string
+	plots  string
+}
+
 func measure() *cobra.Command {
-	plan := scaletest.Plan{Zones: 26, Services: 840, Tenants: 8, Fanout: 128, InForce: 6 * time.Second}
-	course := scaletest.Course{Sizes: []int{16, 32, 64, 96, 128}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Settle: 2 * time.Second,
-		Limit: time.Minute, Phases: []string{scaletest.Steady, scaletest.Configurations, scaletest.Restarts}}
-	target, share, asJSON, plots := 12000, 0, "", ""
+	m := &measurement{
+		plan: scaletest.Plan{Zones: 26, Services: 840, Tenants: 8, Fanout: 128, InForce: 6 * time.Second},
+		course: scaletest.Course{
+			Sizes: []int{16, 32, 64, 96, 128}, Repeats: 3, Window: 2 * time.Second, Every: time.Second, Settle: 2 * time.Second,
+			Limit: time.Minute, Phases: []string{scaletest.Steady, scaletest.Configurations, scaletest.Restarts},
+		},
+		target: 12000,
+	}
 	command := &cobra.Command{Use: "measure", Short: "run each size and print the table", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			program, err := os.Executable()
-			if err != nil {
-				return errcode.Wrap("scaletest", errcode.Internal, err)
-			}
-			table := scaletest.Table{Plan: plan, Course: course, Target: target}
-			for _, size := range course.Sizes {
-				folder, err := os.MkdirTemp("", "scaletest")
-				if err != nil {
-					return errcode.Wrap("scaletest", errcode.DiskFault, err)
-				}
-				sized := plan
-				sized.Proxies, sized.Share, sized.Folder, sized.Program = size, share, folder, program
-				if share == 0 {
-					sized.Share = size
-				}
-				began := time.Now()
-				rows, err := scaletest.Measure(sized, course)
-				os.RemoveAll(folder)
-				if err != nil {
-					fmt.Fprintf(os.Stderr, "%d proxies: %v\n", size, err)
-					break
-				}
-				table.Rows = append(table.Rows, rows...)
-				fmt.Fprintf(os.Stderr, "%d proxies: %.1f s\n", size, time.Since(began).Seconds())
-			}
-			table.Fit()
-			table.Markdown(os.Stdout)
-			if asJSON != "" {
-				file, err := os.Create(filepath.Clean(asJSON))
-				if err != nil {
-					return errcode.Wrap("scaletest", errcode.DiskFault, err)
-				}
-				defer file.Close()
-				if err := table.JSON(file); err != nil {
-					return err
-				}
-			}
-			if plots != "" {
-				return table.Plot(plots)
-			}
-			return nil
-		}}
-	flags := command.Flags()
-	flags.IntSliceVar(&course.Sizes, "sizes", course.Sizes, "proxies of each fleet")
-	flags.IntVar(&course.Repeats, "repeats", course.Repeats, "windows of each stretch")
-	flags.DurationVar(&course.Window, "window", course.Window, "length of a window")
-	flags.DurationVar(&course.Every, "every", course.Every, "from one configuration change, or restart, to the next")
-	flags.DurationVar(&course.Settle, "settle", course.Settle, "rest before the first window")
-	flags.DurationVar(&course.Limit, "limit", course.Limit, "longest wait for a fleet to be whole, or a configuration in force")
-	flags.StringSliceVar(&course.Phases, "phases", course.Phases, "some of steady, configurations, restarts")
-	flags.IntVar(&plan.Zones, "zones", plan.Zones, "zones of the fleet")
-	flags.IntVar(&plan.Services, "services", plan.Services, "services, each with a route in the configuration")
-	flags.IntVar(&plan.Tenants, "tenants", plan.Tenants, "tenants whose requests are counted; 0: no load")
-	flags.Int64Var(&plan.Fanout, "fanout", plan.Fanout, "children of a relay")
-	flags.DurationVar(&plan.InForce, "in-force", plan.InForce, "the bound on configurations")
-	flags.IntVar(&share, "share", share, "proxies in one process (default: all of a fleet)")
-	flags.IntVar(&target, "target", target, "the size to extrapolate to")
-	flags.StringVar(&asJSON, "json", asJSON, "also write everything to this file")
-	flags.StringVar(&plots, "plots", plots, "also draw the plots into this folder")
+		RunE: func(*cobra.Command, []string) error { return m.run() }}
+	m.addFlags(command)
 	return command
 }
+
+func (m *measurement) addFlags(command *cobra.Command) {
+	flags := command.Flags()
+	flags.IntSliceVar(&m.course.Sizes, "sizes", m.course.Sizes, "proxies of each fleet")
+	flags.IntVar(&m.course.Repeats, "repeats", m.course.Repeats, "windows of each stretch")
+	flags.DurationVar(&m.course.Window, "window", m.course.Window, "length of a window")
+	flags.DurationVar(&m.course.Every, "every", m.course.Every, "from one configuration change, or restart, to the next")
+	flags.DurationVar(&m.course.Settle, "settle", m.course.Settle, "rest before the first window")
+	flags.DurationVar(&m.course.Limit, "limit", m.course.Limit, "longest wait for a fleet to be whole, or a configuration in force")
+	flags.StringSliceVar(&m.course.Phases, "phases", m.course.Phases, "some of steady, configurations, restarts")
+	flags.IntVar(&m.plan.Zones, "zones", m.plan.Zones, "zones of the fleet")
+	flags.IntVar(&m.plan.Services, "services", m.plan.Services, "services, each with a route in the configuration")
+	flags.IntVar(&m.plan.Tenants, "tenants", m.plan.Tenants, "tenants whose requests are counted; 0: no load")
+	flags.Int64Var(&m.plan.Fanout, "fanout", m.plan.Fanout, "children of a relay")
+	flags.DurationVar(&m.plan.InForce, "in-force", m.plan.InForce, "the bound on configurations")
+	flags.IntVar(&m.share, "share", m.share, "proxies in one process (default: all of a fleet)")
+	flags.IntVar(&m.target, "target", m.target, "the size to extrapolate to")
+	flags.StringVar(&m.asJSON, "json", m.asJSON, "also write everything to this file")
+	flags.StringVar(&m.plots, "plots", m.plots, "also draw the plots into this folder")
+}
+
+// run measures each size, up to the first that fails, and prints what was found.
+func (m *measurement) run() error {
+	table := scaletest.Table{Plan: m.plan, Course: m.course, Target: m.target}
+	for _, size := range m.course.Sizes {
+		began := time.Now()
+		rows, err := m.measureSize(size)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%d proxies: %v\n", size, err)
+			break
+		}
+		table.Rows = append(table.Rows, rows...)
+		fmt.Fprintf(os.Stderr, "%d proxies: %.1f s\n", size, time.Since(began).Seconds())
+	}
+	table.Fit()
+	table.Markdown(os.Stdout)
+	if m.asJSON != "" {
+		if err := writeJSON(table, m.asJSON); err != nil {
+			return err
+		}
+	}
+	if m.plots != "" {
+		return table.Plot(m.plots)
+	}
+	return nil
+}
+
+// measureSize runs a fleet of one size, in processes of this program.
+func (m *measurement) measureSize(size int) ([]scaletest.Row, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, errcode.Wrap("scaletest", errcode.Internal, err)
+	}
+	folder, err := os.MkdirTemp("", "scaletest")
+	if err != nil {
+		return nil, errcode.Wrap("scaletest", errcode.DiskFault, err)
+	}
+	defer os.RemoveAll(folder)
+	plan := m.plan
+	plan.Proxies, plan.Share, plan.Folder, plan.Program = size, m.share, folder, program
+	if m.share == 0 {
+		plan.Share = size
+	}
+	return scaletest.Measure(plan, m.course)
+}
+
+func writeJSON(table scaletest.Table, path string) error {
+	file, err := os.Create(filepath.Clean(path))
+	if err != nil {
+		return errcode.Wrap("scaletest", errcode.DiskFault, err)
+	}
+	defer file.Close()
+	return table.JSON(file)
+}
