No repeat starts where the services called have no budget for its calls

The share itself was of what runs, though repeats run shorter.

Change: the share is of starts; a call that finds the budget spent bars repeats from starting at the upstreams beside it for half a second (RetryWindow/20), with 503 not started, which has not run.

--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -77,3 +77,18 @@
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf(body))
 	}
 }
+
+// An upstream takes an acknowledgement of at most 4 KiB for one, head and all.
+func TestAcknowledgementsAreSmall(t *testing.T) {
+	c := qt.New(t)
+	const mostAcknowledgement = 4 << 10
+	for code := range errcode.Entries {
+		out := httptest.NewRecorder()
+		WriteCode(out, code, "")
+		size := out.Body.Len()
+		for name, values := range out.Header() {
+			size += len(name) + len(strings.Join(values, "")) + len(": \r\n")
+		}
+		c.Check(size < mostAcknowledgement, qt.IsTrue, qt.Commentf("%s: %d", code, size))
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,19 +75,13 @@
 	aliveAt      time.Duration // the last sign of life: an announcement or an answer
 	brokenAt     time.Duration
 	broken       bool
-	running      map[string]run // by attempt
+	running      map[string]bool // by attempt
 	ghosts       []time.Duration
 	queue        []waiting
 	usual        map[string]time.Duration // by route: how long a request takes here
 	whole        time.Duration            // and one of any route
 }
 
-// run is a request that an upstream has begun.
-type run struct {
-	repeat bool // an upstream was offered it before
-	once   bool
-}
-
 type kept struct {
 	outcome message.Outcome
 	began   time.Duration
@@ -119,8 +113,11 @@
 	heavy     []string // ids whose kept outcomes still have their answers
 	passes    map[string]Pass
 	leaving   bool
-	sweptAt   time.Duration
-	ended     map[string]time.Duration // instances that signed off: names that never come back
+
+	repeatsFrom time.Duration // no repeat starts before
+	repeatShare float64       // of repeats among the starts of requests that may be repeated
+	sweptAt     time.Duration
+	ended       map[string]time.Duration // instances that signed off: names that never come back
 }
 
 // New makes a backend.
@@ -183,7 +180,7 @@
 	}
 	held, known = g.upstreams[key]
 	if !known {
-		held = &upstream{running: map[string]run{}, usual: map[string]time.Duration{}}
+		held = &upstream{running: map[string]bool{}, usual: map[string]time.Duration{}}
 		g.upstreams[key] = held
 	}
 	if held.announcement.Leaving {
@@ -376,6 +373,8 @@
 		return errcode.BusyNotReady
 	case forward.Remaining <= 0:
 		return errcode.BusyDeadline
+	case forward.Repeat && now < g.repeatsFrom:
+		return errcode.BusyBudget
 	}
 	return g.allows(forward)
 }
@@ -411,7 +410,8 @@
 			orders = append(orders, g.refuse(next.forward, code))
 			continue
 		}
-		held.running[next.forward.ID] = run{repeat: next.forward.Repeat, once: next.forward.Once}
+		held.running[next.forward.ID] = true
+		g.noteStart(next.forward.Repeat, next.forward.Once)
 		g.remember(next.forward.ID, &kept{at: now, began: now})
 		pass := g.newPass()
 		g.passes[pass] = Pass{next.forward.Tenant, next.forward.Service, next.forward.ID}
@@ -530,11 +530,7 @@
 	outcome.ID = order.Forward.ID
 	held, known := g.upstreams[order.Forward.Service+"/"+order.Forward.Instance]
 	orders := []Order{}
-	started := false
-	if known {
-		_, started = held.running[outcome.ID]
-	}
-	if started {
+	if known && held.running[outcome.ID] {
 		delete(held.running, outcome.ID)
 		if code := errcode.Code(outcome.Code); outcome.Kind == message.StartedNoWhole && code != errcode.AnswerMalformed && code != errcode.AnswerTooLarge {
 			until := now + g.settings.RequestLimit()
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -48,7 +48,7 @@
 	upstreams := backend.New(cfg, func(forward message.Forward) errcode.Code { return p.frontend.Allowed(forward) })
 	p.frontend = frontend.New(cfg, upstreams.PassOf)
 	p.frontend.Speak(protocols.Callers)
-	p.frontend.RepeatsFrom(upstreams.RepeatShare)
+	p.frontend.RepeatsOf(upstreams)
 	caller := backend.NewCaller(cfg, upstreams, group)
 	caller.Speak(protocols.Upstreams)
 	self := node.Self(cfg, message.RoleProxy)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -153,7 +153,7 @@
 	tallies  map[errcode.Code]int64
 	again    int64
 	limits   callerLimits
-	repeats  func() float64 // the share of repeats among what runs at the upstreams here
+	repeats  Repeats
 }
 
 // New makes a frontend; passOf asks the backend of the same proxy.
@@ -355,17 +355,30 @@
 	held.firsts[f.bucketOf(now, held)]++
 }
 
-// RepeatsFrom sets who knows the share of repeats among the requests that run at the
-// upstreams beside this proxy; before it is used.
-func (f *Frontend) RepeatsFrom(share func() float64) { f.repeats = share }
+// Repeats is what the serving side of this proxy knows of repeats, and does about them.
+type Repeats interface {
+	// RepeatShare is the part that repeats have in what starts at the upstreams here.
+	RepeatShare() float64
+	// BarRepeats lets no repeat start at them until a time.
+	BarRepeats(until time.Duration)
+}
+
+// RepeatsOf sets the serving side; before it is used.
+func (f *Frontend) RepeatsOf(serving Repeats) { f.repeats = serving }
 
 // paysFirst counts a request's first attempt. A call that a running repeat makes is itself
 // a repeat at the service called, and draws on its budget; since calls don't say which run
-// makes them, the share of repeats among those that run decides.
+// makes them, the share of repeats among those that start decides. Refusing calls when the
+// budget is spent would mostly hit those of first runs; so repeats themselves don't start
+// here for a while, which ends what they call.
 func (f *Frontend) paysFirst(now time.Duration, request *Request, random *rand.Rand) bool {
 	if request.nested() && f.repeats != nil {
-		if share := f.repeats(); share > 0 && random.Float64() < share {
-			return f.mayRetry(now, request.Service)
+		if share := f.repeats.RepeatShare(); share > 0 && random.Float64() < share {
+			if f.mayRetry(now, request.Service) {
+				return true
+			}
+			f.repeats.BarRepeats(now + f.settings.RetryWindow()/budgetBuckets)
+			return false
 		}
 	}
 	f.first(now, request.Service)
