--- a/internal/lease/guards_test.go
+++ b/internal/lease/guards_test.go
@@ -37,6 +37,8 @@
 }{
 	"syncedVote":   {five, 1549, "one-holder-an-epoch"},
 	"higherEpoch":  {three, 1, "one-holder-an-epoch"},
+	"oneHolder":    {three, 649, "one-holder-an-epoch"},
+	"spentEpoch":   {three, 665, lost},
 	"majorityVote": {noContact(three), 1, lost + " one-holder-an-epoch"},
 }
 
