--- a/internal/simulation/anycontrol.go
+++ b/internal/simulation/anycontrol.go
@@ -1,5 +1,6 @@
 // This file mixes the operators of the control scenarios into random plans: orders at all
 // sides of a cut, rival contents, lost answers, orders sent again.
+
 package simulation
 
 import (
