Who leaves a stale root asks the other roots before the proxies of its own zone

Ruled out: a shorter limit of staleness (every proxy would move at every takeover).

Change: after a stale parent the roots of other zones are asked first, until one answers.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -119,6 +119,7 @@
 	moves       int64
 	dwell       time.Duration
 	lastRoot    string
+	leftStale   bool // the last parent was stale: the proxies of the zone are likely to be so too
 	collects    map[string]*collecting
 	partBytes   int
 	changed     func(s *statemachine.Env, topic string)
@@ -307,6 +308,7 @@
 		case !late:
 			c.dwell = c.settings.UpdatesEvery()*2 + time.Duration(s.Random.Int64N(int64(c.settings.UpdatesEvery())))
 		}
+		c.leftStale = c.leftStale || stale
 		if silent || gone || stale {
 			c.leaveParent(s, fmt.Sprintf("silent=%t gone=%t stale=%t", silent, gone, stale), c.settings.Reparent()*2)
 		}
@@ -371,6 +373,22 @@
 	c.moves++
 }
 
+// Tiers of parents: the lowest is asked first.
+const (
+	tierOwnRoot    = 0
+	tierOwnProxies = 1
+	tierOtherRoots = 2
+)
+
+// tierOfOtherZones is the tier of the roots of other zones. Who left a stale parent asks
+// them before the proxies of its own zone, which are likely to hang below the same root.
+func (c *Distribution) tierOfOtherZones() int {
+	if c.leftStale {
+		return tierOwnRoot
+	}
+	return tierOtherRoots
+}
+
 func (c *Distribution) choose(s *statemachine.Env) {
 	self := c.membership.Self()
 	type candidate struct {
@@ -394,15 +412,15 @@
 	roots := c.membership.Alive(rootRole)
 	for _, root := range roots {
 		if root.Zone == self.Zone {
-			consider(root, 0)
+			consider(root, tierOwnRoot)
 		} else {
-			consider(root, 2)
+			consider(root, c.tierOfOtherZones())
 		}
 	}
 	if self.Role == message.RoleProxy {
 		for _, proxyNode := range c.membership.Alive(message.RoleProxy) {
 			if proxyNode.Zone == self.Zone {
-				consider(proxyNode, 1)
+				consider(proxyNode, tierOwnProxies)
 			} else {
 				consider(proxyNode, 3)
 			}
@@ -692,6 +710,7 @@
 		}
 		if len(c.path) == 0 {
 			s.Event("relay-joined", 0, 0, strings.Join(response.Path, ">"))
+			c.leftStale = false
 		}
 		c.path = response.Path
 	}
