The tour's stub server answers with 200 unless asked to fail

Cause: a stub server drew the status of every answer, one in twelve not 200, also where nobody asked for it.

Change: the share of other statuses is a field of the stub server, 0 by default. The fleet of real processes and the simulator set it to the share that they had (1/12); both use one function for the draw. A variable that a mechanical rename had called memberList is a chance again.

Before: TestAnswersAreOKUnlessAskedFor red.

--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -56,6 +56,7 @@
 		Base:         f.Base,
 		Calls:        f.callsOf(service),
 		Share:        workload.CallShare,
+		OtherShare:   stubserver.UsualOtherShare,
 	}
 }
 
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -358,18 +358,18 @@
 		}
 		over = true
 		u.running--
-		memberList := w.random.Float64()
+		chance := w.random.Float64()
 		switch f := u.faults; {
-		case memberList < f.Lose:
+		case chance < f.Lose:
 			lost()
-		case memberList < f.Lose+f.Garbage+f.Truncate+f.Excess:
+		case chance < f.Lose+f.Garbage+f.Truncate+f.Excess:
 			w.after(w.transit()/2, func() {
 				end(message.Outcome{Kind: message.StartedNoWhole, Code: int64(errcode.AnswerMalformed)}, false)
 			})
 		default:
 			// Its own refusals and failures are its own whole answers too, and what it
 			// says in the mesh's name is nobody's word.
-			status := stubserver.OwnStatus[min(len(stubserver.OwnStatus)-1, w.random.IntN(10*len(stubserver.OwnStatus)))]
+			status := stubserver.Status(w.random.Float64, stubserver.UsualOtherShare)
 			headers := []message.HeaderLine{{Name: stubserver.MarkHeader, Value: answer}}
 			if w.random.IntN(10) == 0 {
 				headers = append(headers, message.HeaderLine{Name: frontend.CodeHeader, Value: "3101"})
--- a/internal/stubserver/stubserver.go
+++ b/internal/stubserver/stubserver.go
@@ -29,9 +29,23 @@
 // MarkHeader marks an answer as that of one run.
 const MarkHeader = "X-Run"
 
-// OwnStatus are the statuses that stub servers answer with, mostly the last one: their own refusals
+// OtherStatuses are the statuses besides 200 that a stub server may answer with: its own refusals
 // and failures are whole answers too.
-var OwnStatus = []int{http.StatusCreated, http.StatusNotFound, http.StatusUnprocessableEntity, http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusOK}
+var OtherStatuses = []int{http.StatusCreated, http.StatusNotFound, http.StatusUnprocessableEntity, http.StatusInternalServerError, http.StatusServiceUnavailable}
+
+// UsualOtherShare is the share of runs that load tests and the simulator answer with one of
+// OtherStatuses.
+const UsualOtherShare = 1.0 / 12
+
+// Status draws the status of an answer: 200, or for a share of them one of OtherStatuses.
+// It takes a source of uniform numbers from 0 to 1, as rand.Float64 is.
+func Status(uniform func() float64, otherShare float64) int {
+	chance := uniform()
+	if chance >= otherShare {
+		return http.StatusOK
+	}
+	return OtherStatuses[int(chance/otherShare*float64(len(OtherStatuses)))]
+}
 
 // Faults are shares of runs that go wrong, each between 0 and 1.
 type Faults struct {
@@ -61,6 +75,7 @@
 	Every        time.Duration   // between two announcements; 0: a second
 	Calls        map[string]Call // by path: the request that a run makes in turn
 	Share        float64         // of the runs that do
+	OtherShare   float64         // of the answers that have one of OtherStatuses; 0: all have 200
 
 	goroutines   *goroutine.Group
 	lock         sync.Mutex
@@ -315,7 +330,7 @@
 
 // answer records the whole answer of a run and sends it.
 func (u *StubServer) answer(out http.ResponseWriter, index int, answer string) {
-	status := OwnStatus[min(len(OwnStatus)-1, rand.IntN(10*len(OwnStatus)))]
+	status := Status(rand.Float64, u.OtherShare)
 	u.lock.Lock()
 	u.runs[index].Whole, u.runs[index].Answer, u.runs[index].Status, u.runs[index].Mark = u.since(), answer, status, answer
 	u.lock.Unlock()
