--- a/internal/tools/days/days_test.go
+++ b/internal/tools/days/days_test.go
@@ -47,7 +47,7 @@
 	for _, name := range []string{"b.toml", "a.toml", "c.toml", "notes.md"} {
 		writeFile(c, folder, name, "", 0o644)
 	}
-	matrix, err := options{folder: folder, only: []string{"a", "c"}, seeds: "1, 7", sites: []string{"x.toml", "y.toml"}}.matrix()
+	matrix, err := options{folder: folder, only: []string{"a", "c"}, seeds: "1, 7", sites: []string{"x.toml", "y.toml"}}.matrix("")
 	c.Assert(err, qt.IsNil)
 	var names []string
 	for _, p := range matrix {
@@ -61,9 +61,9 @@
 	c := qt.New(t)
 	folder := c.TempDir()
 	writeFile(c, folder, "a.toml", "", 0o644)
-	_, err := options{folder: folder, seeds: "one"}.matrix()
+	_, err := options{folder: folder, seeds: "one"}.matrix("")
 	c.Assert(err, qt.ErrorMatches, `seed "one" is not a number`)
-	_, err = options{folder: folder, only: []string{"z"}, seeds: "1"}.matrix()
+	_, err = options{folder: folder, only: []string{"z"}, seeds: "1"}.matrix("")
 	c.Assert(err, qt.ErrorMatches, "no day files in .*")
 }
 
--- a/internal/tools/days/main.go
+++ b/internal/tools/days/main.go
@@ -28,6 +28,9 @@
 	jobs    int
 	why     string
 	reports string
+
+	draw     int    // how many random days are played instead of the files
+	drawSeed uint64 // of the first of them
 }
 
 func newCommand() *cobra.Command {
@@ -37,11 +40,11 @@
 		Short:        "play the day files over sites and seeds, and print one table",
 		SilenceUsage: true,
 		RunE: func(command *cobra.Command, _ []string) error {
-			matrix, err := chosen.matrix()
+			reports, err := chosen.reportFolder()
 			if err != nil {
 				return err
 			}
-			reports, err := chosen.reportFolder()
+			matrix, err := chosen.matrix(reports)
 			if err != nil {
 				return err
 			}
@@ -59,6 +62,8 @@
 	flags.StringVar(&chosen.seeds, "seeds", "1", "seeds, separated by commas")
 	flags.IntVar(&chosen.jobs, "jobs", 1, "plays at one time")
 	flags.StringVar(&chosen.why, "why", "", "a line for the bench's journal")
+	flags.IntVar(&chosen.draw, "draw", 0, "play so many random days instead of the files, each with its own seed")
+	flags.Uint64Var(&chosen.drawSeed, "draw-seed", 1, "seed of the first random day; the others follow")
 	flags.StringVar(&chosen.reports, "reports", "", "folder that keeps the reports (default: a temporary one)")
 	for _, required := range []string{"bench", "site", "why"} {
 		_ = command.MarkFlagRequired(required)
@@ -66,8 +71,12 @@
 	return command
 }
 
-// matrix lists every play that the options ask for: site by site, day by day.
-func (o options) matrix() ([]play, error) {
+// matrix lists every play that the options ask for: site by site, day by day. Random days
+// are written beside the reports.
+func (o options) matrix(reports string) ([]play, error) {
+	if o.draw > 0 {
+		return o.drawnMatrix(reports)
+	}
 	days, err := dayFiles(o.folder, o.only)
 	if err != nil {
 		return nil, err
@@ -87,6 +96,21 @@
 	return matrix, nil
 }
 
+// drawnMatrix lists the plays of random days: each day on each site, with the day's seed.
+func (o options) drawnMatrix(folder string) ([]play, error) {
+	days, err := drawDays(folder, o.drawSeed, o.draw)
+	if err != nil {
+		return nil, err
+	}
+	var matrix []play
+	for index, day := range days {
+		for _, site := range o.sites {
+			matrix = append(matrix, play{site: site, day: day, seed: o.drawSeed + uint64(index)})
+		}
+	}
+	return matrix, nil
+}
+
 func (o options) reportFolder() (string, error) {
 	if o.reports == "" {
 		return os.MkdirTemp("", "days-")
