--- a/internal/tools/days/catalog.go
+++ b/internal/tools/days/catalog.go
@@ -77,6 +77,8 @@
 	{kind: "srv_slow", weight: 1, duration: span{2, 6}, share: span{0.1, 0.3}, strength: span{2, 5}},
 	{kind: "srv_grey", weight: 1, variants: []string{"errors", "shed", "busy", "hang", "reset", "mute", "slow"}, duration: span{2, 6}, share: span{0.1, 0.2}},
 	{kind: "srv_flap", weight: 1, duration: span{3, 8}, share: span{0.1, 0.2}, gap: span{0.5, 2}},
+	{kind: "srv_lying_health", weight: 1, variants: []string{"errors", "hang", "reset", "bad"}, duration: span{2, 6}, share: span{0.1, 0.2}},
+	{kind: "idle_race", weight: 1, duration: span{3, 8}, share: span{0.3, 0.7}, strength: span{100, 500}},
 	{kind: "burst", weight: 1, duration: span{2, 5}, strength: span{1.2, 2}},
 	{kind: "retry_abuse", weight: 1, duration: span{2, 6}, share: span{0.1, 0.4}, strength: span{1, 3}},
 	{kind: "give_up", weight: 1, duration: span{2, 8}, share: span{0.1, 0.5}},
--- a/internal/tools/days/draw.go
+++ b/internal/tools/days/draw.go
@@ -42,23 +42,24 @@
 	day    *drawnDay
 }
 
-// drawDay makes the day of a seed.
-func drawDay(seed uint64) *drawnDay {
+// drawDay makes the day of a seed from the kinds that a site knows.
+func drawDay(seed uint64, known kinds) *drawnDay {
 	d := &drawer{random: rand.New(rand.NewPCG(seed, 41)), day: &drawnDay{seed: seed}}
 	d.add(trouble{kind: "config_change", planned: true, variants: []string{"idle"}}, firstTroubleAt)
-	d.addControl()
+	d.addControl(known.among(controlTroubles))
+	traffic := known.among(trafficTroubles)
 	for range d.random.IntN(mostTraffic + 1) {
-		d.add(pick(d.random, trafficTroubles), d.between(firstTroubleAt, lastTroubleAt))
+		d.add(pick(d.random, traffic), d.between(firstTroubleAt, lastTroubleAt))
 	}
 	d.day.closing = d.drawClosing()
 	return d.day
 }
 
 // addControl adds troubles of the control side, most of them close behind another.
-func (d *drawer) addControl() {
+func (d *drawer) addControl(catalogue []trouble) {
 	at := d.between(firstTroubleAt, lastTroubleAt/2)
 	for range fewestControl + d.random.IntN(mostControl-fewestControl+1) {
-		d.add(pick(d.random, controlTroubles), at)
+		d.add(pick(d.random, catalogue), at)
 		if d.random.Float64() < clusteredShare {
 			at = min(at+d.between(0, clusterSeconds), lastTroubleAt)
 		} else {
@@ -160,12 +161,12 @@
 	return text.String()
 }
 
-// drawDays writes the days of consecutive seeds into a folder and lists the files.
-func drawDays(folder string, firstSeed uint64, count int) ([]string, error) {
+// drawDays writes a site's days of consecutive seeds into a folder and lists the files.
+func drawDays(folder, site string, known kinds, firstSeed uint64, count int) ([]string, error) {
 	paths := []string{}
 	for seed := firstSeed; seed < firstSeed+uint64(count); seed++ {
-		day := drawDay(seed)
-		path := filepath.Join(folder, day.name()+".toml")
+		day := drawDay(seed, known)
+		path := filepath.Join(folder, baseName(site)+"-"+day.name()+".toml")
 		if err := os.WriteFile(path, []byte(day.text()), 0o644); err != nil {
 			return nil, err
 		}
--- a/internal/tools/days/draw_test.go
+++ b/internal/tools/days/draw_test.go
@@ -8,19 +8,42 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// allKinds are the kinds of both catalogues.
+func allKinds() kinds {
+	known := kinds{}
+	for _, catalogue := range [][]trouble{controlTroubles, trafficTroubles} {
+		for _, entry := range catalogue {
+			known[entry.kind] = true
+		}
+	}
+	return known
+}
+
 func TestDrawnDayIsAFunctionOfItsSeed(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(drawDay(7).text(), qt.Equals, drawDay(7).text())
-	c.Assert(drawDay(7).text(), qt.Not(qt.Equals), drawDay(8).text())
+	known := allKinds()
+	c.Assert(drawDay(7, known).text(), qt.Equals, drawDay(7, known).text())
+	c.Assert(drawDay(7, known).text(), qt.Not(qt.Equals), drawDay(8, known).text())
+}
+
+func TestDrawnDaysHoldNothingThatTheSiteDoesNotKnow(t *testing.T) {
+	c := qt.New(t)
+	known := allKinds()
+	delete(known, "core_cut")
+	delete(known, "srv_grey")
+	for seed := range uint64(100) {
+		text := drawDay(seed, known).text()
+		c.Assert(strings.Contains(text, "core_cut") || strings.Contains(text, "srv_grey"), qt.IsFalse)
+	}
 }
 
 // Over some hundreds of days every kind of trouble comes, every variant and mark of the
 // control side, and some kind more than once on one day.
 func TestDrawnDaysHoldEveryTrouble(t *testing.T) {
 	c := qt.New(t)
-	all, repeated := strings.Builder{}, false
+	all, repeated, known := strings.Builder{}, false, allKinds()
 	for seed := range uint64(400) {
-		text := drawDay(seed).text()
+		text := drawDay(seed, known).text()
 		all.WriteString(text)
 		repeated = repeated || strings.Count(text, `kind = "core_cut"`) > 1
 	}
@@ -38,7 +61,8 @@
 func TestDrawnMatrixPlaysEachDayOnEachSite(t *testing.T) {
 	c := qt.New(t)
 	folder := c.TempDir()
-	matrix, err := options{sites: []string{"x.toml", "y.toml"}, draw: 2, drawSeed: 5}.matrix(folder)
+	bench := writeFile(c, c.TempDir(), "bench", "#!/bin/sh\n[ \"$1\" = kinds ] || exit 2\necho 'core_cut: cut'\necho 'node_kill: killed'\n", 0o755)
+	matrix, err := options{bench: bench, sites: []string{"x.toml", "y.toml"}, draw: 2, drawSeed: 5}.matrix(folder)
 	c.Assert(err, qt.IsNil)
 	var names []string
 	for _, p := range matrix {
@@ -46,5 +70,5 @@
 		_, err := os.Stat(p.day)
 		c.Check(err, qt.IsNil)
 	}
-	c.Assert(names, qt.DeepEquals, []string{"x drawn-5 seed 5", "y drawn-5 seed 5", "x drawn-6 seed 6", "y drawn-6 seed 6"})
+	c.Assert(names, qt.DeepEquals, []string{"x x-drawn-5 seed 5", "y y-drawn-5 seed 5", "x x-drawn-6 seed 6", "y y-drawn-6 seed 6"})
 }
--- a/internal/tools/days/main.go
+++ b/internal/tools/days/main.go
@@ -96,16 +96,23 @@
 	return matrix, nil
 }
 
-// drawnMatrix lists the plays of random days: each day on each site, with the day's seed.
+// drawnMatrix lists the plays of random days: each seed on each site, with a day of the
+// troubles that the site knows.
 func (o options) drawnMatrix(folder string) ([]play, error) {
-	days, err := drawDays(folder, o.drawSeed, o.draw)
-	if err != nil {
-		return nil, err
+	perSite := map[string][]string{}
+	for _, site := range o.sites {
+		known, err := kindsOf(o.bench, site)
+		if err != nil {
+			return nil, err
+		}
+		if perSite[site], err = drawDays(folder, site, known, o.drawSeed, o.draw); err != nil {
+			return nil, err
+		}
 	}
 	var matrix []play
-	for index, day := range days {
+	for index := range o.draw {
 		for _, site := range o.sites {
-			matrix = append(matrix, play{site: site, day: day, seed: o.drawSeed + uint64(index)})
+			matrix = append(matrix, play{site: site, day: perSite[site][index], seed: o.drawSeed + uint64(index)})
 		}
 	}
 	return matrix, nil
