A proxy whose parent lacks a newer configuration moves to the registry that has it

Cause: below a registry whose store is cut off, a proxy's configuration passes for current until the lost lease has run out (0.9 of a lease after the last renewal) and its age has then passed three quarters of the bound. By that time another store may have served for over a second: what is left of the bound for finding another root was 0.6 s, and roots that had been as stale as all others in the takeover were passed over meanwhile.

Ruled out: a shorter age limit (every takeover would move all proxies before there is anything fresher); counting freshness from the last renewal instead of by the lease (the same).

Change: registries already hear every proxy's position in its heartbeats (the design's "a node detects its own drift from the beats it sees and pulls the set itself"). The answer now names newer configurations, if there are any. The proxy gives its parent two askings' time to bring them and then joins the registry that told, which may not refuse. A registry that has news is trusted again, whatever it was avoided for, unless it does not answer requests. A row of changes does not put the move off; a parent that has the position is kept. New proxies are not told, so that a start is no herd.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -116,10 +116,12 @@
 	avoid       map[string]time.Duration
 	failed      map[string]time.Duration // those avoided for what they are, not for being full
 	spoilt      map[string]time.Duration // those whose knowledge is old, so that every way from them is
+	unanswered  map[string]time.Duration // parents that did not answer requests
 	moves       int64
 	dwell       time.Duration
 	lastRoot    string
-	leftStale   bool // the last parent was stale: the proxies of the zone are likely to be so too
+	leftStale   bool             // the last parent was stale: the proxies of the zone are likely to be so too
+	drifts      map[string]drift // by topic: what others have and the parent has not brought yet
 	collects    map[string]*collecting
 	partBytes   int
 	changed     func(s *statemachine.Env, topic string)
@@ -130,7 +132,7 @@
 // New makes the machine; changed is called when a topic's content moved on.
 func New(cfg settings.Settings, members *membership.Membership, changed func(s *statemachine.Env, topic string)) *Distribution {
 	return &Distribution{settings: cfg, membership: members, topicStates: map[string]*topicState{}, own: map[string]bool{}, children: map[string]*child{},
-		requests: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, failed: map[string]time.Duration{}, spoilt: map[string]time.Duration{}, dwell: cfg.UpdatesEvery() * 2, collects: map[string]*collecting{},
+		requests: map[int64]time.Duration{}, avoid: map[string]time.Duration{}, failed: map[string]time.Duration{}, spoilt: map[string]time.Duration{}, unanswered: map[string]time.Duration{}, dwell: cfg.UpdatesEvery() * 2, drifts: map[string]drift{}, collects: map[string]*collecting{},
 		partBytes: int(cfg.Limits.Frame / 64), changed: changed}
 }
 
@@ -274,21 +276,22 @@
 	if c.membership.Self().Role == message.RoleConfigStore {
 		return
 	}
-	for _, shunned := range []map[string]time.Duration{c.avoid, c.failed, c.spoilt} {
+	for _, shunned := range []map[string]time.Duration{c.avoid, c.failed, c.spoilt, c.unanswered} {
 		for name, until := range shunned {
 			if s.Now > until {
 				delete(shunned, name)
 			}
 		}
 	}
+	c.leaveForNewer(s)
 	// One that has never answered is given up sooner: it may have been dead before.
-	unanswered := c.parent != "" && len(c.path) == 0 && s.Now-c.answered > c.settings.UpdatesEvery()
-	if s.Now < c.requestAt && !unanswered {
+	neverAnswered := c.parent != "" && len(c.path) == 0 && s.Now-c.answered > c.settings.UpdatesEvery()
+	if s.Now < c.requestAt && !neverAnswered {
 		return
 	}
 	if c.parent != "" {
 		patience, missed := c.settings.ParentLimit(), 3
-		if unanswered {
+		if neverAnswered {
 			patience, missed = c.settings.UpdatesEvery(), 1
 		}
 		silent := s.Now-c.answered > patience && len(c.requests) >= missed
@@ -309,6 +312,9 @@
 			c.dwell = c.settings.UpdatesEvery()*2 + time.Duration(s.Random.Int64N(int64(c.settings.UpdatesEvery())))
 		}
 		c.leftStale = c.leftStale || stale
+		if silent {
+			c.unanswered[c.parent] = s.Now + c.settings.Reparent()*2
+		}
 		if silent || gone || stale {
 			c.leaveParent(s, fmt.Sprintf("silent=%t gone=%t stale=%t", silent, gone, stale), c.settings.Reparent()*2)
 		}
@@ -715,6 +721,7 @@
 		c.path = response.Path
 	}
 	for _, item := range response.Items {
+		c.parentHas(item.Mark)
 		c.take(s, item, askedAt, isAnswer)
 	}
 }
--- a/internal/message/roster.go
+++ b/internal/message/roster.go
@@ -80,7 +80,8 @@
 // HeartbeatResponse answers a HeartbeatBatch.
 type HeartbeatResponse struct {
 	Registry string
-	Sealed   int64 // all usage windows below this number are sealed
+	Sealed   int64  // all usage windows below this number are sealed
+	Newer    []Mark // configurations of which the registry has a newer version than the proxy
 }
 
 // RosterChange is one change of a slice, sent by the slice's lease holder.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,6 +89,7 @@
 			m.handleProbeRequest(env, received)
 		case message.HeartbeatResponse:
 			m.sealed[received.Registry] = received.Sealed
+			m.distribution.HeardNewer(env, received.Registry, received.Newer)
 		}
 	}
 	m.sendDue(env)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -457,7 +457,8 @@
 		return
 	}
 	m.proxies[batch.Proxy] = proxySeen{batch, s.Now}
-	s.Send(from, message.HeartbeatResponse{Registry: m.membership.Self().Name, Sealed: m.usage.sealedBelow()})
+	s.Send(from, message.HeartbeatResponse{Registry: m.membership.Self().Name, Sealed: m.usage.sealedBelow(),
+		Newer: m.distribution.NewerThan(batch.Marks)})
 	for _, end := range batch.Ends {
 		key := end.Service + "/" + end.Instance
 		if known, signed := m.ended[key]; !signed || known.incarnation < end.Incarnation {
