Work that may be repeated is broken off when its caller has left

Cause: a proxy whose caller hung up withdrew the request, but the serving proxy dropped it only where it still waited for a slot; one that ran was worked on to its end.

Change: Backend.Withdraw says whether a running request may be broken off; the tracker then has the caller of upstreams end that exchange's connection, at which most upstreams drop the request. Calls that the request's upstream makes end the same way, hop by hop. A call is cancellable only while its exchange is under way, never once its connection may serve another; one cancelled before it is sent sends nothing. The model of the two hops has the same port.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,13 +75,18 @@
 	aliveAt      time.Duration // the last sign of life: an announcement or an answer
 	brokenAt     time.Duration
 	broken       bool
-	running      map[string]bool // by attempt
+	running      map[string]started // by attempt
 	ghosts       []time.Duration
 	queue        []waiting
 	usual        map[string]time.Duration // by route: how long a request takes here
 	whole        time.Duration            // and one of any route
 }
 
+// started is a request that an upstream works on.
+type started struct {
+	once bool // it must not run twice, so it isn't broken off either
+}
+
 type kept struct {
 	outcome message.Outcome
 	began   time.Duration
@@ -180,7 +185,7 @@
 	}
 	held, known = g.upstreams[key]
 	if !known {
-		held = &upstream{running: map[string]bool{}, usual: map[string]time.Duration{}}
+		held = &upstream{running: map[string]started{}, usual: map[string]time.Duration{}}
 		g.upstreams[key] = held
 	}
 	if held.announcement.Leaving {
@@ -410,7 +415,7 @@
 			orders = append(orders, g.refuse(next.forward, code))
 			continue
 		}
-		held.running[next.forward.ID] = true
+		held.running[next.forward.ID] = started{once: next.forward.Once}
 		g.noteStart(next.forward.Repeat, next.forward.Once)
 		g.remember(next.forward.ID, &kept{at: now, began: now})
 		pass := g.newPass()
@@ -530,7 +535,7 @@
 	outcome.ID = order.Forward.ID
 	held, known := g.upstreams[order.Forward.Service+"/"+order.Forward.Instance]
 	orders := []Order{}
-	if known && held.running[outcome.ID] {
+	if _, runs := held.runs(outcome.ID); runs {
 		delete(held.running, outcome.ID)
 		if code := errcode.Code(outcome.Code); outcome.Kind == message.StartedNoWhole && code != errcode.AnswerMalformed && code != errcode.AnswerTooLarge {
 			until := now + g.settings.RequestLimit()
@@ -623,20 +628,34 @@
 	return message.Outcome{ID: id, Kind: message.StillRunning}
 }
 
-// Withdraw drops a request whose caller hung up, if it has not started.
-func (g *Backend) Withdraw(id string) []Order {
+// runs gives a request that the upstream works on; false where it doesn't, or there is no
+// such upstream.
+func (u *upstream) runs(id string) (started, bool) {
+	if u == nil {
+		return started{}, false
+	}
+	held, running := u.running[id]
+	return held, running
+}
+
+// Withdraw drops a request whose caller hung up, if it has not started. Where an upstream
+// works on it and it may be repeated, cancel says that the work may be broken off.
+func (g *Backend) Withdraw(id string) (orders []Order, cancel bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	for _, key := range g.keys() {
 		held := g.upstreams[key]
+		if work, running := held.runs(id); running {
+			return nil, !work.once
+		}
 		for index, item := range held.queue {
 			if item.forward.ID == id {
 				held.queue = append(append([]waiting{}, held.queue[:index]...), held.queue[index+1:]...)
-				return []Order{g.refuse(item.forward, errcode.BusyDeadline)}
+				return []Order{g.refuse(item.forward, errcode.BusyDeadline)}, false
 			}
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // Expire refuses what has waited past its time.
--- a/internal/backend/calling.go
+++ b/internal/backend/calling.go
@@ -70,9 +70,17 @@
 	lock       sync.Mutex
 	idle       map[Target][]*heldConnection
 	guards     map[Target]*heldConnection
+	calls      map[string]*call // under way, by attempt
 	dialer     Dialer
 }
 
+// call is one exchange under way.
+type call struct {
+	id         string          // of the attempt
+	connection *heldConnection // nil until there is one
+	cancelled  bool
+}
+
 // Dialer makes a connection to an address, until a time at the latest.
 type Dialer func(address string, until time.Time) (net.Conn, error)
 
@@ -81,7 +89,7 @@
 
 // NewCaller makes a caller for a backend.
 func NewCaller(cfg settings.Settings, room *Backend, members *goroutine.Group) *Caller {
-	c := &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}}
+	c := &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}, calls: map[string]*call{}}
 	c.dialer = c.dialTCP
 	return c
 }
@@ -104,11 +112,22 @@
 	limit := time.Duration(order.Forward.Remaining)
 	limit -= min(limit/20, 20*time.Millisecond)
 	until := time.Now().Add(limit)
+	underway := c.begin(order.Forward.ID)
 	connection, outcome := c.take(order.Target, until)
 	if connection == nil {
+		c.end(underway)
 		return outcome
 	}
+	if !c.attach(underway, connection) {
+		// Its caller left before anything was sent.
+		c.end(underway)
+		c.give(order.Target, connection)
+		return message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusyDeadline)}
+	}
 	answer, keep, err := c.exchange(connection, order, until)
+	// Ended before the connection may serve another call.
+	cancelled := c.end(underway)
+	keep = keep && !cancelled
 	if err == nil {
 		// Bytes on a proven connection: for a moment nobody else can be at that address.
 		c.room.Alive(c.goroutines.Now(), order.Target)
@@ -129,12 +148,52 @@
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
 		code = errcode.UnknownTimeout
-	case code == errcode.UnknownOutcome:
+	case code == errcode.UnknownOutcome && !cancelled:
 		c.room.Doubt(order.Target)
 	}
 	return message.Outcome{Kind: message.StartedNoWhole, Code: int64(code)}
 }
 
+// begin notes a call that may be cancelled from now on.
+func (c *Caller) begin(id string) *call {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	underway := &call{id: id}
+	c.calls[id] = underway
+	return underway
+}
+
+// end says whether the call was cancelled; from now on it can't be.
+func (c *Caller) end(underway *call) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	delete(c.calls, underway.id)
+	return underway.cancelled
+}
+
+// attach gives a call its connection; false where the call was cancelled before.
+func (c *Caller) attach(underway *call, connection *heldConnection) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	underway.connection = connection
+	return !underway.cancelled
+}
+
+// Cancel breaks an exchange off whose caller has left: the connection is closed, at which
+// most upstreams drop the request. An attempt that isn't under way is passed over.
+func (c *Caller) Cancel(id string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	underway, known := c.calls[id]
+	if !known {
+		return
+	}
+	underway.cancelled = true
+	if underway.connection != nil {
+		underway.connection.conn.Close()
+	}
+}
+
 func (c *Caller) take(target Target, until time.Time) (*heldConnection, message.Outcome) {
 	if connection := c.takeIdle(bare(target)); connection != nil {
 		return connection, message.Outcome{}
--- a/internal/frontend/adopt_test.go
+++ b/internal/frontend/adopt_test.go
@@ -29,6 +29,7 @@
 func (p *prompter) Wall() time.Time        { return p.wall }
 func (p *prompter) Random() *rand.Rand     { return rand.New(rand.NewPCG(1, 2)) }
 func (p *prompter) Backlog() time.Duration { return 0 }
+func (p *prompter) Cancel(string)          {}
 
 func (p *prompter) After(time.Duration, func()) {}
 func (p *prompter) Tell(tidings any)            { p.response = append(p.response, tidings) }
--- a/internal/frontend/modelworld_test.go
+++ b/internal/frontend/modelworld_test.go
@@ -283,6 +283,8 @@
 
 func (b *modelBackstage) Backlog() time.Duration { return 0 }
 
+func (b *modelBackstage) Cancel(id string) { b.proxy.caller.Cancel(id) }
+
 func (b *modelBackstage) After(wait time.Duration, then func()) {
 	b.proxy.world.after(wait, b.alive(then))
 }
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -126,6 +126,9 @@
 // Tell hands a notice to the control machine.
 func (t *Stages) Tell(tidings any) { t.tell(tidings) }
 
+// Cancel breaks off the exchange of an attempt with its upstream.
+func (t *Stages) Cancel(id string) { t.caller.Cancel(id) }
+
 // Backlog is how long a frame that was posted now would wait for the machine's link.
 func (t *Stages) Backlog() time.Duration { return t.transport.Backlog() }
 
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -52,6 +52,10 @@
 	After(wait time.Duration, then func())
 	Tell(tidings any)
 
+	// Cancel breaks off the exchange of an attempt that this serving proxy has started; its
+	// outcome is concluded as any other.
+	Cancel(id string)
+
 	// Backlog is how long a frame that was posted now would wait for the machine's link.
 	Backlog() time.Duration
 }
@@ -388,7 +392,11 @@
 		}
 		back(whole(outcome))
 	case message.Withdraw:
-		d.ForwardOut(d.room.Withdraw(received.ID))
+		orders, cancel := d.room.Withdraw(received.ID)
+		d.ForwardOut(orders)
+		if cancel {
+			d.back.Cancel(received.ID)
+		}
 	default:
 		return false
 	}
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -36,6 +36,7 @@
 	judged      []Judged
 	random      *rand.Rand
 	backlog     time.Duration
+	cancelled   []string
 }
 
 func (b *fakeBackstage) Now() time.Duration     { return time.Second }
@@ -43,6 +44,7 @@
 func (b *fakeBackstage) Random() *rand.Rand     { return b.random }
 func (b *fakeBackstage) Backlog() time.Duration { return b.backlog }
 
+func (b *fakeBackstage) Cancel(id string)            { b.cancelled = append(b.cancelled, id) }
 func (b *fakeBackstage) After(time.Duration, func()) {}
 func (b *fakeBackstage) Tell(any)                    {}
 
@@ -100,3 +102,20 @@
 	c.Assert(back.judged[1].Trip.Request.ID, qt.Equals, "sent")
 	c.Assert(errcode.Code(back.judged[1].Outcome.Code), qt.Equals, errcode.UnknownOutcome)
 }
+
+// A serving proxy breaks off what runs for a caller that has left, unless it may run only
+// once.
+func TestWithdrawnWorkIsBrokenOffWhereItMayBeRepeated(t *testing.T) {
+	c := qt.New(t)
+	cfg := settings.Default()
+	f := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
+	back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
+	room := backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	back.tracker = NewDesk(cfg, f, room, back, message.Member{Name: "me", Address: "here:1"})
+	_, _, _ = room.Announce(time.Second, backend.Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "up:1", Zone: "here", Slots: 4})
+	for _, id := range []string{"once", "repeatable"} {
+		back.tracker.Inbound(message.Forward{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Remaining: int64(time.Second), Once: id == "once"}, func(any) error { return nil })
+		back.tracker.Inbound(message.Withdraw{ID: id}, func(any) error { return nil })
+	}
+	c.Assert(back.cancelled, qt.DeepEquals, []string{"repeatable"})
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -513,6 +513,10 @@
 	return true
 }
 
+// Cancel does nothing: the simulator's callers don't hang up, and what they give up at its
+// deadline the upstream gives up by itself.
+func (b *backstage) Cancel(string) {}
+
 // Backlog is none: the links of the simulator have no width.
 func (b *backstage) Backlog() time.Duration { return 0 }
 
