A usage report ends with its lease, and what a cut holds up of it is dropped

Change: a report's time never outlasts the lease (Leases.HeldUntil); the post ends with it, and its connection is reset, at which the kernel drops what is unsent.

Before: TestReportIsResetWithItsLease red without the reset (seen). After: node, lease and registry green.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -132,6 +132,16 @@
 	return state != nil && state.holding && (now < state.until || guardsOff.leaseEnd) && !t.quorum.ShutOut
 }
 
+// HeldUntil is until when this voter holds the tag, by its own clock, unless it is renewed
+// before; 0 where it does not hold it.
+func (t *Leases) HeldUntil(tag string) time.Duration {
+	state := t.tags[tag]
+	if state == nil || !state.holding {
+		return 0
+	}
+	return state.until
+}
+
 // Epoch is the highest epoch this voter has promised or holds for the tag.
 func (t *Leases) Epoch(tag string) int64 { return t.tags[tag].vote.Epoch }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,7 @@
 	folder    storage.Folder
 	build     Build // nil: the state is not on disk
 
-	setReportHeaders func(header http.Header, nodeName string, epoch int64)
+	reporter *reporter
 
 	replacements chan replacement
 
@@ -78,7 +78,7 @@
 
 // New returns a node; Run gives it its machine.
 func New(cfg settings.Settings, role string, group *goroutine.Group) *Node {
-	return &Node{Settings: cfg, Group: group, Log: NewLog(cfg, role), commands: make(chan statemachine.Command, maxQueuedCommands), replacements: make(chan replacement),
+	return &Node{Settings: cfg, Group: group, Log: NewLog(cfg, role), reporter: newReporter(cfg.Collector, cfg.Node, cfg.ReportEvery(), nil), commands: make(chan statemachine.Command, maxQueuedCommands), replacements: make(chan replacement),
 		writes: make(chan *statemachine.Write, maxQueuedWrites), replies: map[int64]chan any{}, counts: map[string]int64{}}
 }
 
@@ -93,7 +93,7 @@
 
 // SetReportHeaders sets what else is put into the header of usage reports; nil: nothing.
 func (n *Node) SetReportHeaders(set func(header http.Header, nodeName string, epoch int64)) {
-	n.setReportHeaders = set
+	n.reporter.setHeaders = set
 }
 
 // Run binds the address, lets the traffic side begin, and starts the control goroutine.
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"beaconvane/internal/registry"
 )
@@ -21,36 +23,104 @@
 	Window int64            `json:"window"`
 }
 
-// report posts a sealed window to the collector, unless its time is over.
-func (n *Node) report(ctx context.Context, report registry.Report) {
-	body, err := json.Marshal(usageReport{Counts: report.Counts, Epoch: report.Epoch, From: n.Settings.Node, Window: report.Window})
+// reportOutcome is what became of a report.
+type reportOutcome int
+
+const (
+	reportTaken   reportOutcome = iota // the collector took it
+	reportRefused                      // the collector answered otherwise
+	reportFailed                       // no answer came in time
+	reportTooLate                      // its time was over before anything was sent
+)
+
+// reporter posts sealed usage windows to the collector. A collector that does not look at
+// the fence must hear nothing of a holder whose lease has ended, also not what a cut held
+// up: a post ends with its time, and its connection is then reset, which drops the bytes
+// that are still on their way.
+type reporter struct {
+	collector  string
+	from       string        // the node's name
+	limit      time.Duration // of a post
+	setHeaders func(header http.Header, nodeName string, epoch int64)
+	client     *http.Client
+}
+
+// newReporter returns a reporter; setHeaders adds to the header of each post, and may be nil.
+func newReporter(collector, from string, limit time.Duration, setHeaders func(header http.Header, nodeName string, epoch int64)) *reporter {
+	transport := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 2, DialContext: dialThatResets}
+	refuseRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &reporter{collector: collector, from: from, limit: limit, setHeaders: setHeaders,
+		client: &http.Client{Transport: transport, CheckRedirect: refuseRedirects}}
+}
+
+// dialThatResets makes a connection that is reset when it is closed.
+func dialThatResets(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{}
+	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
-		return
+		return nil, err
 	}
-	limited, cancel := context.WithTimeout(ctx, n.Settings.ReportEvery())
-	defer cancel()
-	request, err := http.NewRequestWithContext(limited, http.MethodPost, n.Settings.Collector, bytes.NewReader(body))
-	if err != nil || n.Group.Now() > report.Until {
-		return
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		if err := tcp.SetLinger(0); err != nil {
+			conn.Close()
+			return nil, err
+		}
 	}
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	if n.setReportHeaders != nil {
-		n.setReportHeaders(request.Header, n.Settings.Node, report.Epoch)
+	return conn, nil
+}
+
+// post sends a report once. The time is the process clock's.
+func (r *reporter) post(ctx context.Context, report registry.Report, now time.Duration) reportOutcome {
+	limit := min(r.limit, report.Until-now)
+	if limit <= 0 {
+		return reportTooLate
 	}
-	response, err := reportClient.Do(request)
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := r.request(limited, report)
 	if err != nil {
-		n.count("reports_failed")
-		return
+		return reportFailed
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return reportFailed
 	}
 	defer response.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(response.Body, maxReportAnswer))
-	if response.StatusCode/100 == http.StatusOK/100 {
-		n.Tell(registry.Reported{Window: report.Window})
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReportAnswer))
+	if response.StatusCode/100 != http.StatusOK/100 {
+		return reportRefused
 	}
+	return reportTaken
 }
 
-var reportClient = &http.Client{
-	Transport:     &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 2},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+func (r *reporter) request(ctx context.Context, report registry.Report) (*http.Request, error) {
+	body, err := json.Marshal(usageReport{Counts: report.Counts, Epoch: report.Epoch, From: r.from, Window: report.Window})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.collector, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the client can't send it a second time by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	if r.setHeaders != nil {
+		r.setHeaders(request.Header, r.from, report.Epoch)
+	}
+	return request, nil
+}
+
+// report posts a sealed window and tells the machine once the collector has it.
+func (n *Node) report(ctx context.Context, report registry.Report) {
+	switch n.reporter.post(ctx, report, n.Group.Now()) {
+	case reportTaken:
+		n.Tell(registry.Reported{Window: report.Window})
+	case reportFailed:
+		n.count("reports_failed")
+	case reportTooLate:
+		n.count("reports_too_late")
+	case reportRefused:
+		n.count("reports_refused")
+	}
 }
--- a/internal/registry/usage.go
+++ b/internal/registry/usage.go
@@ -333,10 +333,12 @@
 		return
 	}
 	u.reportAt = s.Now + u.m.settings.ReportEvery()
-	s.Report(Report{Window: window, Counts: u.sealed[window].Counts, Epoch: u.epoch, Until: s.Now + u.m.settings.Lease()/2})
+	until := min(s.Now+u.m.settings.Lease()/2, u.m.leases.HeldUntil(settings.UsageTag))
+	s.Report(Report{Window: window, Counts: u.sealed[window].Counts, Epoch: u.epoch, Until: until})
 }
 
-// Report is the effect's body: what the collector gets, and until when it may be sent.
+// Report is the effect's body: what the collector gets, and until when it may reach it, by
+// the process clock. It never outlasts the lease: who holds the next one may act then.
 type Report struct {
 	Window int64
 	Counts map[string]int64
