--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -23,10 +23,10 @@
 }
 
 func servingProxy(c *qt.C) *Backend {
-	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
-	accepted, _, _ := room.Announce(0, response("one", "a:1", 5))
+	serving := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	accepted, _, _ := serving.Announce(0, response("one", "a:1", 5))
 	c.Assert(accepted, qt.IsTrue)
-	return room
+	return serving
 }
 
 func codes(orders []Order) []errcode.Code {
@@ -45,86 +45,86 @@
 // answer that was lost keeps its slot for a request's time.
 func TestSlots(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
+	serving := servingProxy(c)
 	started := []Order{}
 	for _, id := range []string{"a", "b"} {
-		orders := room.Forwarded(time.Second, forwardOf(id, "one", 5))
+		orders := serving.Forwarded(time.Second, forwardOf(id, "one", 5))
 		c.Assert(codes(orders), qt.DeepEquals, []errcode.Code{errcode.OK})
 		started = append(started, orders...)
 	}
-	c.Assert(room.Forwarded(time.Second, forwardOf("c", "one", 5)), qt.HasLen, 0)
-	c.Assert(room.Forwarded(time.Second, forwardOf("d", "one", 5)), qt.HasLen, 0)
-	c.Assert(codes(room.Forwarded(time.Second, forwardOf("e", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusySlotsFull})
-	_, next := room.Finish(time.Second, started[0], message.Outcome{Kind: message.StartedWhole})
+	c.Assert(serving.Forwarded(time.Second, forwardOf("c", "one", 5)), qt.HasLen, 0)
+	c.Assert(serving.Forwarded(time.Second, forwardOf("d", "one", 5)), qt.HasLen, 0)
+	c.Assert(codes(serving.Forwarded(time.Second, forwardOf("e", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusySlotsFull})
+	_, next := serving.Finish(time.Second, started[0], message.Outcome{Kind: message.StartedWhole})
 	c.Assert(codes(next), qt.DeepEquals, []errcode.Code{errcode.OK})
-	_, next = room.Finish(time.Second, started[1], message.Outcome{Kind: message.StartedNoWhole})
+	_, next = serving.Finish(time.Second, started[1], message.Outcome{Kind: message.StartedNoWhole})
 	c.Assert(next, qt.HasLen, 0)
-	c.Assert(codes(room.Expire(4*time.Second)), qt.HasLen, 0)
-	c.Assert(codes(room.Expire(5*time.Second)), qt.DeepEquals, []errcode.Code{errcode.BusyDeadline})
+	c.Assert(codes(serving.Expire(4*time.Second)), qt.HasLen, 0)
+	c.Assert(codes(serving.Expire(5*time.Second)), qt.DeepEquals, []errcode.Code{errcode.BusyDeadline})
 }
 
 // Leaving is at once and final for the incarnation; what waited was not started.
 func TestLeaving(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
+	serving := servingProxy(c)
 	for _, id := range []string{"a", "b", "c"} {
-		room.Forwarded(time.Second, forwardOf(id, "one", 5))
+		serving.Forwarded(time.Second, forwardOf(id, "one", 5))
 	}
 	gone := response("one", "a:1", 5)
 	gone.Leaving = true
-	_, _, orders := room.Announce(2*time.Second, gone)
+	_, _, orders := serving.Announce(2*time.Second, gone)
 	c.Assert(codes(orders), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
-	room.Announce(3*time.Second, response("one", "a:1", 5))
-	c.Assert(codes(room.Forwarded(3*time.Second, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
-	room.Announce(4*time.Second, response("one", "a:1", 6))
-	c.Assert(codes(room.Forwarded(4*time.Second, forwardOf("e", "one", 6))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	serving.Announce(3*time.Second, response("one", "a:1", 5))
+	c.Assert(codes(serving.Forwarded(3*time.Second, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
+	serving.Announce(4*time.Second, response("one", "a:1", 6))
+	c.Assert(codes(serving.Forwarded(4*time.Second, forwardOf("e", "one", 6))), qt.DeepEquals, []errcode.Code{errcode.OK})
 }
 
 // Another announcement from the address ends the old one; a break bars dials until a
 // newer heartbeat; without a heartbeat in its bound nothing is started.
 func TestBindings(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
+	serving := servingProxy(c)
 	target := Target{Key: "pay/one", Address: "a:1", Incarnation: 5}
-	c.Assert(room.Dialable(settings.Default().DialFresh(), target), qt.IsTrue)
-	c.Assert(room.Dialable(settings.Default().DialFresh()+1, target), qt.IsFalse)
-	room.Alive(time.Second, target)
-	c.Assert(room.Dialable(time.Second, target), qt.IsTrue)
-	room.Broke(2*time.Second, target)
-	c.Assert(codes(room.Forwarded(2*time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	room.Announce(2*time.Second+1, response("one", "a:1", 5))
-	c.Assert(room.Dialable(2*time.Second+1, target), qt.IsTrue)
-	_, endings, _ := room.Announce(3*time.Second, response("two", "a:1", 1))
+	c.Assert(serving.Dialable(settings.Default().DialFresh(), target), qt.IsTrue)
+	c.Assert(serving.Dialable(settings.Default().DialFresh()+1, target), qt.IsFalse)
+	serving.Alive(time.Second, target)
+	c.Assert(serving.Dialable(time.Second, target), qt.IsTrue)
+	serving.Broke(2*time.Second, target)
+	c.Assert(codes(serving.Forwarded(2*time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	serving.Announce(2*time.Second+1, response("one", "a:1", 5))
+	c.Assert(serving.Dialable(2*time.Second+1, target), qt.IsTrue)
+	_, endings, _ := serving.Announce(3*time.Second, response("two", "a:1", 1))
 	c.Assert(endings, qt.HasLen, 1)
-	c.Assert(room.Dialable(3*time.Second, target), qt.IsFalse)
-	c.Assert(codes(room.Forwarded(3*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	accepted, _, _ := room.Announce(4*time.Second, response("two", "a:1", 0))
+	c.Assert(serving.Dialable(3*time.Second, target), qt.IsFalse)
+	c.Assert(codes(serving.Forwarded(3*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	accepted, _, _ := serving.Announce(4*time.Second, response("two", "a:1", 0))
 	c.Assert(accepted, qt.IsFalse)
 }
 
 // A serving proxy that stood still gives no slot before it has heard a heartbeat again.
 func TestHeldUpServingProxyWaitsForAHeartbeat(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
-	room.Expire(time.Second)
-	c.Assert(codes(room.Forwarded(time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
-	c.Assert(codes(room.Forwarded(2*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	room.Expire(2 * time.Second)
-	c.Assert(codes(room.Forwarded(2*time.Second, forwardOf("c", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	room.Announce(2*time.Second+1, response("one", "a:1", 5))
-	c.Assert(codes(room.Forwarded(2*time.Second+1, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	serving := servingProxy(c)
+	serving.Expire(time.Second)
+	c.Assert(codes(serving.Forwarded(time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	c.Assert(codes(serving.Forwarded(2*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	serving.Expire(2 * time.Second)
+	c.Assert(codes(serving.Forwarded(2*time.Second, forwardOf("c", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	serving.Announce(2*time.Second+1, response("one", "a:1", 5))
+	c.Assert(codes(serving.Forwarded(2*time.Second+1, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
 }
 
 // A outcome is kept for the asker; an id never seen is barred from starting later.
 func TestOutcomesAreKept(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
-	orders := room.Forwarded(time.Second, forwardOf("a", "one", 5))
-	c.Assert(room.Outcome(time.Second, "a").Kind, qt.Equals, message.StillRunning)
-	room.Finish(time.Second, orders[0], message.Outcome{Kind: message.StartedWhole, Status: 200, Body: []byte("x")})
-	c.Assert(string(room.Outcome(2*time.Second, "a").Body), qt.Equals, "x")
-	c.Assert(room.Outcome(2*time.Second, "b").Kind, qt.Equals, message.NotStarted)
-	c.Assert(codes(room.Forwarded(2*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyServingProxyLost})
+	serving := servingProxy(c)
+	orders := serving.Forwarded(time.Second, forwardOf("a", "one", 5))
+	c.Assert(serving.Outcome(time.Second, "a").Kind, qt.Equals, message.StillRunning)
+	serving.Finish(time.Second, orders[0], message.Outcome{Kind: message.StartedWhole, Status: 200, Body: []byte("x")})
+	c.Assert(string(serving.Outcome(2*time.Second, "a").Body), qt.Equals, "x")
+	c.Assert(serving.Outcome(2*time.Second, "b").Kind, qt.Equals, message.NotStarted)
+	c.Assert(codes(serving.Forwarded(2*time.Second, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyServingProxyLost})
 }
 
 // A process that vanished without closing its connections, and another one at its address:
@@ -139,14 +139,14 @@
 	old.waitAccepted(c, b.guards+len(b.caller.idle[target]))
 	old.listener.Close()
 	heir := newScripted(c, members, b.address, func(int64) string { return good })
-	c.Assert(len(b.caller.idle[target]), qt.Equals, b.room.ConnectionsReady(target))
+	c.Assert(len(b.caller.idle[target]), qt.Equals, b.serving.ConnectionsReady(target))
 	c.Assert(b.request(c, "a", http.MethodPost).Kind, qt.Equals, message.StartedWhole)
 	c.Assert(old.reads.Load(), qt.Equals, int64(1))
 	// Every kept connection is used up, and the last sign of life is a moment too old.
 	b.caller.lock.Lock()
 	delete(b.caller.idle, target)
 	b.caller.lock.Unlock()
-	b.room.upstreams["pay/one"].aliveAt -= settings.Default().DialFresh() + 1
+	b.serving.upstreams["pay/one"].aliveAt -= settings.Default().DialFresh() + 1
 	outcome := b.request(c, "b", http.MethodPost)
 	c.Assert(outcome.Kind, qt.Equals, message.NotStarted)
 	c.Assert(errcode.Code(outcome.Code), qt.Equals, errcode.BusyUnproven)
@@ -158,13 +158,13 @@
 func TestLeavingSaidElsewhere(t *testing.T) {
 	c := qt.New(t)
 	cfg := settings.Default()
-	room := servingProxy(c)
+	serving := servingProxy(c)
 	left := message.Registration{Service: "pay", Instance: "one", Incarnation: 5, State: message.StateLeaving}
-	c.Assert(codes(room.Forwarded(cfg.ServingProxyBound(), forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
-	c.Assert(codes(room.Forwarded(cfg.ServingProxyBound()+1, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	room.Announce(3*time.Second, response("one", "a:1", 5))
-	room.Roster(map[string][]message.Registration{"pay": {left}})
-	c.Assert(codes(room.Forwarded(3*time.Second, forwardOf("c", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
+	c.Assert(codes(serving.Forwarded(cfg.ServingProxyBound(), forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	c.Assert(codes(serving.Forwarded(cfg.ServingProxyBound()+1, forwardOf("b", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	serving.Announce(3*time.Second, response("one", "a:1", 5))
+	serving.Roster(map[string][]message.Registration{"pay": {left}})
+	c.Assert(codes(serving.Forwarded(3*time.Second, forwardOf("c", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
 }
 
 // What is kept of an answer for a proxy that lost its connection goes soon, and that it ran
--- a/internal/backend/calling.go
+++ b/internal/backend/calling.go
@@ -65,7 +65,7 @@
 type Caller struct {
 	settings   settings.Settings
 	protocol   Protocol
-	room       *Backend
+	serving    *Backend
 	goroutines *goroutine.Group
 	lock       sync.Mutex
 	idle       map[Target][]*heldConnection
@@ -88,8 +88,8 @@
 func (c *Caller) UseDialer(dialer Dialer) { c.dialer = dialer }
 
 // NewCaller makes a caller for a backend.
-func NewCaller(cfg settings.Settings, room *Backend, members *goroutine.Group) *Caller {
-	c := &Caller{settings: cfg, protocol: Node{}, room: room, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}, calls: map[string]*call{}}
+func NewCaller(cfg settings.Settings, serving *Backend, members *goroutine.Group) *Caller {
+	c := &Caller{settings: cfg, protocol: Node{}, serving: serving, goroutines: members, idle: map[Target][]*heldConnection{}, guards: map[Target]*heldConnection{}, calls: map[string]*call{}}
 	c.dialer = c.dialTCP
 	return c
 }
@@ -99,8 +99,8 @@
 	return dialer.DialContext(c.goroutines.Context, "tcp", address)
 }
 
-// Speak sets the upstreams' manner; before it is used.
-func (c *Caller) Speak(protocol Protocol) { c.protocol = protocol }
+// UseProtocol sets the upstreams' manner; before it is used.
+func (c *Caller) UseProtocol(protocol Protocol) { c.protocol = protocol }
 
 func bare(target Target) Target {
 	target.Pass = ""
@@ -130,7 +130,7 @@
 	keep = keep && !cancelled
 	if err == nil {
 		// Bytes on a proven connection: for a moment nobody else can be at that address.
-		c.room.Alive(c.goroutines.Now(), order.Target)
+		c.serving.Alive(c.goroutines.Now(), order.Target)
 	}
 	if err == nil && keep {
 		c.give(order.Target, connection)
@@ -149,7 +149,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		code = errcode.UnknownTimeout
 	case code == errcode.UnknownOutcome && !cancelled:
-		c.room.Doubt(order.Target)
+		c.serving.Doubt(order.Target)
 	}
 	return message.Outcome{Kind: message.StartedNoWhole, Code: int64(code)}
 }
@@ -202,31 +202,31 @@
 	if c.settings.ByTarget() {
 		connection, err := c.dial(target, until)
 		if err != nil {
-			c.room.Broke(c.goroutines.Now(), target)
+			c.serving.Broke(c.goroutines.Now(), target)
 			return nil, gone
 		}
 		return connection, message.Outcome{}
 	}
-	if !c.room.Usable(c.goroutines.Now(), target) || !c.guarded(target) {
+	if !c.serving.Usable(c.goroutines.Now(), target) || !c.guarded(target) {
 		return nil, gone
 	}
 	connection, code := c.dialProven(target, until)
 	if code == errcode.BusyUpstreamGone {
-		c.room.Broke(c.goroutines.Now(), target)
+		c.serving.Broke(c.goroutines.Now(), target)
 	}
 	return connection, message.Outcome{Kind: message.NotStarted, Code: int64(code)}
 }
 
 // dialProven makes a connection between two looks at its proof; without that there is none.
 func (c *Caller) dialProven(target Target, until time.Time) (*heldConnection, errcode.Code) {
-	if !c.room.Dialable(c.goroutines.Now(), target) {
+	if !c.serving.Dialable(c.goroutines.Now(), target) {
 		return nil, errcode.BusyUnproven
 	}
 	connection, err := c.dial(target, until)
 	if err != nil {
 		return nil, errcode.BusyUpstreamGone
 	}
-	if !c.room.Dialable(c.goroutines.Now(), target) || !c.guarded(target) {
+	if !c.serving.Dialable(c.goroutines.Now(), target) || !c.guarded(target) {
 		// Ended, moved or no longer proven while the connection was being made: nothing is
 		// sent on it.
 		connection.conn.Close()
@@ -248,7 +248,7 @@
 	target := Target{Key: response.key(), Address: response.Address, Incarnation: response.Incarnation}
 	connection, err := c.dial(target, time.Now().Add(c.settings.ConnectionDial()))
 	if err != nil {
-		c.room.Broke(c.goroutines.Now(), target)
+		c.serving.Broke(c.goroutines.Now(), target)
 		return
 	}
 	c.lock.Lock()
@@ -263,7 +263,7 @@
 
 // fill keeps proven connections ready, made while a sign of life is fresh.
 func (c *Caller) fill(target Target) {
-	ready := c.room.ConnectionsReady(target)
+	ready := c.serving.ConnectionsReady(target)
 	for range ready {
 		c.lock.Lock()
 		enough := len(c.idle[target]) >= ready
@@ -290,7 +290,7 @@
 	}
 	guard.conn.Close()
 	delete(c.guards, key)
-	c.room.Broke(c.goroutines.Now(), target)
+	c.serving.Broke(c.goroutines.Now(), target)
 	return false
 }
 
@@ -347,7 +347,7 @@
 	defer c.lock.Unlock()
 	connection.idleAt = c.goroutines.Now()
 	key := bare(target)
-	if len(c.idle[key]) >= 32 || !c.room.Usable(connection.idleAt, target) && !c.settings.ByTarget() {
+	if len(c.idle[key]) >= 32 || !c.serving.Usable(connection.idleAt, target) && !c.settings.ByTarget() {
 		connection.conn.Close()
 		return
 	}
@@ -361,18 +361,18 @@
 	defer c.lock.Unlock()
 	now := c.goroutines.Now()
 	for target, guard := range c.guards {
-		if stands := quiet(guard); !stands || !c.room.Here(target) {
+		if stands := quiet(guard); !stands || !c.serving.Here(target) {
 			guard.conn.Close()
 			delete(c.guards, target)
 			if !stands {
-				c.room.Broke(now, target)
+				c.serving.Broke(now, target)
 			}
 		}
 	}
 	for target, list := range c.idle {
 		kept := list[:0]
 		for _, connection := range list {
-			if now-connection.idleAt < c.idleLimit(connection) && (c.room.Usable(now, target) || c.settings.ByTarget() && c.room.Here(target)) {
+			if now-connection.idleAt < c.idleLimit(connection) && (c.serving.Usable(now, target) || c.settings.ByTarget() && c.serving.Here(target)) {
 				kept = append(kept, connection)
 			} else {
 				connection.conn.Close()
@@ -455,7 +455,7 @@
 		// As it came, to the byte.
 		request.URL.Opaque = forward.Path
 	}
-	c.protocol.Dress(request.Header, forward, target, time.Until(until))
+	c.protocol.SetHeaders(request.Header, forward, target, time.Until(until))
 	request.ContentLength = int64(len(forward.Body))
 	request.Body = http.NoBody
 	if len(forward.Body) > 0 {
--- a/internal/backend/calling_test.go
+++ b/internal/backend/calling_test.go
@@ -76,7 +76,7 @@
 }
 
 type bench struct {
-	room      *Backend
+	serving   *Backend
 	caller    *Caller
 	members   *goroutine.Group
 	address   string
@@ -85,11 +85,11 @@
 }
 
 func newBench(c *qt.C, members *goroutine.Group, address string) *bench {
-	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
-	b := &bench{room: room, caller: NewCaller(settings.Default(), room, members), members: members, address: address}
+	serving := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	b := &bench{serving: serving, caller: NewCaller(settings.Default(), serving, members), members: members, address: address}
 	target := Target{Key: "pay/one", Address: b.address, Incarnation: 1}
 	b.announce(c, "pay", "one", 1)
-	for b.kept(target) < room.ConnectionsReady(target) {
+	for b.kept(target) < serving.ConnectionsReady(target) {
 		// On a busy machine the sign of life was too old before all connections were made.
 		b.announce(c, "pay", "one", 1)
 	}
@@ -105,7 +105,7 @@
 
 func (b *bench) announce(c *qt.C, service, instance string, incarnation int64) {
 	response := Announcement{Service: service, Instance: instance, Incarnation: incarnation, Address: b.address, Zone: "d", Slots: 4}
-	accepted, _, _ := b.room.Announce(b.members.Now(), response)
+	accepted, _, _ := b.serving.Announce(b.members.Now(), response)
 	c.Assert(accepted, qt.IsTrue)
 	b.caller.Guard(response)
 	b.guards++
@@ -118,13 +118,13 @@
 	if method == http.MethodPost {
 		forward.Body = []byte("body")
 	}
-	orders := b.room.Forwarded(b.members.Now(), forward)
+	orders := b.serving.Forwarded(b.members.Now(), forward)
 	c.Assert(orders, qt.HasLen, 1)
 	outcome := message.Outcome{Kind: message.NotStarted, Code: int64(orders[0].Code)}
 	if orders[0].Start {
 		outcome = b.caller.Call(orders[0])
 	}
-	outcome, _ = b.room.Finish(b.members.Now(), orders[0], outcome)
+	outcome, _ = b.serving.Finish(b.members.Now(), orders[0], outcome)
 	return outcome
 }
 
@@ -274,7 +274,7 @@
 	c.Assert(request.Header.Get(PassHeader), qt.Not(qt.Equals), "")
 	c.Assert(request.Header.Get("User-Agent"), qt.Equals, "")
 	// The pass ends with the request.
-	_, known := b.room.PassOf(request.Header.Get(PassHeader))
+	_, known := b.serving.PassOf(request.Header.Get(PassHeader))
 	c.Assert(known, qt.IsFalse)
 }
 
--- a/internal/backend/cancel_test.go
+++ b/internal/backend/cancel_test.go
@@ -73,12 +73,12 @@
 	defer members.Stop(0)
 	upstream := newSilent(c, members)
 	b := targetBench(c, members, upstream.listener.Addr().String())
-	orders := b.room.Forwarded(members.Now(), repeatableOrNot("a", false))
+	orders := b.serving.Forwarded(members.Now(), repeatableOrNot("a", false))
 	c.Assert(orders, qt.HasLen, 1)
 	ended := make(chan message.Outcome, 1)
 	members.Go("call", func(context.Context) { ended <- b.caller.Call(orders[0]) })
 	within(c, upstream.took, "the request")
-	_, cancel := b.room.Withdraw("a")
+	_, cancel := b.serving.Withdraw("a")
 	c.Assert(cancel, qt.IsTrue)
 	b.caller.Cancel("a")
 	within(c, upstream.left, "the end of the connection")
@@ -101,7 +101,7 @@
 		b.caller.Cancel("a")
 		return dial(address, until)
 	})
-	orders := b.room.Forwarded(members.Now(), repeatableOrNot("a", false))
+	orders := b.serving.Forwarded(members.Now(), repeatableOrNot("a", false))
 	outcome := b.caller.Call(orders[0])
 	c.Assert(outcome.Kind, qt.Equals, message.NotStarted)
 	c.Assert(stand.seen, qt.HasLen, 0)
@@ -111,16 +111,16 @@
 	c := qt.New(t)
 	cfg := settings.Default()
 	cfg.Proof = settings.ProofTarget
-	room := New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
-	_, _, _ = room.Announce(0, Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "a:1", Zone: "d", Slots: 2})
-	c.Assert(room.Forwarded(0, repeatableOrNot("repeatable", false)), qt.HasLen, 1)
-	c.Assert(room.Forwarded(0, repeatableOrNot("once", true)), qt.HasLen, 1)
-	c.Assert(room.Forwarded(0, repeatableOrNot("queued", false)), qt.HasLen, 0)
+	serving := New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	_, _, _ = serving.Announce(0, Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "a:1", Zone: "d", Slots: 2})
+	c.Assert(serving.Forwarded(0, repeatableOrNot("repeatable", false)), qt.HasLen, 1)
+	c.Assert(serving.Forwarded(0, repeatableOrNot("once", true)), qt.HasLen, 1)
+	c.Assert(serving.Forwarded(0, repeatableOrNot("queued", false)), qt.HasLen, 0)
 	for id, wanted := range map[string]struct {
 		refused int
 		cancel  bool
 	}{"repeatable": {0, true}, "once": {0, false}, "queued": {1, false}, "unknown": {0, false}} {
-		orders, cancel := room.Withdraw(id)
+		orders, cancel := serving.Withdraw(id)
 		c.Check(orders, qt.HasLen, wanted.refused, qt.Commentf("%s", id))
 		c.Check(cancel, qt.Equals, wanted.cancel, qt.Commentf("%s", id))
 	}
--- a/internal/backend/heartbeats_test.go
+++ b/internal/backend/heartbeats_test.go
@@ -25,11 +25,11 @@
 // to go when there is no room.
 func TestQueueGoesByPriority(t *testing.T) {
 	c := qt.New(t)
-	room := servingProxy(c)
+	serving := servingProxy(c)
 	forwarded := func(id string, priority int64) []Order {
 		forward := forwardOf(id, "one", 5)
 		forward.Priority = priority
-		return room.Forwarded(time.Second, forward)
+		return serving.Forwarded(time.Second, forward)
 	}
 	running := append(forwarded("a", 9), forwarded("b", 9)...)
 	c.Assert(codes(running), qt.DeepEquals, []errcode.Code{errcode.OK, errcode.OK})
@@ -43,32 +43,32 @@
 	c.Assert(write[0].Forward.ID, qt.Equals, "mid too")
 	started := []string{}
 	for _, order := range running {
-		_, next := room.Finish(time.Second, order, message.Outcome{Kind: message.StartedWhole})
+		_, next := serving.Finish(time.Second, order, message.Outcome{Kind: message.StartedWhole})
 		c.Assert(next, qt.HasLen, 1)
 		started = append(started, next[0].Forward.ID)
 	}
 	c.Assert(started, qt.DeepEquals, []string{"high", "mid"})
 	// One put out had not begun, so it may be carried here again.
-	c.Assert(room.Outcome(time.Second, "low").Kind, qt.Equals, message.NotStarted)
+	c.Assert(serving.Outcome(time.Second, "low").Kind, qt.Equals, message.NotStarted)
 }
 
 // A heartbeat behind a newer one alters nothing: neither address nor slots nor state, and it
 // is no sign of life.
 func TestLateHeartbeatAltersNothing(t *testing.T) {
 	c := qt.New(t)
-	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
-	room.Announce(0, numbered(7, nil))
-	accepted, endings, orders := room.Announce(time.Second, numbered(6, func(response *Announcement) { response.Leaving, response.Slots, response.Address = true, 50, "a:2" }))
+	serving := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	serving.Announce(0, numbered(7, nil))
+	accepted, endings, orders := serving.Announce(time.Second, numbered(6, func(response *Announcement) { response.Leaving, response.Slots, response.Address = true, 50, "a:2" }))
 	c.Assert(accepted, qt.IsTrue)
 	c.Assert(endings, qt.HasLen, 0)
 	c.Assert(orders, qt.HasLen, 0)
-	held, _ := room.Held("pay", "one")
+	held, _ := serving.Held("pay", "one")
 	c.Assert(held, qt.DeepEquals, numbered(7, nil))
-	c.Assert(room.Dialable(settings.Default().DialFresh()+1, Target{Key: "pay/one", Address: "a:1", Incarnation: 5}), qt.IsFalse)
-	c.Assert(codes(room.Forwarded(time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	c.Assert(serving.Dialable(settings.Default().DialFresh()+1, Target{Key: "pay/one", Address: "a:1", Incarnation: 5}), qt.IsFalse)
+	c.Assert(codes(serving.Forwarded(time.Second, forwardOf("a", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.OK})
 	// A later life counts anew; what numbers nothing is taken as it comes.
-	room.Announce(time.Second, numbered(1, func(response *Announcement) { response.Incarnation = 6 }))
-	held, _ = room.Held("pay", "one")
+	serving.Announce(time.Second, numbered(1, func(response *Announcement) { response.Incarnation = 6 }))
+	held, _ = serving.Held("pay", "one")
 	c.Assert(held.Incarnation, qt.Equals, int64(6))
 }
 
@@ -76,27 +76,27 @@
 // over, whatever is still on its way; another name at its address does.
 func TestDismissedNeverComesBack(t *testing.T) {
 	c := qt.New(t)
-	room := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
-	room.Announce(0, numbered(7, nil))
-	room.Forwarded(0, forwardOf("a", "one", 5))
-	room.Forwarded(0, forwardOf("b", "one", 5))
-	room.Forwarded(0, forwardOf("c", "one", 5))
-	ending, found, orders := room.Dismiss(time.Second, "one")
+	serving := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	serving.Announce(0, numbered(7, nil))
+	serving.Forwarded(0, forwardOf("a", "one", 5))
+	serving.Forwarded(0, forwardOf("b", "one", 5))
+	serving.Forwarded(0, forwardOf("c", "one", 5))
+	ending, found, orders := serving.Dismiss(time.Second, "one")
 	c.Assert(found, qt.IsTrue)
 	c.Assert(ending.Service, qt.Equals, "pay")
 	c.Assert(codes(orders), qt.DeepEquals, []errcode.Code{errcode.BusyLeaving})
 	for number := int64(6); number < 10; number++ {
-		accepted, _, _ := room.Announce(2*time.Second, numbered(number, func(response *Announcement) { response.Incarnation = number }))
+		accepted, _, _ := serving.Announce(2*time.Second, numbered(number, func(response *Announcement) { response.Incarnation = number }))
 		c.Assert(accepted, qt.IsTrue)
-		c.Assert(room.Holds("one"), qt.IsFalse)
+		c.Assert(serving.Holds("one"), qt.IsFalse)
 	}
-	c.Assert(codes(room.Forwarded(2*time.Second, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	_, found, _ = room.Dismiss(2*time.Second, "one")
+	c.Assert(codes(serving.Forwarded(2*time.Second, forwardOf("d", "one", 5))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	_, found, _ = serving.Dismiss(2*time.Second, "one")
 	c.Assert(found, qt.IsFalse)
 	// One that was never heard of here may not come after its last word either.
-	room.Dismiss(2*time.Second, "unheard")
-	room.Announce(2*time.Second, response("unheard", "a:3", 1))
-	c.Assert(room.Holds("unheard"), qt.IsFalse)
-	room.Announce(2*time.Second, response("two", "a:1", 1))
-	c.Assert(room.Holds("two"), qt.IsTrue)
+	serving.Dismiss(2*time.Second, "unheard")
+	serving.Announce(2*time.Second, response("unheard", "a:3", 1))
+	c.Assert(serving.Holds("unheard"), qt.IsFalse)
+	serving.Announce(2*time.Second, response("two", "a:1", 1))
+	c.Assert(serving.Holds("two"), qt.IsTrue)
 }
--- a/internal/backend/pairing.go
+++ b/internal/backend/pairing.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Paired{}, err
 	}
-	found := Paired{Received: p.Protocol.Heed(response, p.Forward, p.Target)}
+	found := Paired{Received: p.Protocol.Interpret(response, p.Forward, p.Target)}
 	if found.Received.Other && safeguard.AnswerOfAnother.On() {
 		return found, nil
 	}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -25,8 +25,8 @@
 
 // Protocol is how upstreams speak.
 type Protocol interface {
-	Dress(header http.Header, forward message.Forward, target Target, left time.Duration)
-	Heed(answer *http.Response, forward message.Forward, target Target) Received
+	SetHeaders(header http.Header, forward message.Forward, target Target, left time.Duration)
+	Interpret(answer *http.Response, forward message.Forward, target Target) Received
 }
 
 // Namer is a manner of speaking in which every answer names the request that it answers.
@@ -38,13 +38,13 @@
 // Node is the product's own manner.
 type Node struct{}
 
-// Dress names tenant, caller, pass and request.
-func (Node) Dress(header http.Header, forward message.Forward, target Target, _ time.Duration) {
+// SetHeaders names tenant, caller, pass and request.
+func (Node) SetHeaders(header http.Header, forward message.Forward, target Target, _ time.Duration) {
 	header.Set(TenantHeader, forward.Tenant)
 	header.Set(CallerHeader, forward.Caller)
 	header.Set(PassHeader, target.Pass)
 	header.Set(RequestHeader, forward.ID)
 }
 
-// Heed finds nothing more in the head.
-func (Node) Heed(*http.Response, message.Forward, Target) Received { return Received{} }
+// Interpret finds nothing more in the head.
+func (Node) Interpret(*http.Response, message.Forward, Target) Received { return Received{} }
--- a/internal/backend/target_test.go
+++ b/internal/backend/target_test.go
@@ -24,12 +24,12 @@
 // named is a manner in which answers bear the request's name and may say "unrun".
 type named struct{}
 
-func (named) Dress(header http.Header, forward message.Forward, _ Target, left time.Duration) {
+func (named) SetHeaders(header http.Header, forward message.Forward, _ Target, left time.Duration) {
 	header.Set("For", forward.Instance)
 	header.Set("Left", fmt.Sprint(left > 0 && left <= time.Duration(forward.Remaining)))
 }
 
-func (named) Heed(answer *http.Response, forward message.Forward, _ Target) Received {
+func (named) Interpret(answer *http.Response, forward message.Forward, _ Target) Received {
 	received := Received{}
 	switch name := answer.Header.Get("Name"); {
 	case name != "" && name != forward.Name:
@@ -97,10 +97,10 @@
 func targetBench(c *qt.C, members *goroutine.Group, address string) *bench {
 	cfg := settings.Default()
 	cfg.Proof = settings.ProofTarget
-	room := New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
-	b := &bench{room: room, caller: NewCaller(cfg, room, members), members: members, address: address}
-	b.caller.Speak(named{})
-	accepted, _, _ := room.Announce(members.Now(), Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: address, Zone: "d", Slots: 4})
+	serving := New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	b := &bench{serving: serving, caller: NewCaller(cfg, serving, members), members: members, address: address}
+	b.caller.UseProtocol(named{})
+	accepted, _, _ := serving.Announce(members.Now(), Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: address, Zone: "d", Slots: 4})
 	c.Assert(accepted, qt.IsTrue)
 	return b
 }
@@ -109,10 +109,10 @@
 	b.forwarded++
 	forward := message.Forward{ID: fmt.Sprint(name, b.forwarded), Name: name, Service: "pay", Instance: "one", Incarnation: 1, Method: http.MethodPost, Path: path, Headers: []message.HeaderLine{},
 		Body: []byte("body"), Remaining: int64(2 * time.Second), AnswerCap: 1000, Host: "shop.example"}
-	orders := b.room.Forwarded(b.members.Now(), forward)
+	orders := b.serving.Forwarded(b.members.Now(), forward)
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Start, qt.IsTrue, qt.Commentf("%v", orders[0].Code))
-	outcome, _ := b.room.Finish(b.members.Now(), orders[0], b.caller.Call(orders[0]))
+	outcome, _ := b.serving.Finish(b.members.Now(), orders[0], b.caller.Call(orders[0]))
 	return outcome
 }
 
@@ -225,8 +225,8 @@
 	c.Assert(outcome.Sent, qt.IsFalse)
 	c.Assert(errcode.Code(outcome.Code), qt.Equals, errcode.BusyUpstreamGone)
 	now, fresh := members.Now(), b.caller.settings.DialFresh()
-	c.Assert(codes(b.room.Forwarded(now, forwardOf("x", "one", 1))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
-	c.Assert(codes(b.room.Forwarded(now+fresh+1, forwardOf("y", "one", 1))), qt.DeepEquals, []errcode.Code{errcode.OK})
+	c.Assert(codes(b.serving.Forwarded(now, forwardOf("x", "one", 1))), qt.DeepEquals, []errcode.Code{errcode.BusyUpstreamGone})
+	c.Assert(codes(b.serving.Forwarded(now+fresh+1, forwardOf("y", "one", 1))), qt.DeepEquals, []errcode.Code{errcode.OK})
 }
 
 // The path goes out as it came, to the byte, with the host that the caller named and
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -47,10 +47,10 @@
 	p := &proxyProgram{settings: cfg, process: process, goroutines: group}
 	upstreams := backend.New(cfg, func(forward message.Forward) errcode.Code { return p.frontend.Allowed(forward) })
 	p.frontend = frontend.New(cfg, upstreams.PassOf)
-	p.frontend.Speak(protocols.Callers)
+	p.frontend.UseProtocol(protocols.Callers)
 	p.frontend.RepeatsOf(upstreams)
 	caller := backend.NewCaller(cfg, upstreams, group)
-	caller.Speak(protocols.Upstreams)
+	caller.UseProtocol(protocols.Upstreams)
 	self := node.Self(cfg, message.RoleProxy)
 	p.machine = proxy.New(cfg, self)
 	p.stages = frontend.NewStages(cfg, p.frontend, upstreams, caller, group, self, process.Tell)
--- a/internal/distribution/cutoff_test.go
+++ b/internal/distribution/cutoff_test.go
@@ -17,7 +17,7 @@
 func TestUpdatesComeRoundACut(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, "near", "far")
+		l := newTestTree(c, seed, "near", "far")
 		l.committed("near")
 		l.members.Handle(l.s, "", message.JoinResponse{From: message.Member{Name: "proxy/other", Role: message.RoleProxy, Zone: "e", Address: "proxy/other", Birth: 1}})
 		cutAt := l.s.Now
@@ -47,7 +47,7 @@
 func TestYoungChildLeavesARootThatKnowsNothing(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, "near", "far")
+		l := newTestTree(c, seed, "near", "far")
 		l.ages["near"] = func() time.Duration { return -1 }
 		l.version["near"] = 0
 		began := l.s.Now
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -15,8 +15,8 @@
 	"beaconvane/internal/statemachine"
 )
 
-// lobby is a proxy's distribution among registries, one of them in its own zone.
-type lobby struct {
+// testTree is a proxy's distribution among registries, one of them in its own zone.
+type testTree struct {
 	c            *qt.C
 	settings     settings.Settings
 	distribution *Distribution
@@ -29,11 +29,11 @@
 	version      map[string]int64 // of the configuration that a parent has; 1 where it is not told
 }
 
-func newLobby(c *qt.C, seed uint64, roots ...string) *lobby {
+func newTestTree(c *qt.C, seed uint64, roots ...string) *testTree {
 	cfg := settings.Default()
 	cfg.Zone, cfg.Seeds = "d", []string{"10.0.0.1:1"}
 	self := message.Member{Name: "proxy/me", Role: message.RoleProxy, Zone: "d", Address: "me"}
-	l := &lobby{c: c, settings: cfg, members: membership.New(cfg, self, nil), s: statemachine.NewEnv(seed), ages: map[string]func() time.Duration{}, full: map[string]bool{}, version: map[string]int64{}}
+	l := &testTree{c: c, settings: cfg, members: membership.New(cfg, self, nil), s: statemachine.NewEnv(seed), ages: map[string]func() time.Duration{}, full: map[string]bool{}, version: map[string]int64{}}
 	for index, root := range roots {
 		zone := "d"
 		if index > 0 {
@@ -48,7 +48,7 @@
 }
 
 // stale lets a registry's knowledge be as old as the time since this moment.
-func (l *lobby) stale(roots ...string) {
+func (l *testTree) stale(roots ...string) {
 	since := l.s.Now
 	for _, root := range roots {
 		l.ages[root] = func() time.Duration { return l.s.Now - since }
@@ -56,7 +56,7 @@
 }
 
 // play answers every ask at once, as its parent would.
-func (l *lobby) play(length time.Duration, until func() bool) bool {
+func (l *testTree) play(length time.Duration, until func() bool) bool {
 	for end := l.s.Now + length; l.s.Now < end; l.s.Now += 5 * time.Millisecond {
 		l.distribution.Tick(l.s)
 		for _, effect := range l.s.Drain() {
@@ -80,7 +80,7 @@
 	return until == nil
 }
 
-func (l *lobby) answer(parent string, request message.UpdatesRequest) {
+func (l *testTree) answer(parent string, request message.UpdatesRequest) {
 	response := message.UpdatesResponse{Round: request.Round, Parent: parent, Path: []string{parent}, Try: []string{}}
 	if l.full[parent] && !request.Resort {
 		response.Refused, response.Reason, response.Path = true, message.RefusedFull, []string{}
@@ -93,7 +93,7 @@
 	l.distribution.Handle(l.s, parent, response)
 }
 
-func (l *lobby) parent() string {
+func (l *testTree) parent() string {
 	parent, path, _ := l.distribution.Parent()
 	if len(path) == 0 {
 		return ""
@@ -102,7 +102,7 @@
 }
 
 // settled plays until the child is with its own zone's registry, which is current.
-func (l *lobby) committed(root string) {
+func (l *testTree) committed(root string) {
 	l.play(time.Second, nil)
 	l.c.Assert(l.parent(), qt.Equals, root)
 	l.asked, l.resorts = nil, nil
@@ -113,7 +113,7 @@
 func TestAsStaleAParentIsPassedOver(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, "near", "far", "other")
+		l := newTestTree(c, seed, "near", "far", "other")
 		l.committed("near")
 		// Whichever is asked first next is as stale as the one that is left.
 		first := ""
@@ -145,7 +145,7 @@
 func TestLastResortIsNoneThatFailed(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(20) {
-		l := newLobby(c, seed, "near", "far", "other", "fourth")
+		l := newTestTree(c, seed, "near", "far", "other", "fourth")
 		l.committed("near")
 		l.stale("near", "far")
 		l.full["other"], l.full["fourth"] = true, true
@@ -159,7 +159,7 @@
 // Where all failed, one of them is better than none.
 func TestLastResortOfAllThatFailed(t *testing.T) {
 	c := qt.New(t)
-	l := newLobby(c, 1, "near", "far")
+	l := newTestTree(c, 1, "near", "far")
 	l.committed("near")
 	l.stale("near", "far")
 	c.Assert(l.play(l.settings.Reparent()*3, func() bool { return len(l.resorts) > 0 && l.parent() != "" }), qt.IsTrue)
@@ -170,7 +170,7 @@
 func TestSliceOfADeadHolderMovesNobody(t *testing.T) {
 	c := qt.New(t)
 	for topic, wanted := range map[string]bool{ConfigurationTopic("main"): true, SliceTopic("d"): false} {
-		l := newLobby(c, 1, "near", "far")
+		l := newTestTree(c, 1, "near", "far")
 		held := l.distribution.topicState(topic)
 		l.distribution.own = map[string]bool{topic: true}
 		held.known, held.freshAt = true, 0
@@ -190,7 +190,7 @@
 		roots = append(roots, fmt.Sprintf("far-%d", number))
 	}
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, roots...)
+		l := newTestTree(c, seed, roots...)
 		l.committed("near")
 		l.stale(roots...)
 		for _, root := range roots[1:] {
--- a/internal/distribution/drift_test.go
+++ b/internal/distribution/drift_test.go
@@ -11,12 +11,12 @@
 )
 
 // hear is a registry's answer to a heartbeat: it has a version of the configuration.
-func (l *lobby) hear(registry string, version int64) {
+func (l *testTree) hear(registry string, version int64) {
 	mark := configurationMark(ConfigurationTopic("main"), version, []byte("a configuration"))
 	l.distribution.HeardNewer(l.s, registry, []message.Mark{mark})
 }
 
-func (l *lobby) inForce() int64 {
+func (l *testTree) inForce() int64 {
 	version, _, _ := l.distribution.ConfigName("main")
 	return version
 }
@@ -26,7 +26,7 @@
 func TestParentThatLacksANewerVersionIsLeft(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, "near", "far", "other")
+		l := newTestTree(c, seed, "near", "far", "other")
 		l.committed("near")
 		l.version["far"] = 2
 		told := l.s.Now
@@ -40,7 +40,7 @@
 // A parent that brings the version in time is kept, also while versions follow in a row.
 func TestParentThatBringsTheNewerVersionIsKept(t *testing.T) {
 	c := qt.New(t)
-	l := newLobby(c, 1, "near", "far")
+	l := newTestTree(c, 1, "near", "far")
 	l.committed("near")
 	for version := int64(2); version < 12; version++ {
 		l.version["far"] = version
@@ -56,7 +56,7 @@
 // Versions that follow in a row don't put the move off.
 func TestARowOfVersionsDoesNotPutTheMoveOff(t *testing.T) {
 	c := qt.New(t)
-	l := newLobby(c, 1, "near", "far")
+	l := newTestTree(c, 1, "near", "far")
 	l.committed("near")
 	for version := int64(2); version < 12; version++ {
 		l.version["far"] = version
@@ -69,7 +69,7 @@
 // The registry that told can't be reached from here: another that told is joined.
 func TestAnotherTellerIsJoinedWhereTheFirstFailed(t *testing.T) {
 	c := qt.New(t)
-	l := newLobby(c, 1, "near", "far", "other")
+	l := newTestTree(c, 1, "near", "far", "other")
 	l.committed("near")
 	l.version["other"] = 2
 	l.distribution.unanswered["far"] = l.s.Now + time.Hour
@@ -84,7 +84,7 @@
 // since, is no longer passed over.
 func TestTellerOfANewerVersionIsTrustedAgain(t *testing.T) {
 	c := qt.New(t)
-	l := newLobby(c, 1, "near", "far")
+	l := newTestTree(c, 1, "near", "far")
 	l.committed("near")
 	for _, shunned := range []map[string]time.Duration{l.distribution.avoid, l.distribution.failed, l.distribution.spoilt} {
 		shunned["far"] = l.s.Now + time.Hour
--- a/internal/distribution/orphans_test.go
+++ b/internal/distribution/orphans_test.go
@@ -14,7 +14,7 @@
 func TestOrphansOfAStaleRootAskOtherRootsFirst(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(10) {
-		l := newLobby(c, seed, "near", "far")
+		l := newTestTree(c, seed, "near", "far")
 		for _, name := range []string{"one", "two", "three", "four"} {
 			l.members.Handle(l.s, "", message.JoinResponse{From: message.Member{Name: name, Role: message.RoleProxy, Zone: "d", Address: name, Birth: 1}})
 			l.ages[name] = func() time.Duration { return l.ages["near"]() }
--- a/internal/distribution/takeover_test.go
+++ b/internal/distribution/takeover_test.go
@@ -12,7 +12,7 @@
 func TestTheRegistryOfACutOffHolderIsNotComeBackTo(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(50) {
-		l := newLobby(c, seed, "near", "far", "cut-off")
+		l := newTestTree(c, seed, "near", "far", "cut-off")
 		l.committed("near")
 		cutAt := l.s.Now
 		leaseEnd := cutAt + l.settings.Lease()*9/10
--- a/internal/frontend/adopt_test.go
+++ b/internal/frontend/adopt_test.go
@@ -15,8 +15,8 @@
 	"beaconvane/internal/settings"
 )
 
-// prompter is a backstage whose clock the test sets; orders to start are kept.
-type prompter struct {
+// recordingEnvironment is a environment whose clock the test sets; orders to start are kept.
+type recordingEnvironment struct {
 	tracker  *Tracker
 	now      time.Duration
 	wall     time.Time
@@ -25,31 +25,31 @@
 	full     bool
 }
 
-func (p *prompter) Now() time.Duration     { return p.now }
-func (p *prompter) Wall() time.Time        { return p.wall }
-func (p *prompter) Random() *rand.Rand     { return rand.New(rand.NewPCG(1, 2)) }
-func (p *prompter) Backlog() time.Duration { return 0 }
-func (p *prompter) Cancel(string)          {}
+func (p *recordingEnvironment) Now() time.Duration     { return p.now }
+func (p *recordingEnvironment) Wall() time.Time        { return p.wall }
+func (p *recordingEnvironment) Random() *rand.Rand     { return rand.New(rand.NewPCG(1, 2)) }
+func (p *recordingEnvironment) Backlog() time.Duration { return 0 }
+func (p *recordingEnvironment) Cancel(string)          {}
 
-func (p *prompter) After(time.Duration, func()) {}
-func (p *prompter) Tell(tidings any)            { p.response = append(p.response, tidings) }
+func (p *recordingEnvironment) After(time.Duration, func()) {}
+func (p *recordingEnvironment) Tell(notice any)             { p.response = append(p.response, notice) }
 
-func (p *prompter) Queue(env Env, item any) bool {
+func (p *recordingEnvironment) Queue(env Env, item any) bool {
 	if env == StageStart && !p.full {
 		p.starts = append(p.starts, item.(backend.Order))
 	}
 	return !p.full
 }
 
-func (p *prompter) Open(string, func(msg any), func(connection Connection)) Connection {
+func (p *recordingEnvironment) Open(string, func(msg any), func(connection Connection)) Connection {
 	return &fakeConnection{}
 }
 
 // words gives, in short, what the control machine was told since it was last asked.
-func (p *prompter) words() []string {
+func (p *recordingEnvironment) words() []string {
 	words := []string{}
-	for _, tidings := range p.response {
-		switch response := tidings.(type) {
+	for _, notice := range p.response {
+		switch response := notice.(type) {
 		case proxy.Announced:
 			words = append(words, response.Registration.Instance+" "+response.Registration.State)
 		case proxy.SignedOff:
@@ -60,13 +60,13 @@
 	return words
 }
 
-func servingProxyTracker(proof string) (*prompter, *backend.Backend, settings.Settings) {
+func servingProxyTracker(proof string) (*recordingEnvironment, *backend.Backend, settings.Settings) {
 	cfg := settings.Default()
 	cfg.Zone, cfg.Proof, cfg.Counted = "here", proof, settings.CountBegun
-	room := backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
-	p := &prompter{}
-	p.tracker = NewDesk(cfg, New(cfg, room.PassOf), room, p, message.Member{Name: "proxy/me", Address: "here:1", Birth: 7})
-	return p, room, cfg
+	serving := backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	p := &recordingEnvironment{}
+	p.tracker = NewTracker(cfg, New(cfg, serving.PassOf), serving, p, message.Member{Name: "proxy/me", Address: "here:1", Birth: 7})
+	return p, serving, cfg
 }
 
 func beside(instance, address, state string, birth int64) message.Registration {
@@ -86,7 +86,7 @@
 // holds the old one; the two must not end each other in turn.
 func TestAdoptionEndsWithTheFirstAnnouncement(t *testing.T) {
 	c := qt.New(t)
-	p, room, _ := servingProxyTracker(settings.ProofTarget)
+	p, serving, _ := servingProxyTracker(settings.ProofTarget)
 	snapshot := rosterOf(beside("old", "up:1", message.StateReady, 6))
 	p.tracker.Show(snapshot)
 	c.Assert(p.words(), qt.DeepEquals, []string{"old ready"})
@@ -98,8 +98,8 @@
 		p.now += 100 * time.Millisecond
 		p.tracker.Show(snapshot)
 		c.Assert(p.words(), qt.HasLen, 0)
-		c.Assert(room.Holds("old"), qt.IsFalse)
-		c.Assert(room.Holds("new"), qt.IsTrue)
+		c.Assert(serving.Holds("old"), qt.IsFalse)
+		c.Assert(serving.Holds("new"), qt.IsTrue)
 	}
 }
 
@@ -135,7 +135,7 @@
 // a newer one, one behind the last word, and one of an upstream that leaves.
 func TestLateAnnouncementsAreNotPassedOn(t *testing.T) {
 	c := qt.New(t)
-	p, room, _ := servingProxyTracker(settings.ProofTarget)
+	p, serving, _ := servingProxyTracker(settings.ProofTarget)
 	p.tracker.Announce(announced("one", "up:1", 4))
 	c.Assert(p.words(), qt.DeepEquals, []string{"one ready"})
 	leaving := announced("one", "up:1", 6)
@@ -152,7 +152,7 @@
 	p.tracker.Announce(announced("one", "up:1", 8))
 	p.tracker.Show(rosterOf(beside("one", "up:1", message.StateReady, 6)))
 	c.Assert(p.words(), qt.HasLen, 0)
-	c.Assert(room.Holds("one"), qt.IsFalse)
+	c.Assert(serving.Holds("one"), qt.IsFalse)
 }
 
 // Usage of what upstreams began: counted as a request begins, in the window in which it
--- a/internal/frontend/callerlimits_test.go
+++ b/internal/frontend/callerlimits_test.go
@@ -35,8 +35,8 @@
 	alter(&cfg)
 	front := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
 	group := goroutine.New()
-	room := backend.New(cfg, nil)
-	stages := NewStages(cfg, front, room, backend.NewCaller(cfg, room, group), group, message.Member{}, func(any) {})
+	serving := backend.New(cfg, nil)
+	stages := NewStages(cfg, front, serving, backend.NewCaller(cfg, serving, group), group, message.Member{}, func(any) {})
 	front.Show(0, &proxy.Snapshot{Configurations: []*routeconfig.Configuration{limited(limits)}})
 	return stages
 }
@@ -162,8 +162,8 @@
 func TestTimeBeginsWithTheFirstByte(t *testing.T) {
 	c := qt.New(t)
 	f := hostedFrontend(c, upstream("one", "here"))
-	going := asked("/pay/x", "secret")
-	going.Came = old - time.Second
-	c.Assert(f.Admit(old, time.Now(), going), qt.IsNil)
-	c.Assert(going.Deadline, qt.Equals, old+2*time.Second)
+	request := asked("/pay/x", "secret")
+	request.Came = old - time.Second
+	c.Assert(f.Admit(old, time.Now(), request), qt.IsNil)
+	c.Assert(request.Deadline, qt.Equals, old+2*time.Second)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -161,8 +161,8 @@
 	return &Frontend{settings: cfg, protocol: Node{}, passOf: passOf, peers: map[string]*peer{}, budgets: map[string]*budget{}, usual: map[string]float64{}, usage: map[int64]map[string]int64{}, open: map[string]int64{}, tallies: map[errcode.Code]int64{}}
 }
 
-// Speak sets the callers' manner; before it is used.
-func (f *Frontend) Speak(protocol Protocol) { f.protocol = protocol }
+// UseProtocol sets the callers' manner; before it is used.
+func (f *Frontend) UseProtocol(protocol Protocol) { f.protocol = protocol }
 
 // Show takes a new snapshot of the control state.
 func (f *Frontend) Show(now time.Duration, snapshot *proxy.Snapshot) {
@@ -243,7 +243,7 @@
 	if limit := f.settings.StaleAdmit(); limit > 0 && now-snapshot.FreshAt > limit {
 		return Refusal(errcode.BusyStale)
 	}
-	path, code := f.protocol.Place(request)
+	path, code := f.protocol.PathOf(request)
 	if code != errcode.OK {
 		return Refusal(code)
 	}
@@ -253,7 +253,7 @@
 	if len(claims.Keys) > 0 {
 		key = claims.Keys[0]
 	}
-	if f.protocol.Shown(request, claims.Keys, snapshot.Configurations) {
+	if f.protocol.ShowsKey(request, claims.Keys, snapshot.Configurations) {
 		return Refusal(errcode.RequestBadPath)
 	}
 	passed, byPass := backend.Pass{}, false
@@ -312,7 +312,7 @@
 			request.Deadline = min(request.Deadline, request.Came+claims.Wait)
 		}
 		request.Tried = map[string]bool{}
-		f.protocol.Scrub(request, claims.Keys, snapshot.Configurations)
+		f.protocol.RemoveClaims(request, claims.Keys, snapshot.Configurations)
 		f.begin(request)
 		return nil
 	}
--- a/internal/frontend/full_test.go
+++ b/internal/frontend/full_test.go
@@ -38,15 +38,15 @@
 // forwards plays one request to its end among upstreams that are all full, and counts
 // how often it is sent out.
 func forwards(c *qt.C, f *Frontend, now time.Duration, random *rand.Rand, path, key string) int {
-	going := asked(path, key)
-	going.Deadline = now + 3*time.Second
-	c.Assert(f.Admit(now, time.Now(), going), qt.IsNil)
+	request := asked(path, key)
+	request.Deadline = now + 3*time.Second
+	c.Assert(f.Admit(now, time.Now(), request), qt.IsNil)
 	for sent := 0; ; sent++ {
-		if final := f.Choose(now, going, random); final != nil {
+		if final := f.Choose(now, request, random); final != nil {
 			c.Assert(final.Code, qt.Equals, errcode.BusySlotsFull)
 			return sent
 		}
-		if final := f.Judge(now, going, message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusySlotsFull)}); final != nil {
+		if final := f.Judge(now, request, message.Outcome{Kind: message.NotStarted, Code: int64(errcode.BusySlotsFull)}); final != nil {
 			return sent + 1
 		}
 	}
@@ -81,10 +81,10 @@
 	for _, held := range f.peers {
 		c.Assert(held.fullUntil > old, qt.IsTrue)
 	}
-	going := asked("/check/x", "")
-	c.Assert(f.Admit(old, time.Now(), going), qt.IsNil)
-	c.Assert(f.Choose(old, going, random), qt.IsNil)
-	f.Judge(old, going, message.Outcome{Kind: message.StartedWhole, Status: 200, Took: int64(time.Millisecond)})
+	request := asked("/check/x", "")
+	c.Assert(f.Admit(old, time.Now(), request), qt.IsNil)
+	c.Assert(f.Choose(old, request, random), qt.IsNil)
+	f.Judge(old, request, message.Outcome{Kind: message.StartedWhole, Status: 200, Took: int64(time.Millisecond)})
 	c.Assert(forwards(c, f, old, random, "/pay/x", "secret") > 0, qt.IsTrue)
 }
 
@@ -102,9 +102,9 @@
 
 	nested, own := asked("/check/x", ""), asked("/pay/x", "secret")
 	f = crowded(77)
-	for _, going := range []*Request{nested, own} {
-		c.Assert(f.Admit(old, time.Now(), going), qt.IsNil)
-		c.Assert(f.Choose(old, going, random), qt.IsNil)
+	for _, request := range []*Request{nested, own} {
+		c.Assert(f.Admit(old, time.Now(), request), qt.IsNil)
+		c.Assert(f.Choose(old, request, random), qt.IsNil)
 	}
 	c.Assert(f.Forward(old, nested, "proxy/me", "1").Aim, qt.Equals, int64(0))
 	c.Assert(f.Forward(old, own, "proxy/me", "1").Aim > 0, qt.IsTrue)
--- a/internal/frontend/link_test.go
+++ b/internal/frontend/link_test.go
@@ -33,14 +33,14 @@
 		{"very busy link, nested call", "/check/x", "", 2.5, false, true},
 	} {
 		f := crowded(77)
-		back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
+		back := &fakeEnvironment{random: rand.New(rand.NewPCG(1, 2))}
 		back.backlog = time.Duration(tried.waits * float64(f.settings.LinkWait()))
 		address := "here:1"
 		if tried.local {
 			address = "serving-a"
 			f.snapshot.Upstreams["pay"] = f.snapshot.Upstreams["pay"][:1]
 		}
-		back.tracker = NewDesk(f.settings, f, backend.New(f.settings, f.Allowed), back, message.Member{Name: "me", Address: address})
+		back.tracker = NewTracker(f.settings, f, backend.New(f.settings, f.Allowed), back, message.Member{Name: "me", Address: address})
 		var final *Final
 		back.tracker.Arrive(asked(tried.path, tried.key), func(time.Duration) {}, func(answer *Final) { final = answer })
 		if !tried.refused {
--- a/internal/frontend/modelworld_test.go
+++ b/internal/frontend/modelworld_test.go
@@ -139,7 +139,7 @@
 	life    int64
 	tracker *Tracker
 	front   *Frontend
-	room    *backend.Backend
+	serving *backend.Backend
 	caller  *backend.Caller
 	inside  []*modelLink
 }
@@ -180,14 +180,14 @@
 // modelNamer is how upstreams speak in the model: answers bear their request's name.
 type modelNamer struct{}
 
-func (modelNamer) Dress(header http.Header, forward message.Forward, _ backend.Target, _ time.Duration) {
+func (modelNamer) SetHeaders(header http.Header, forward message.Forward, _ backend.Target, _ time.Duration) {
 	header.Set("Name", forward.Name)
 	header.Set("For", forward.Instance)
 }
 
 func (modelNamer) NameOf(answer *http.Response) string { return answer.Header.Get("Name") }
 
-func (m modelNamer) Heed(answer *http.Response, forward message.Forward, _ backend.Target) backend.Received {
+func (m modelNamer) Interpret(answer *http.Response, forward message.Forward, _ backend.Target) backend.Received {
 	received := backend.Received{}
 	switch name := m.NameOf(answer); {
 	case name != "" && name != forward.Name:
@@ -225,23 +225,23 @@
 	w := p.world
 	cfg := modelSettings(w.named)
 	p.life++
-	p.room = backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
-	p.front = New(cfg, p.room.PassOf)
-	p.front.Speak(modelCallers{})
-	p.caller = backend.NewCaller(cfg, p.room, w.group)
+	p.serving = backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	p.front = New(cfg, p.serving.PassOf)
+	p.front.UseProtocol(modelCallers{})
+	p.caller = backend.NewCaller(cfg, p.serving, w.group)
 	if w.named {
-		p.caller.Speak(modelNamer{})
+		p.caller.UseProtocol(modelNamer{})
 	}
 	life := p.life
 	p.caller.UseDialer(func(address string, _ time.Time) (net.Conn, error) {
 		return &modelUpstreamConn{world: w, upstream: address}, nil
 	})
-	p.tracker = NewDesk(cfg, p.front, p.room, &modelBackstage{p, life, rand.New(rand.NewPCG(1, 2))}, message.Member{Name: p.address, Address: p.address, Birth: life})
+	p.tracker = NewTracker(cfg, p.front, p.serving, &modelEnvironment{p, life, rand.New(rand.NewPCG(1, 2))}, message.Member{Name: p.address, Address: p.address, Birth: life})
 	list := []message.Registration{}
 	for _, name := range []string{"one", "two", "three"} {
 		if modelHomes[name] == p.address {
 			announcement := backend.Announcement{Service: "pay", Instance: name, Incarnation: 1, Address: name, Zone: "here", Slots: 4}
-			p.room.Announce(w.now, announcement)
+			p.serving.Announce(w.now, announcement)
 			if !w.named {
 				p.caller.Guard(announcement)
 			}
@@ -260,20 +260,20 @@
 	return p.life
 }
 
-// modelBackstage is the surroundings of one life of a proxy.
-type modelBackstage struct {
+// modelEnvironment is the surroundings of one life of a proxy.
+type modelEnvironment struct {
 	proxy  *modelProxy
 	life   int64
 	random *rand.Rand
 }
 
-func (b *modelBackstage) Now() time.Duration { return b.proxy.world.now }
-func (b *modelBackstage) Wall() time.Time    { return time.Unix(0, int64(b.proxy.world.now)) }
-func (b *modelBackstage) Random() *rand.Rand { return b.random }
-func (b *modelBackstage) Tell(any)           {}
+func (b *modelEnvironment) Now() time.Duration { return b.proxy.world.now }
+func (b *modelEnvironment) Wall() time.Time    { return time.Unix(0, int64(b.proxy.world.now)) }
+func (b *modelEnvironment) Random() *rand.Rand { return b.random }
+func (b *modelEnvironment) Tell(any)           {}
 
 // alive does something in the process, as long as this life lasts.
-func (b *modelBackstage) alive(do func()) func() {
+func (b *modelEnvironment) alive(do func()) func() {
 	return func() {
 		if b.proxy.life == b.life {
 			do()
@@ -281,15 +281,15 @@
 	}
 }
 
-func (b *modelBackstage) Backlog() time.Duration { return 0 }
+func (b *modelEnvironment) Backlog() time.Duration { return 0 }
 
-func (b *modelBackstage) Cancel(id string) { b.proxy.caller.Cancel(id) }
+func (b *modelEnvironment) Cancel(id string) { b.proxy.caller.Cancel(id) }
 
-func (b *modelBackstage) After(wait time.Duration, then func()) {
+func (b *modelEnvironment) After(wait time.Duration, then func()) {
 	b.proxy.world.after(wait, b.alive(then))
 }
 
-func (b *modelBackstage) Queue(stage Env, item any) bool {
+func (b *modelEnvironment) Queue(stage Env, item any) bool {
 	p := b.proxy
 	p.world.after(0, b.alive(func() {
 		switch stage {
@@ -308,7 +308,7 @@
 	return true
 }
 
-func (b *modelBackstage) Open(address string, received func(msg any), closed func(connection Connection)) Connection {
+func (b *modelEnvironment) Open(address string, received func(msg any), closed func(connection Connection)) Connection {
 	link := &modelLink{from: b, to: b.proxy.world.proxies[address], received: received, told: closed, fresh: true}
 	link.toLife = link.to.life
 	link.to.inside = append(link.to.inside, link)
@@ -317,7 +317,7 @@
 
 // modelLink is a connection between two proxies.
 type modelLink struct {
-	from     *modelBackstage
+	from     *modelEnvironment
 	to       *modelProxy
 	toLife   int64
 	received func(msg any)
--- a/internal/frontend/protocol.go
+++ b/internal/frontend/protocol.go
@@ -31,9 +31,9 @@
 // Protocol is how callers speak.
 type Protocol interface {
 	Claims(request *Request) Claims
-	Place(request *Request) (path string, code errcode.Code)
-	Shown(request *Request, keys []string, configurations []*routeconfig.Configuration) bool
-	Scrub(request *Request, keys []string, configurations []*routeconfig.Configuration)
+	PathOf(request *Request) (path string, code errcode.Code)
+	ShowsKey(request *Request, keys []string, configurations []*routeconfig.Configuration) bool
+	RemoveClaims(request *Request, keys []string, configurations []*routeconfig.Configuration)
 	Answer(out http.ResponseWriter, final *Final)
 }
 
@@ -45,8 +45,8 @@
 	return Claims{Keys: takeKeys(request), Pass: request.Header.Get(backend.PassHeader), Caller: request.Header.Get(backend.CallerHeader)}
 }
 
-// Place is the normalised path; one that shows a key has none.
-func (Node) Place(request *Request) (string, errcode.Code) {
+// PathOf is the normalised path; one that shows a key has none.
+func (Node) PathOf(request *Request) (string, errcode.Code) {
 	path, err := routeconfig.NormalPath(request.RawPath)
 	if err != nil {
 		return "", errcode.RequestBadPath
@@ -54,13 +54,13 @@
 	return path, errcode.OK
 }
 
-// Shown says that the path itself shows a key, which can't be taken out.
-func (Node) Shown(request *Request, keys []string, configurations []*routeconfig.Configuration) bool {
+// ShowsKey says that the path itself shows a key, which can't be taken out.
+func (Node) ShowsKey(request *Request, keys []string, configurations []*routeconfig.Configuration) bool {
 	return shows(request.RawPath, keys, configurations)
 }
 
-// Scrub removes what the mesh sets itself and keys wherever they stand.
-func (Node) Scrub(request *Request, keys []string, configurations []*routeconfig.Configuration) {
+// RemoveClaims removes what the mesh sets itself and keys wherever they stand.
+func (Node) RemoveClaims(request *Request, keys []string, configurations []*routeconfig.Configuration) {
 	scrub(request, keys, configurations)
 }
 
--- a/internal/frontend/repeats_test.go
+++ b/internal/frontend/repeats_test.go
@@ -70,40 +70,40 @@
 	repeat := f.Forward(old, going, "me", "2")
 	c.Assert(repeat.Repeat, qt.IsTrue)
 
-	room := backend.New(f.settings, func(message.Forward) errcode.Code { return errcode.OK })
+	serving := backend.New(f.settings, func(message.Forward) errcode.Code { return errcode.OK })
 	for _, name := range []string{"one", "two"} {
-		room.Announce(old, backend.Announcement{Service: "pay", Instance: name, Incarnation: 1, Address: name, Zone: "here", Slots: 4})
+		serving.Announce(old, backend.Announcement{Service: "pay", Instance: name, Incarnation: 1, Address: name, Zone: "here", Slots: 4})
 	}
-	c.Assert(room.RepeatShare(), qt.Equals, 0.0)
+	c.Assert(serving.RepeatShare(), qt.Equals, 0.0)
 	start := func(number int, again, once bool) {
 		made := repeat
 		made.ID, made.Repeat, made.Once = fmt.Sprint(number, again, once), again, once
-		orders := room.Forwarded(old, made)
+		orders := serving.Forwarded(old, made)
 		c.Assert(orders, qt.HasLen, 1)
 		c.Assert(orders[0].Start, qt.IsTrue)
-		room.Finish(old, orders[0], message.Outcome{Kind: message.StartedWhole, Status: 200})
+		serving.Finish(old, orders[0], message.Outcome{Kind: message.StartedWhole, Status: 200})
 	}
 	for number := range 300 {
 		start(number, number%3 == 0, false)
 		start(number, false, true) // makes no repeats, and hides none
 	}
-	share := room.RepeatShare()
+	share := serving.RepeatShare()
 	c.Assert(share > 0.25 && share < 0.42, qt.IsTrue, qt.Commentf("%v", share))
 	for number := range 300 {
 		start(1000+number, false, false)
 	}
-	c.Assert(room.RepeatShare() < 0.001, qt.IsTrue)
+	c.Assert(serving.RepeatShare() < 0.001, qt.IsTrue)
 }
 
 // While the services called have no room for the calls of repeats, none starts; first
 // attempts do.
 func TestBarredRepeatsDoNotStart(t *testing.T) {
 	c := qt.New(t)
-	room := backend.New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
-	room.Announce(old, backend.Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "one", Zone: "here", Slots: 4})
-	room.BarRepeats(old + time.Second)
+	serving := backend.New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	serving.Announce(old, backend.Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "one", Zone: "here", Slots: 4})
+	serving.BarRepeats(old + time.Second)
 	start := func(id string, now time.Duration, repeat bool) backend.Order {
-		orders := room.Forwarded(now, message.Forward{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Remaining: int64(time.Second), Repeat: repeat})
+		orders := serving.Forwarded(now, message.Forward{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Remaining: int64(time.Second), Repeat: repeat})
 		c.Assert(orders, qt.HasLen, 1)
 		return orders[0]
 	}
--- a/internal/frontend/stages.go
+++ b/internal/frontend/stages.go
@@ -34,10 +34,10 @@
 type Stages struct {
 	*Tracker
 	settings   settings.Settings
-	room       *backend.Backend
+	serving    *backend.Backend
 	caller     *backend.Caller
 	goroutines *goroutine.Group
-	tell       func(tidings any)
+	tell       func(notice any)
 	transport  *transport.Transport
 
 	admit  chan *Trip
@@ -50,13 +50,13 @@
 }
 
 // NewStages joins frontend and backend to connections.
-func NewStages(cfg settings.Settings, front *Frontend, room *backend.Backend, caller *backend.Caller, members *goroutine.Group, self message.Member, tell func(tidings any)) *Stages {
+func NewStages(cfg settings.Settings, front *Frontend, serving *backend.Backend, caller *backend.Caller, members *goroutine.Group, self message.Member, tell func(notice any)) *Stages {
 	capacity := int(cfg.Limits.Queue)
-	t := &Stages{settings: cfg, room: room, caller: caller, goroutines: members, tell: tell,
+	t := &Stages{settings: cfg, serving: serving, caller: caller, goroutines: members, tell: tell,
 		admit: make(chan *Trip, capacity), choose: make(chan *Trip, capacity), judge: make(chan *Judged, capacity*2+16),
 		starts: make(chan *backend.Order, capacity*4), random: mathrand.New(lockedSource{&sync.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())})}
 	t.bodies.left = cfg.BodyRoom()
-	t.Tracker = NewDesk(cfg, front, room, t, self)
+	t.Tracker = NewTracker(cfg, front, serving, t, self)
 	return t
 }
 
@@ -124,7 +124,7 @@
 func (t *Stages) Random() *mathrand.Rand { return t.random }
 
 // Tell hands a notice to the control machine.
-func (t *Stages) Tell(tidings any) { t.tell(tidings) }
+func (t *Stages) Tell(notice any) { t.tell(notice) }
 
 // Cancel breaks off the exchange of an attempt with its upstream.
 func (t *Stages) Cancel(id string) { t.caller.Cancel(id) }
@@ -227,7 +227,7 @@
 	answered, gated := make(chan *Final, 1), make(chan time.Duration, 1)
 	timer := time.NewTimer(t.frontend.Patience(request))
 	defer timer.Stop()
-	going := t.Arrive(request, func(deadline time.Duration) { gated <- deadline }, func(final *Final) { answered <- final })
+	trip := t.Arrive(request, func(deadline time.Duration) { gated <- deadline }, func(final *Final) { answered <- final })
 	for {
 		select {
 		case final := <-answered:
@@ -236,11 +236,11 @@
 		case deadline := <-gated:
 			timer.Reset(deadline - t.goroutines.Now())
 		case <-timer.C:
-			t.Abandon(going)
+			t.Abandon(trip)
 			t.write(out, <-answered)
 			return
 		case <-in.Context().Done():
-			t.Abandon(going)
+			t.Abandon(trip)
 			return
 		}
 	}
@@ -322,6 +322,6 @@
 
 // Inside counts requests of both roles that are not finished.
 func (t *Stages) Inside() int64 {
-	running, queue := t.room.Running()
+	running, queue := t.serving.Running()
 	return t.inside.Load() + int64(running+queue)
 }
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -1,7 +1,7 @@
 // This file is a request's way from stage to stage, as events: a request arrives, is
 // gated, chosen for, carried; a outcome comes or a connection breaks; orders of the
 // backend are started or concluded. It keeps no goroutine, clock or socket of its
-// own; those come through the Backstage port, so that the simulator drives this very
+// own; those come through the Environment port, so that the simulator drives this very
 // code. stages.go is the port of the real process.
 
 package frontend
@@ -42,15 +42,15 @@
 	Close()
 }
 
-// Backstage is what the desk needs of its surroundings.
-type Backstage interface {
+// Environment is what the desk needs of its surroundings.
+type Environment interface {
 	Now() time.Duration
 	Wall() time.Time
 	Random() *rand.Rand
 	Queue(env Env, item any) bool
 	Open(servingProxy string, received func(msg any), closed func(connection Connection)) Connection
 	After(wait time.Duration, then func())
-	Tell(tidings any)
+	Tell(notice any)
 
 	// Cancel breaks off the exchange of an attempt that this serving proxy has started; its
 	// outcome is concluded as any other.
@@ -101,8 +101,8 @@
 type Tracker struct {
 	settings settings.Settings
 	frontend *Frontend
-	room     *backend.Backend
-	back     Backstage
+	serving  *backend.Backend
+	back     Environment
 	address  string
 	node     string
 	life     int64 // an earlier life's requests are none of this one's knowledge
@@ -116,16 +116,16 @@
 	replies     map[string]func(msg any) error
 }
 
-// NewDesk makes the desk of a proxy.
-func NewDesk(cfg settings.Settings, front *Frontend, room *backend.Backend, back Backstage, self message.Member) *Tracker {
-	return &Tracker{settings: cfg, frontend: front, room: room, back: back, address: self.Address, node: self.Name, life: self.Birth, born: back.Now(),
+// NewTracker makes the desk of a proxy.
+func NewTracker(cfg settings.Settings, front *Frontend, serving *backend.Backend, back Environment, self message.Member) *Tracker {
+	return &Tracker{settings: cfg, frontend: front, serving: serving, back: back, address: self.Address, node: self.Name, life: self.Birth, born: back.Now(),
 		connections: map[string]Connection{}, waiting: map[string]*Trip{}, replies: map[string]func(msg any) error{}}
 }
 
 // Show takes a new snapshot of the control state to both sides.
 func (d *Tracker) Show(snapshot *proxy.Snapshot) {
 	d.frontend.Show(d.back.Now(), snapshot)
-	d.ForwardOut(d.room.Roster(snapshot.Upstreams))
+	d.ForwardOut(d.serving.Roster(snapshot.Upstreams))
 	if d.settings.ByTarget() && d.back.Now()-d.born < d.settings.HeartbeatBound() && !d.receivedOf.Load() {
 		d.adopt(snapshot)
 	}
@@ -137,7 +137,7 @@
 func (d *Tracker) adopt(snapshot *proxy.Snapshot) {
 	for _, list := range snapshot.Upstreams {
 		for _, registration := range list {
-			if registration.ServingProxy == d.node && registration.ServingProxyBirth < d.life && !d.room.Holds(registration.Instance) {
+			if registration.ServingProxy == d.node && registration.ServingProxyBirth < d.life && !d.serving.Holds(registration.Instance) {
 				d.take(backend.Announcement{Service: registration.Service, Instance: registration.Instance, Incarnation: registration.Incarnation,
 					Address: registration.Address, Zone: registration.Zone, Slots: registration.Slots, Leaving: registration.State == message.StateLeaving})
 			}
@@ -148,68 +148,68 @@
 // Arrive begins a request's trip; gated is told once until when it may take, done is
 // called once with the final answer.
 func (d *Tracker) Arrive(request *Request, gated func(deadline time.Duration), done func(final *Final)) *Trip {
-	going := &Trip{Request: request, gated: gated, done: done, came: d.back.Now()}
-	if !d.back.Queue(StageAdmit, going) {
-		d.finish(going, Refusal(errcode.BusyQueueFull))
+	trip := &Trip{Request: request, gated: gated, done: done, came: d.back.Now()}
+	if !d.back.Queue(StageAdmit, trip) {
+		d.finish(trip, Refusal(errcode.BusyQueueFull))
 	}
-	return going
+	return trip
 }
 
 // Admit is the gate stage.
-func (d *Tracker) Admit(going *Trip) {
-	if now := d.back.Now(); now-d.born < d.settings.Reparent() && now-going.came < d.frontend.Moment(going.Request) && !d.frontend.Here() {
+func (d *Tracker) Admit(trip *Trip) {
+	if now := d.back.Now(); now-d.born < d.settings.Reparent() && now-trip.came < d.frontend.Moment(trip.Request) && !d.frontend.Here() {
 		// This proxy has only just begun, and its updates is a moment away.
 		d.back.After(d.settings.TickEvery(), func() {
-			if !d.back.Queue(StageAdmit, going) {
-				d.finish(going, Refusal(errcode.BusyQueueFull))
+			if !d.back.Queue(StageAdmit, trip) {
+				d.finish(trip, Refusal(errcode.BusyQueueFull))
 			}
 		})
 		return
 	}
-	if final := d.frontend.Admit(d.back.Now(), d.back.Wall(), going.Request); final != nil {
-		d.finish(going, final)
+	if final := d.frontend.Admit(d.back.Now(), d.back.Wall(), trip.Request); final != nil {
+		d.finish(trip, final)
 		return
 	}
-	going.gated(going.Request.Deadline)
-	d.next(going)
+	trip.gated(trip.Request.Deadline)
+	d.next(trip)
 }
 
-func (d *Tracker) next(going *Trip) {
-	if !d.back.Queue(StageChoose, going) {
-		d.finish(going, d.frontend.Abandon(going.Request, false, errcode.BusyQueueFull))
+func (d *Tracker) next(trip *Trip) {
+	if !d.back.Queue(StageChoose, trip) {
+		d.finish(trip, d.frontend.Abandon(trip.Request, false, errcode.BusyQueueFull))
 	}
 }
 
 // Choose is the choose stage; it carries.
-func (d *Tracker) Choose(going *Trip) {
-	if final := d.frontend.Choose(d.back.Now(), going.Request, d.back.Random()); final != nil {
-		d.finish(going, final)
+func (d *Tracker) Choose(trip *Trip) {
+	if final := d.frontend.Choose(d.back.Now(), trip.Request, d.back.Random()); final != nil {
+		d.finish(trip, final)
 		return
 	}
-	d.forward(going)
+	d.forward(trip)
 }
 
 // carry sends the request to the chosen serving proxy. Where the frame provably never left, it
 // was not started; otherwise only the serving proxy may say so.
-func (d *Tracker) forward(going *Trip) {
-	request := going.Request
+func (d *Tracker) forward(trip *Trip) {
+	request := trip.Request
 	if request.Target.ServingProxyAddress != d.address && d.linkIsBusy(request) {
 		d.frontend.Release(request)
-		d.finish(going, d.frontend.Abandon(request, false, errcode.BusyQueueFull))
+		d.finish(trip, d.frontend.Abandon(request, false, errcode.BusyQueueFull))
 		return
 	}
 	frame := d.frontend.Forward(d.back.Now(), request, d.node, strconv.Itoa(request.Attempts))
 	connection := d.connectionTo(request.Target.ServingProxyAddress)
-	going.lock.Lock()
-	if going.over {
-		going.lock.Unlock()
+	trip.lock.Lock()
+	if trip.over {
+		trip.lock.Unlock()
 		d.frontend.Release(request)
 		return
 	}
-	going.forwarded, going.connection, going.judging = frame.ID, connection, false
-	going.lock.Unlock()
+	trip.forwarded, trip.connection, trip.judging = frame.ID, connection, false
+	trip.lock.Unlock()
 	d.lock.Lock()
-	d.waiting[frame.ID] = going
+	d.waiting[frame.ID] = trip
 	d.lock.Unlock()
 	if connection == nil {
 		d.local(frame)
@@ -257,8 +257,8 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	count := 0
-	for _, going := range d.waiting {
-		if going.on(connection) {
+	for _, trip := range d.waiting {
+		if trip.on(connection) {
 			count++
 		}
 	}
@@ -271,9 +271,9 @@
 	d.lock.Lock()
 	out := map[string]*Trip{}
 	ids := []string{}
-	for id, going := range d.waiting {
-		if going.on(connection) {
-			out[id] = going
+	for id, trip := range d.waiting {
+		if trip.on(connection) {
+			out[id] = trip
 			ids = append(ids, id)
 		}
 	}
@@ -307,11 +307,11 @@
 
 func (d *Tracker) outcome(outcome message.Outcome) {
 	d.lock.Lock()
-	going, known := d.waiting[outcome.ID]
+	trip, known := d.waiting[outcome.ID]
 	delete(d.waiting, outcome.ID)
 	d.lock.Unlock()
-	if known && going.claim(outcome.ID) {
-		d.back.Queue(StageJudge, Judged{going, outcome})
+	if known && trip.claim(outcome.ID) {
+		d.back.Queue(StageJudge, Judged{trip, outcome})
 	}
 }
 
@@ -324,45 +324,45 @@
 	d.next(item.Trip)
 }
 
-func (d *Tracker) finish(going *Trip, final *Final) {
-	going.lock.Lock()
-	if going.over {
-		going.lock.Unlock()
+func (d *Tracker) finish(trip *Trip, final *Final) {
+	trip.lock.Lock()
+	if trip.over {
+		trip.lock.Unlock()
 		return
 	}
-	going.over = true
-	going.lock.Unlock()
+	trip.over = true
+	trip.lock.Unlock()
 	final = d.frontend.soon(final)
-	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), going.Request, final)
-	going.done(final)
+	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), trip.Request, final)
+	trip.done(final)
 }
 
 // Abandon ends a trip from the waiting side: its time is up, or the caller hung up.
 // False when an answer was already on its way.
-func (d *Tracker) Abandon(going *Trip) bool {
-	going.lock.Lock()
-	if going.over || going.judging {
-		going.lock.Unlock()
+func (d *Tracker) Abandon(trip *Trip) bool {
+	trip.lock.Lock()
+	if trip.over || trip.judging {
+		trip.lock.Unlock()
 		return false
 	}
-	going.over = true
-	forwarded, connection := going.forwarded, going.connection
-	going.lock.Unlock()
+	trip.over = true
+	forwarded, connection := trip.forwarded, trip.connection
+	trip.lock.Unlock()
 	if forwarded != "" {
 		d.lock.Lock()
 		delete(d.waiting, forwarded)
 		d.lock.Unlock()
-		d.frontend.Release(going.Request)
-		d.frontend.Unanswered(d.back.Now(), going.Request)
+		d.frontend.Release(trip.Request)
+		d.frontend.Unanswered(d.back.Now(), trip.Request)
 		if withdraw := (message.Withdraw{ID: forwarded}); connection != nil {
 			connection.Post(withdraw)
 		} else {
 			d.local(withdraw)
 		}
 	}
-	final := d.frontend.Abandon(going.Request, forwarded != "", errcode.BusyDeadline)
-	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), going.Request, final)
-	going.done(final)
+	final := d.frontend.Abandon(trip.Request, forwarded != "", errcode.BusyDeadline)
+	d.frontend.Count(time.Duration(d.back.Wall().UnixNano()), trip.Request, final)
+	trip.done(final)
 	return true
 }
 
@@ -373,7 +373,7 @@
 		d.lock.Lock()
 		d.replies[received.ID] = back
 		d.lock.Unlock()
-		d.ForwardOut(d.room.Forwarded(d.back.Now(), received))
+		d.ForwardOut(d.serving.Forwarded(d.back.Now(), received))
 	case message.OutcomeRequest:
 		if received.ServingProxyBirth != d.life && safeguard.OtherLife.On() {
 			back(whole(message.Outcome{ID: received.ID, Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}))
@@ -384,7 +384,7 @@
 		d.lock.Lock()
 		d.replies[received.ID] = back
 		d.lock.Unlock()
-		outcome := d.room.Outcome(d.back.Now(), received.ID)
+		outcome := d.serving.Outcome(d.back.Now(), received.ID)
 		if outcome.Kind != message.StillRunning {
 			d.lock.Lock()
 			delete(d.replies, received.ID)
@@ -392,7 +392,7 @@
 		}
 		back(whole(outcome))
 	case message.Withdraw:
-		orders, cancel := d.room.Withdraw(received.ID)
+		orders, cancel := d.serving.Withdraw(received.ID)
 		d.ForwardOut(orders)
 		if cancel {
 			d.back.Cancel(received.ID)
@@ -424,7 +424,7 @@
 	if order.Start && outcome.Kind == message.NotStarted && d.settings.CountsBegun() {
 		d.frontend.Unbegun(order.Window, order.Forward.Tenant)
 	}
-	outcome, next := d.room.Finish(d.back.Now(), order, outcome)
+	outcome, next := d.serving.Finish(d.back.Now(), order, outcome)
 	d.lock.Lock()
 	back := d.replies[outcome.ID]
 	delete(d.replies, outcome.ID)
@@ -447,10 +447,10 @@
 }
 
 // Expire is the steady sweep of the serving proxy.
-func (d *Tracker) Expire() { d.ForwardOut(d.room.Expire(d.back.Now())) }
+func (d *Tracker) Expire() { d.ForwardOut(d.serving.Expire(d.back.Now())) }
 
 // Leave is the serving proxy's part of a polite stop.
-func (d *Tracker) Leave() { d.ForwardOut(d.room.Leave()) }
+func (d *Tracker) Leave() { d.ForwardOut(d.serving.Leave()) }
 
 // Announce takes a checked announcement; false when a higher incarnation is known.
 func (d *Tracker) Announce(response backend.Announcement) bool {
@@ -459,7 +459,7 @@
 }
 
 func (d *Tracker) take(response backend.Announcement) bool {
-	accepted, endings, orders := d.room.Announce(d.back.Now(), response)
+	accepted, endings, orders := d.serving.Announce(d.back.Now(), response)
 	if !accepted {
 		return false
 	}
@@ -467,7 +467,7 @@
 		d.back.Tell(proxy.SignedOff{Service: ending.Service, Instance: ending.Instance, Incarnation: ending.Incarnation})
 	}
 	// What the serving proxy holds now, which a late announcement has not altered.
-	if held, known := d.room.Held(response.Service, response.Instance); known {
+	if held, known := d.serving.Held(response.Service, response.Instance); known {
 		d.back.Tell(proxy.Announced{Registration: held.Registration()})
 	}
 	d.ForwardOut(orders)
@@ -477,7 +477,7 @@
 // Dismiss takes an instance's last word, whatever it had registered; its name never
 // comes back.
 func (d *Tracker) Dismiss(instance string) {
-	ending, found, orders := d.room.Dismiss(d.back.Now(), instance)
+	ending, found, orders := d.serving.Dismiss(d.back.Now(), instance)
 	if found {
 		d.back.Tell(proxy.SignedOff{Service: ending.Service, Instance: instance, Incarnation: ending.Incarnation})
 	}
@@ -486,7 +486,7 @@
 
 // SignOff takes an upstream's last word; false when it is not registered here.
 func (d *Tracker) SignOff(service, instance string, incarnation int64) bool {
-	found, orders := d.room.SignOff(service, instance, incarnation)
+	found, orders := d.serving.SignOff(service, instance, incarnation)
 	d.back.Tell(proxy.SignedOff{Service: service, Instance: instance, Incarnation: incarnation})
 	d.ForwardOut(orders)
 	return found
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -30,7 +30,7 @@
 func (w *fakeConnection) Attached() bool { return w.attached }
 func (w *fakeConnection) Close()         { w.broken = true }
 
-type fakeBackstage struct {
+type fakeEnvironment struct {
 	tracker     *Tracker
 	connections []*fakeConnection
 	judged      []Judged
@@ -39,16 +39,16 @@
 	cancelled   []string
 }
 
-func (b *fakeBackstage) Now() time.Duration     { return time.Second }
-func (b *fakeBackstage) Wall() time.Time        { return time.Unix(0, 0) }
-func (b *fakeBackstage) Random() *rand.Rand     { return b.random }
-func (b *fakeBackstage) Backlog() time.Duration { return b.backlog }
+func (b *fakeEnvironment) Now() time.Duration     { return time.Second }
+func (b *fakeEnvironment) Wall() time.Time        { return time.Unix(0, 0) }
+func (b *fakeEnvironment) Random() *rand.Rand     { return b.random }
+func (b *fakeEnvironment) Backlog() time.Duration { return b.backlog }
 
-func (b *fakeBackstage) Cancel(id string)            { b.cancelled = append(b.cancelled, id) }
-func (b *fakeBackstage) After(time.Duration, func()) {}
-func (b *fakeBackstage) Tell(any)                    {}
+func (b *fakeEnvironment) Cancel(id string)            { b.cancelled = append(b.cancelled, id) }
+func (b *fakeEnvironment) After(time.Duration, func()) {}
+func (b *fakeEnvironment) Tell(any)                    {}
 
-func (b *fakeBackstage) Queue(env Env, item any) bool {
+func (b *fakeEnvironment) Queue(env Env, item any) bool {
 	switch env {
 	case StageAdmit:
 		b.tracker.Admit(item.(*Trip))
@@ -60,7 +60,7 @@
 	return true
 }
 
-func (b *fakeBackstage) Open(_ string, _ func(msg any), closed func(connection Connection)) Connection {
+func (b *fakeEnvironment) Open(_ string, _ func(msg any), closed func(connection Connection)) Connection {
 	connection := &fakeConnection{closed: closed}
 	b.connections = append(b.connections, connection)
 	return connection
@@ -74,8 +74,8 @@
 	f := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
 	f.Show(0, &proxy.Snapshot{Configurations: []*routeconfig.Configuration{routeconfig.Parse("main", 1, []byte(configName), cfg.ConfigurationLimits())}, Known: true, RosterHere: true, Proxies: 2,
 		Upstreams: map[string][]message.Registration{"pay": {upstream("one", "here")}}})
-	back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
-	back.tracker = NewDesk(cfg, f, backend.New(cfg, nil), back, message.Member{Name: "me", Address: "here:1"})
+	back := &fakeEnvironment{random: rand.New(rand.NewPCG(1, 2))}
+	back.tracker = NewTracker(cfg, f, backend.New(cfg, nil), back, message.Member{Name: "me", Address: "here:1"})
 	request := func(id string) {
 		asked := request("POST", "/pay", KeyHeader, "secret", backend.CallerHeader, "shop")
 		asked.ID = id
@@ -109,10 +109,10 @@
 	c := qt.New(t)
 	cfg := settings.Default()
 	f := New(cfg, func(string) (backend.Pass, bool) { return backend.Pass{}, false })
-	back := &fakeBackstage{random: rand.New(rand.NewPCG(1, 2))}
-	room := backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
-	back.tracker = NewDesk(cfg, f, room, back, message.Member{Name: "me", Address: "here:1"})
-	_, _, _ = room.Announce(time.Second, backend.Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "up:1", Zone: "here", Slots: 4})
+	back := &fakeEnvironment{random: rand.New(rand.NewPCG(1, 2))}
+	serving := backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
+	back.tracker = NewTracker(cfg, f, serving, back, message.Member{Name: "me", Address: "here:1"})
+	_, _, _ = serving.Announce(time.Second, backend.Announcement{Service: "pay", Instance: "one", Incarnation: 1, Address: "up:1", Zone: "here", Slots: 4})
 	for _, id := range []string{"once", "repeatable"} {
 		back.tracker.Inbound(message.Forward{ID: id, Service: "pay", Instance: "one", Incarnation: 1, Remaining: int64(time.Second), Once: id == "once"}, func(any) error { return nil })
 		back.tracker.Inbound(message.Withdraw{ID: id}, func(any) error { return nil })
--- a/internal/simulation/actors.go
+++ b/internal/simulation/actors.go
@@ -175,7 +175,7 @@
 		n.run(life, func() {
 			owner := n.world.addresses[target.Address]
 			if owner == nil || !owner.up {
-				n.room.Broke(n.Now(), target)
+				n.serving.Broke(n.Now(), target)
 				return
 			}
 			n.guards[target] = upConnection{owner: owner, life: owner.life}
@@ -186,7 +186,7 @@
 
 func (n *Node) fill(target backend.Target) {
 	owner := n.world.addresses[target.Address]
-	for owner != nil && owner.up && len(n.pools[target]) < n.room.ConnectionsReady(target) && n.room.Dialable(n.Now(), target) {
+	for owner != nil && owner.up && len(n.pools[target]) < n.serving.ConnectionsReady(target) && n.serving.Dialable(n.Now(), target) {
 		n.pools[target] = append(n.pools[target], upConnection{owner: owner, life: owner.life})
 	}
 }
@@ -239,15 +239,15 @@
 	guarded := func() bool {
 		guard, known := n.guards[target]
 		if known && !guard.quiet() {
-			n.room.Broke(n.Now(), target)
+			n.serving.Broke(n.Now(), target)
 		}
 		return known && guard.quiet()
 	}
-	if !n.room.Usable(n.Now(), target) || !guarded() {
+	if !n.serving.Usable(n.Now(), target) || !guarded() {
 		refuse(errcode.BusyUpstreamGone)
 		return
 	}
-	if !n.room.Dialable(n.Now(), target) {
+	if !n.serving.Dialable(n.Now(), target) {
 		if owner := w.addresses[target.Address]; owner != nil && owner.response.Incarnation != target.Incarnation {
 			w.dangers["dials barred at an address that has another owner"]++
 		}
@@ -259,9 +259,9 @@
 			owner := w.addresses[target.Address]
 			switch {
 			case owner == nil || !owner.up:
-				n.room.Broke(n.Now(), target)
+				n.serving.Broke(n.Now(), target)
 				refuse(errcode.BusyUpstreamGone)
-			case !n.room.Dialable(n.Now(), target) || !guarded():
+			case !n.serving.Dialable(n.Now(), target) || !guarded():
 				refuse(errcode.BusyUnproven)
 			default:
 				n.exchange(life, order, upConnection{owner: owner, life: owner.life})
@@ -286,12 +286,12 @@
 		over = true
 		n.run(life, func() {
 			if broke {
-				n.room.Doubt(target)
+				n.serving.Doubt(target)
 			} else if outcome.Kind == message.StartedWhole {
-				n.room.Alive(n.Now(), target)
+				n.serving.Alive(n.Now(), target)
 				if connection.owner.serviceSpec.Closes || !connection.stream.kept {
 					n.fill(target)
-				} else if n.room.Usable(n.Now(), target) {
+				} else if n.serving.Usable(n.Now(), target) {
 					n.pools[target] = append(n.pools[target], connection)
 				}
 			}
@@ -416,9 +416,9 @@
 	for _, kind := range d.Kinds {
 		total += kind.Weight
 	}
-	memberList, chosenKind := w.random.Float64()*total, d.Kinds[0]
+	chance, chosenKind := w.random.Float64()*total, d.Kinds[0]
 	for _, kind := range d.Kinds {
-		if memberList -= kind.Weight; memberList < 0 {
+		if chance -= kind.Weight; chance < 0 {
 			chosenKind = kind
 			break
 		}
--- a/internal/simulation/answers.go
+++ b/internal/simulation/answers.go
@@ -97,8 +97,8 @@
 // NameOf gives that name.
 func (namedUpstreams) NameOf(answer *http.Response) string { return answer.Header.Get(strayName) }
 
-// Heed reads whose answer it is.
-func (u namedUpstreams) Heed(answer *http.Response, forward message.Forward, _ backend.Target) backend.Received {
+// Interpret reads whose answer it is.
+func (u namedUpstreams) Interpret(answer *http.Response, forward message.Forward, _ backend.Target) backend.Received {
 	return backend.Received{Other: u.NameOf(answer) != "" && u.NameOf(answer) != forward.Name}
 }
 
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -56,7 +56,7 @@
 
 	tracker       *frontend.Tracker
 	frontend      *frontend.Frontend
-	room          *backend.Backend
+	serving       *backend.Backend
 	snapshot      *proxy.Snapshot
 	connections   []*simConnection
 	pools         map[backend.Target][]upConnection
@@ -177,12 +177,12 @@
 
 func (n *Node) bootProxy(self message.Member) {
 	n.pools, n.guards, n.connections, n.snapshot = map[backend.Target][]upConnection{}, map[backend.Target]upConnection{}, nil, nil
-	n.room = backend.New(n.settings, func(forward message.Forward) errcode.Code { return n.frontend.Allowed(forward) })
-	n.room.UsePasses(func() string { return strconv.FormatUint(n.world.random.Uint64(), 36) })
-	n.frontend = frontend.New(n.settings, n.room.PassOf)
-	n.frontend.Speak(namedCallers{})
+	n.serving = backend.New(n.settings, func(forward message.Forward) errcode.Code { return n.frontend.Allowed(forward) })
+	n.serving.UsePasses(func() string { return strconv.FormatUint(n.world.random.Uint64(), 36) })
+	n.frontend = frontend.New(n.settings, n.serving.PassOf)
+	n.frontend.UseProtocol(namedCallers{})
 	n.control = proxy.New(n.settings, self)
-	n.tracker = frontend.NewDesk(n.settings, n.frontend, n.room, &backstage{n, n.life}, self)
+	n.tracker = frontend.NewTracker(n.settings, n.frontend, n.serving, &environment{n, n.life}, self)
 	life := n.life
 	n.every(life, n.settings.UpdatesEvery()/4, func() { n.run(life, n.sweep) })
 	n.every(life, n.settings.CountEvery(), func() { n.run(life, n.count) })
@@ -201,13 +201,13 @@
 func (n *Node) sweep() {
 	n.tracker.Expire()
 	for target := range n.pools {
-		if !n.room.Usable(n.Now(), target) {
+		if !n.serving.Usable(n.Now(), target) {
 			delete(n.pools, target)
 		}
 	}
 	for target, guard := range n.guards {
 		if !guard.quiet() {
-			n.room.Broke(n.Now(), target)
+			n.serving.Broke(n.Now(), target)
 			delete(n.guards, target)
 		}
 	}
@@ -377,7 +377,7 @@
 		n.tracker.Leave()
 		var wait func()
 		wait = func() {
-			running, queue := n.room.Running()
+			running, queue := n.serving.Running()
 			if n.up && n.life == life && (n.inside > 0 || running+queue > 0) && n.world.now-began < n.settings.Grace() {
 				n.world.after(n.settings.TickEvery(), wait)
 				return
@@ -470,26 +470,26 @@
 	n.spanOn = false
 }
 
-// backstage is the desk's port in the simulator, for one life of a proxy.
-type backstage struct {
+// environment is the desk's port in the simulator, for one life of a proxy.
+type environment struct {
 	node *Node
 	life int
 }
 
 // Now returns the simulated process clock.
-func (b *backstage) Now() time.Duration { return b.node.Now() }
+func (b *environment) Now() time.Duration { return b.node.Now() }
 
 // Wall returns the simulated time of day.
-func (b *backstage) Wall() time.Time { return b.node.Wall() }
+func (b *environment) Wall() time.Time { return b.node.Wall() }
 
 // Random returns the random source of the run.
-func (b *backstage) Random() *rand.Rand { return b.node.world.random }
+func (b *environment) Random() *rand.Rand { return b.node.world.random }
 
 // Tell hands a notice to the control machine.
-func (b *backstage) Tell(tidings any) { b.node.apply(statemachine.Asked{Question: tidings}) }
+func (b *environment) Tell(notice any) { b.node.apply(statemachine.Asked{Question: notice}) }
 
 // Queue passes an item to its stage a moment later, as the workers would.
-func (b *backstage) Queue(env frontend.Env, item any) bool {
+func (b *environment) Queue(env frontend.Env, item any) bool {
 	n := b.node
 	n.world.after(20*time.Microsecond, func() {
 		n.run(b.life, func() {
@@ -497,11 +497,11 @@
 			case frontend.StageAdmit:
 				n.tracker.Admit(item.(*frontend.Trip))
 			case frontend.StageChoose:
-				going := item.(*frontend.Trip)
-				before := going.Request.Attempts
-				n.tracker.Choose(going)
-				if going.Request.Attempts > before {
-					n.world.record.Attempts = append(n.world.record.Attempts, checker.Attempt{Service: going.Request.Route.Service, At: n.world.now, Again: before > 0})
+				trip := item.(*frontend.Trip)
+				before := trip.Request.Attempts
+				n.tracker.Choose(trip)
+				if trip.Request.Attempts > before {
+					n.world.record.Attempts = append(n.world.record.Attempts, checker.Attempt{Service: trip.Request.Route.Service, At: n.world.now, Again: before > 0})
 				}
 			case frontend.StageJudge:
 				n.tracker.Judge(item.(frontend.Judged))
@@ -515,13 +515,13 @@
 
 // Cancel does nothing: the simulator's callers don't hang up, and what they give up at its
 // deadline the upstream gives up by itself.
-func (b *backstage) Cancel(string) {}
+func (b *environment) Cancel(string) {}
 
 // Backlog is none: the links of the simulator have no width.
-func (b *backstage) Backlog() time.Duration { return 0 }
+func (b *environment) Backlog() time.Duration { return 0 }
 
 // After calls a function at a later time.
-func (b *backstage) After(wait time.Duration, then func()) {
+func (b *environment) After(wait time.Duration, then func()) {
 	b.node.world.after(b.node.trueWait(wait), func() { b.node.run(b.life, then) })
 }
 
@@ -540,7 +540,7 @@
 }
 
 // Open opens a simulated connection to a serving proxy.
-func (b *backstage) Open(servingProxy string, received func(msg any), closed func(connection frontend.Connection)) frontend.Connection {
+func (b *environment) Open(servingProxy string, received func(msg any), closed func(connection frontend.Connection)) frontend.Connection {
 	n := b.node
 	connection := &simConnection{from: n, lifeFrom: b.life, received: received, broke: closed}
 	n.connections = append(n.connections, connection)
