Large files of the control and the traffic side are split by matter

Change: mechanical; declarations moved into files of one job (parents, children, receive; takeover, commit, answers, state; announcements, queue, outcomes, proof; request, admit, budget, usage; roster, backup; votes, handover; scenarios, faults).

--- /dev/null
+++ b/internal/frontend/admit.go
@@ -0,0 +1,139 @@
+package frontend
+
+// This file decides who asks for what: key to tenant, caller, route, size.
+
+import (
+	"time"
+
+	"beaconvane/internal/backend"
+	"beaconvane/internal/errcode"
+	"beaconvane/internal/message"
+)
+
+// Patience is how long the read stage waits before the gate has said until when.
+func (f *Frontend) Patience(request *Request) time.Duration {
+	limit := f.settings.RequestLimit()
+	if wait := f.protocol.Claims(request).Wait; wait > 0 {
+		limit = min(limit, wait)
+	}
+	return limit
+}
+
+// Moment is how long a request may wait at a proxy that has only just begun.
+func (f *Frontend) Moment(request *Request) time.Duration {
+	if f.settings.ByTarget() {
+		return min(f.settings.UpdatesEvery()*4, f.Patience(request)/2)
+	}
+	return f.settings.UpdatesEvery() * 2
+}
+
+// Admit decides who asks for what: key to tenant, caller, route, size.
+func (f *Frontend) Admit(now time.Duration, wall time.Time, request *Request) *Final {
+	f.lock.Lock()
+	snapshot := f.snapshot
+	f.lock.Unlock()
+	if snapshot == nil || !snapshot.Known {
+		return Refusal(errcode.BusyNotReady)
+	}
+	if limit := f.settings.StaleAdmit(); limit > 0 && now-snapshot.FreshAt > limit {
+		return Refusal(errcode.BusyStale)
+	}
+	path, code := f.protocol.PathOf(request)
+	if code != errcode.OK {
+		return Refusal(code)
+	}
+	request.Path = path
+	claims := f.protocol.Claims(request)
+	key := ""
+	if len(claims.Keys) > 0 {
+		key = claims.Keys[0]
+	}
+	if f.protocol.ShowsKey(request, claims.Keys, snapshot.Configurations) {
+		return Refusal(errcode.RequestBadPath)
+	}
+	passed, byPass := backend.Pass{}, false
+	if claims.Pass != "" {
+		if passed, byPass = f.passOf(claims.Pass); !byPass {
+			return Refusal(errcode.RequestPassInvalid)
+		}
+	}
+	known, open, anyRoute := byPass, false, false
+	for _, configuration := range snapshot.Configurations {
+		route, found := configuration.Find(request.Host, request.Method, path)
+		_, held := configuration.Tenant(key)
+		anyRoute = anyRoute || found
+		open = open || found && (route.Open || request.Host != "" && configuration.Keyless())
+		known = known || held
+	}
+	switch {
+	case byPass || open || known:
+	case key == "":
+		return Refusal(errcode.RequestNoKey)
+	default:
+		return Refusal(errcode.RequestKeyUnknown)
+	}
+	if !anyRoute {
+		return Refusal(errcode.RequestNoRoute)
+	}
+	for _, configuration := range snapshot.Configurations {
+		route, found := configuration.Find(request.Host, request.Method, path)
+		if !found {
+			continue
+		}
+		tenant, held := configuration.Tenant(key)
+		claimed := claims.Caller
+		if byPass {
+			// A pass is worth what its tenant's keys are: nothing once all are withdrawn.
+			tenant, claimed, held = passed.Tenant, passed.Service, configuration.Honours(passed.Tenant)
+		}
+		if f.settings.Service != "" {
+			claimed = f.settings.Service
+		}
+		if !held && !route.Open && !(route.Host != "" && configuration.Keyless()) || !route.Allows(tenant, claimed) {
+			return Refusal(errcode.RequestCallerRefused)
+		}
+		if route.Calendar != nil && !route.Calendar.Open(wall) {
+			final := Refusal(errcode.RequestRouteClosed)
+			final.RetryAfter = route.Calendar.NextOpen(wall)
+			return final
+		}
+		if route.BodyCap > 0 && int64(len(request.Body)) > route.BodyCap {
+			return Refusal(errcode.RequestTooLarge)
+		}
+		request.Configuration, request.Route, request.Tenant, request.Caller, request.Name = configuration, route, tenant, claimed, claims.Name
+		request.Priority = configuration.Priority(tenant, route)
+		request.Deadline = min(request.Deadline, request.since(now)+route.Limit)
+		if claims.Wait > 0 {
+			request.Deadline = min(request.Deadline, request.Came+claims.Wait)
+		}
+		request.Tried = map[string]bool{}
+		f.protocol.RemoveClaims(request, claims.Keys, snapshot.Configurations)
+		f.begin(request)
+		return nil
+	}
+	return Refusal(errcode.RequestNoRoute)
+}
+
+// Allowed is the serving proxy's check of a carried request against its own configurations.
+func (f *Frontend) Allowed(forward message.Forward) errcode.Code {
+	f.lock.Lock()
+	snapshot := f.snapshot
+	f.lock.Unlock()
+	if snapshot == nil || !snapshot.Known {
+		return errcode.BusyNotReady
+	}
+	for _, configuration := range snapshot.Configurations {
+		if configuration.ConfigName != forward.ConfigName {
+			continue
+		}
+		if f.settings.ByTarget() && configuration.Version <= forward.Version {
+			// The configuration that let it in is no older than this one.
+			return errcode.OK
+		}
+		if route, found := configuration.Find(forward.Host, forward.Method, forward.Path); found && route.Leads(forward.Service) && route.Allows(forward.Tenant, forward.Caller) &&
+			(route.Open || configuration.Honours(forward.Tenant) || route.Host != "" && configuration.Keyless()) {
+			return errcode.OK
+		}
+	}
+	return errcode.BusyConfigurationDiffers
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,7 +9,6 @@
 package frontend
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -23,7 +22,6 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/proxy"
-	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 )
 
@@ -33,80 +31,6 @@
 	KeyParam  = "api_key"
 )
 
-// Request is one caller's request on its way.
-type Request struct {
-	ID       string
-	Method   string
-	RawPath  string
-	RawQuery string
-	Header   http.Header
-	Host     string
-	Body     []byte
-	Came     time.Duration // when its first byte was here
-	Deadline time.Duration
-
-	Path          string
-	Name          string
-	Service       string // the one that the route's split fell on
-	Priority      int64
-	Sent          int64 // attempts that reached an upstream, or may have
-	Configuration *routeconfig.Configuration
-	Route         routeconfig.Route
-	Tenant        string
-	Caller        string
-	Tried         map[string]bool
-	Attempts      int
-	Target        message.Registration
-	chosenAt      time.Duration // when the target was
-	Started       bool          // some attempt may have started
-	begun         bool          // counted as open
-}
-
-// nested says that a running request's upstream makes this one. Refusing it, be it too
-// late for its own aim, would waste the work of the running one.
-func (r *Request) nested() bool {
-	return r.Tenant == "" && r.Configuration != nil && !r.Configuration.Keyless()
-}
-
-// since is when the request's time began: with its first byte, where that is known.
-func (r *Request) since(now time.Duration) time.Duration {
-	if r.Came > 0 {
-		return r.Came
-	}
-	return now
-}
-
-// Final is the answer to the caller.
-type Final struct {
-	Code       errcode.Code
-	Status     int
-	Headers    []message.HeaderLine
-	Body       []byte
-	RetryAfter time.Duration
-}
-
-// Refusal makes a final answer of a code; busy ones say when to come back.
-func Refusal(code errcode.Code) *Final {
-	final := &Final{Code: code, Status: code.Status()}
-	if final.Status == http.StatusServiceUnavailable || final.Status == http.StatusRequestTimeout {
-		final.RetryAfter = time.Second
-	}
-	return final
-}
-
-// soon says when a busy answer's cause will most likely be over: updates is some askings
-// away, a slot is free after a part of a request's time.
-func (f *Frontend) soon(final *Final) *Final {
-	switch {
-	case final.RetryAfter == 0 || !f.settings.ByTarget() || final.Code == errcode.RequestRouteClosed:
-	case final.Code == errcode.BusyNotReady || final.Code == errcode.BusyStale:
-		final.RetryAfter = f.settings.UpdatesEvery() * 2
-	default:
-		final.RetryAfter = f.settings.UpdatesEvery() * 3 / 2
-	}
-	return final
-}
-
 type peer struct {
 	mine       int64
 	mineThen   int64   // when the serving proxy told
@@ -125,19 +49,11 @@
 	seen       bool
 }
 
-const budgetBuckets = 20
-
 // looks is how many serving proxies may turn a request away that no upstream has seen.
 const looks = 4
 
 const ownPrefix = "X-Beacon-"
 
-type budget struct {
-	bucket  [budgetBuckets + 1]int64
-	firsts  [budgetBuckets + 1]int64
-	retries [budgetBuckets + 1]int64
-}
-
 // Frontend holds the caller's side of one proxy.
 type Frontend struct {
 	settings settings.Settings
@@ -215,205 +131,6 @@
 	return f.snapshot != nil && f.snapshot.Known && f.snapshot.RosterHere
 }
 
-// Patience is how long the read stage waits before the gate has said until when.
-func (f *Frontend) Patience(request *Request) time.Duration {
-	limit := f.settings.RequestLimit()
-	if wait := f.protocol.Claims(request).Wait; wait > 0 {
-		limit = min(limit, wait)
-	}
-	return limit
-}
-
-// Moment is how long a request may wait at a proxy that has only just begun.
-func (f *Frontend) Moment(request *Request) time.Duration {
-	if f.settings.ByTarget() {
-		return min(f.settings.UpdatesEvery()*4, f.Patience(request)/2)
-	}
-	return f.settings.UpdatesEvery() * 2
-}
-
-// Admit decides who asks for what: key to tenant, caller, route, size.
-func (f *Frontend) Admit(now time.Duration, wall time.Time, request *Request) *Final {
-	f.lock.Lock()
-	snapshot := f.snapshot
-	f.lock.Unlock()
-	if snapshot == nil || !snapshot.Known {
-		return Refusal(errcode.BusyNotReady)
-	}
-	if limit := f.settings.StaleAdmit(); limit > 0 && now-snapshot.FreshAt > limit {
-		return Refusal(errcode.BusyStale)
-	}
-	path, code := f.protocol.PathOf(request)
-	if code != errcode.OK {
-		return Refusal(code)
-	}
-	request.Path = path
-	claims := f.protocol.Claims(request)
-	key := ""
-	if len(claims.Keys) > 0 {
-		key = claims.Keys[0]
-	}
-	if f.protocol.ShowsKey(request, claims.Keys, snapshot.Configurations) {
-		return Refusal(errcode.RequestBadPath)
-	}
-	passed, byPass := backend.Pass{}, false
-	if claims.Pass != "" {
-		if passed, byPass = f.passOf(claims.Pass); !byPass {
-			return Refusal(errcode.RequestPassInvalid)
-		}
-	}
-	known, open, anyRoute := byPass, false, false
-	for _, configuration := range snapshot.Configurations {
-		route, found := configuration.Find(request.Host, request.Method, path)
-		_, held := configuration.Tenant(key)
-		anyRoute = anyRoute || found
-		open = open || found && (route.Open || request.Host != "" && configuration.Keyless())
-		known = known || held
-	}
-	switch {
-	case byPass || open || known:
-	case key == "":
-		return Refusal(errcode.RequestNoKey)
-	default:
-		return Refusal(errcode.RequestKeyUnknown)
-	}
-	if !anyRoute {
-		return Refusal(errcode.RequestNoRoute)
-	}
-	for _, configuration := range snapshot.Configurations {
-		route, found := configuration.Find(request.Host, request.Method, path)
-		if !found {
-			continue
-		}
-		tenant, held := configuration.Tenant(key)
-		claimed := claims.Caller
-		if byPass {
-			// A pass is worth what its tenant's keys are: nothing once all are withdrawn.
-			tenant, claimed, held = passed.Tenant, passed.Service, configuration.Honours(passed.Tenant)
-		}
-		if f.settings.Service != "" {
-			claimed = f.settings.Service
-		}
-		if !held && !route.Open && !(route.Host != "" && configuration.Keyless()) || !route.Allows(tenant, claimed) {
-			return Refusal(errcode.RequestCallerRefused)
-		}
-		if route.Calendar != nil && !route.Calendar.Open(wall) {
-			final := Refusal(errcode.RequestRouteClosed)
-			final.RetryAfter = route.Calendar.NextOpen(wall)
-			return final
-		}
-		if route.BodyCap > 0 && int64(len(request.Body)) > route.BodyCap {
-			return Refusal(errcode.RequestTooLarge)
-		}
-		request.Configuration, request.Route, request.Tenant, request.Caller, request.Name = configuration, route, tenant, claimed, claims.Name
-		request.Priority = configuration.Priority(tenant, route)
-		request.Deadline = min(request.Deadline, request.since(now)+route.Limit)
-		if claims.Wait > 0 {
-			request.Deadline = min(request.Deadline, request.Came+claims.Wait)
-		}
-		request.Tried = map[string]bool{}
-		f.protocol.RemoveClaims(request, claims.Keys, snapshot.Configurations)
-		f.begin(request)
-		return nil
-	}
-	return Refusal(errcode.RequestNoRoute)
-}
-
-func (f *Frontend) bucketOf(now time.Duration, held *budget) int {
-	number := int64(now / (f.settings.RetryWindow() / budgetBuckets))
-	slot := int(number % (budgetBuckets + 1))
-	if held.bucket[slot] != number {
-		held.bucket[slot], held.firsts[slot], held.retries[slot] = number, 0, 0
-	}
-	return slot
-}
-
-func (f *Frontend) budget(service string) *budget {
-	held, known := f.budgets[service]
-	if !known {
-		held = &budget{}
-		f.budgets[service] = held
-	}
-	return held
-}
-
-// begin counts a request that has passed the gate as open, for the usage report.
-func (f *Frontend) begin(request *Request) {
-	if f.settings.CountsBegun() {
-		return
-	}
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	request.begun = true
-	f.open[request.Tenant]++
-}
-
-// first counts a first try that leaves this proxy; what is refused here, for want of
-// any upstream, pays for no retries.
-func (f *Frontend) first(now time.Duration, service string) {
-	held := f.budget(service)
-	held.firsts[f.bucketOf(now, held)]++
-}
-
-// Repeats is what the serving side of this proxy knows of repeats, and does about them.
-type Repeats interface {
-	// RepeatShare is the part that repeats have in what starts at the upstreams here.
-	RepeatShare() float64
-	// BarRepeats lets no repeat start at them until a time.
-	BarRepeats(until time.Duration)
-}
-
-// RepeatsOf sets the serving side; before it is used.
-func (f *Frontend) RepeatsOf(serving Repeats) { f.repeats = serving }
-
-// paysFirst counts a request's first attempt. A call that a running repeat makes is itself
-// a repeat at the service called, and draws on its budget; since calls don't say which run
-// makes them, the share of repeats among those that start decides. Refusing calls when the
-// budget is spent would mostly hit those of first runs; so repeats themselves don't start
-// here for a while, which ends what they call.
-func (f *Frontend) paysFirst(now time.Duration, request *Request, random *rand.Rand) bool {
-	if request.nested() && f.repeats != nil {
-		if share := f.repeats.RepeatShare(); share > 0 && random.Float64() < share {
-			if f.mayRetry(now, request.Service) {
-				return true
-			}
-			f.repeats.BarRepeats(now + f.settings.RetryWindow()/budgetBuckets)
-			return false
-		}
-	}
-	f.first(now, request.Service)
-	return true
-}
-
-// mayRetry spends from the service's budget: a share of the first tries of the last
-// window and this proxy's part of the fleet's allowance.
-func (f *Frontend) mayRetry(now time.Duration, service string) bool {
-	held := f.budget(service)
-	slot := f.bucketOf(now, held)
-	firsts, retries := int64(0), int64(0)
-	for index := range held.bucket {
-		age := held.bucket[slot] - held.bucket[index]
-		if age <= budgetBuckets {
-			retries += held.retries[index]
-		}
-		if age < budgetBuckets {
-			firsts += held.firsts[index]
-		}
-	}
-	// A life has its part of the allowance only once it is as old as the window, or
-	// proxies that restart in turn would refill it for the fleet.
-	allowance := 0.0
-	if now >= f.settings.RetryWindow() {
-		allowance = float64(f.settings.Bounds.RetryAllowance) / float64(max(1, f.snapshot.Proxies))
-	}
-	if float64(retries+1) > f.settings.Bounds.RetryShare*float64(firsts)*0.9+allowance {
-		return false
-	}
-	held.retries[slot]++
-	f.again++
-	return true
-}
-
 // Choose picks the upstream for the next attempt.
 func (f *Frontend) Choose(now time.Duration, request *Request, random *rand.Rand) *Final {
 	f.lock.Lock()
@@ -604,110 +321,3 @@
 	}
 	return forward
 }
-
-// Allowed is the serving proxy's check of a carried request against its own configurations.
-func (f *Frontend) Allowed(forward message.Forward) errcode.Code {
-	f.lock.Lock()
-	snapshot := f.snapshot
-	f.lock.Unlock()
-	if snapshot == nil || !snapshot.Known {
-		return errcode.BusyNotReady
-	}
-	for _, configuration := range snapshot.Configurations {
-		if configuration.ConfigName != forward.ConfigName {
-			continue
-		}
-		if f.settings.ByTarget() && configuration.Version <= forward.Version {
-			// The configuration that let it in is no older than this one.
-			return errcode.OK
-		}
-		if route, found := configuration.Find(forward.Host, forward.Method, forward.Path); found && route.Leads(forward.Service) && route.Allows(forward.Tenant, forward.Caller) &&
-			(route.Open || configuration.Honours(forward.Tenant) || route.Host != "" && configuration.Keyless()) {
-			return errcode.OK
-		}
-	}
-	return errcode.BusyConfigurationDiffers
-}
-
-// Began counts a request that its serving proxy has begun, where the usage is of those; Unbegun
-// takes it back when the upstream says that it did not run.
-func (f *Frontend) Began(wall time.Duration, tenant string) (window int64) {
-	window = int64(wall / f.settings.UsageWindow())
-	f.tally(window, tenant, 1)
-	return window
-}
-
-// Unbegun takes a count back.
-func (f *Frontend) Unbegun(window int64, tenant string) { f.tally(window, tenant, -1) }
-
-func (f *Frontend) tally(window int64, tenant string, count int64) {
-	if tenant == "" {
-		return
-	}
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	if f.usage[window] == nil {
-		f.usage[window] = map[string]int64{}
-	}
-	f.usage[window][tenant] += count
-}
-
-// Count notes a final answer: for the counters by code, and for the usage report when
-// it is the upstream's own.
-func (f *Frontend) Count(wall time.Duration, request *Request, final *Final) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	f.tallies[final.Code]++
-	if request.begun && !f.settings.CountsBegun() {
-		request.begun = false
-		if f.open[request.Tenant]--; f.open[request.Tenant] == 0 {
-			delete(f.open, request.Tenant)
-		}
-	}
-	if final.Code != errcode.OK || request.Tenant == "" || f.settings.CountsBegun() {
-		return
-	}
-	window := int64(wall / f.settings.UsageWindow())
-	if f.usage[window] == nil {
-		f.usage[window] = map[string]int64{}
-	}
-	f.usage[window][request.Tenant]++
-}
-
-// Usage gives the windows not sealed yet; those below closed won't change any more.
-func (f *Frontend) Usage(wall time.Duration, sealedBelow int64) (usage []message.UsageCount, closed int64) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	closed = int64(wall / f.settings.UsageWindow())
-	if len(f.open) > 0 && f.usage[closed] == nil {
-		f.usage[closed] = map[string]int64{}
-	}
-	for window, counts := range f.usage {
-		if window < sealedBelow || window < closed-720 {
-			delete(f.usage, window)
-			continue
-		}
-		copied := map[string]int64{}
-		for tenant, count := range counts {
-			copied[tenant] = count
-		}
-		response := message.UsageCount{Window: window, Counts: copied, Open: map[string]int64{}}
-		if window == closed {
-			response.Open = maps.Clone(f.open)
-		}
-		usage = append(usage, response)
-	}
-	sort.Slice(usage, func(i, j int) bool { return usage[i].Window < usage[j].Window })
-	return usage, closed
-}
-
-// Tallies gives the counters.
-func (f *Frontend) Tallies() (map[string]int64, int64) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	tallies := map[string]int64{}
-	for code, count := range f.tallies {
-		tallies[code.String()] = count
-	}
-	return tallies, f.again
-}
