The registry's answers are typed, and its status stands in a file of its own

Cause: status, roster, write and version answers were bare maps of any. Change: a struct an answer (answers.go), fields in the order in which the maps were written; status.go holds the questions about itself.

--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -7,7 +7,6 @@
 package registry
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -52,25 +51,6 @@
 	Stop struct{}
 )
 
-// Answer is what goes back outside.
-type Answer struct {
-	Code errcode.Code
-	Body []byte
-	Raw  bool
-}
-
-func answerJSON(code errcode.Code, body any) Answer {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return Answer{Code: errcode.Internal, Body: []byte(`{}`)}
-	}
-	return Answer{Code: code, Body: text}
-}
-
-func answerCode(code errcode.Code, detail string) Answer {
-	return answerJSON(code, map[string]any{"code": int(code), "result": code.String(), "detail": detail})
-}
-
 type outsideRequest struct {
 	outer  int64
 	write  *message.WriteRequest
@@ -220,7 +200,7 @@
 		return true
 	}
 	if waiting.get != nil && code == errcode.OK {
-		s.Reply(waiting.outer, answerJSON(errcode.OK, map[string]any{"configuration": response.ConfigName, "versions": response.Versions, "configurations": response.ConfigNames}))
+		s.Reply(waiting.outer, answerJSON(errcode.OK, versionsAnswer{Configuration: response.ConfigName, Versions: response.Versions, Configurations: response.ConfigNames}))
 		return true
 	}
 	if waiting.write != nil && code == errcode.OK {
@@ -235,13 +215,8 @@
 			s.Send(peer.Address, committed)
 		}
 	}
-	answer := map[string]any{"code": response.Code, "result": code.String(), "configuration": response.ConfigName, "version": response.Version}
-	if response.Detail != "" {
-		answer["detail"] = response.Detail
-	}
-	if len(response.Faults) > 0 {
-		answer["faults"] = response.Faults
-	}
+	answer := writeAnswer{Code: code, Result: code.String(), Configuration: response.ConfigName, Version: response.Version,
+		Detail: response.Detail, Faults: response.Faults}
 	s.Reply(waiting.outer, answerJSON(code, answer))
 	return true
 }
@@ -275,7 +250,8 @@
 			lacking = append(lacking, proxyNode.Name)
 		}
 	}
-	return answerJSON(code, map[string]any{"configuration": configName, "version": version, "age_ms": age.Milliseconds(), "in_force": inForce, "everywhere": everywhere, "wanted": wanted, "lacking": lacking})
+	return answerJSON(code, configurationStatusAnswer{Configuration: configName, Version: version, AgeMS: age.Milliseconds(),
+		InForce: inForce, Everywhere: everywhere, Wanted: wanted, Lacking: lacking})
 }
 
 // vouches says whether this registry may still give a topic out as current: it has heard
@@ -308,54 +284,3 @@
 }
 
 var stateNames = []string{"alive", "suspect", "dead", "left"}
-
-func (m *Machine) status(s *statemachine.Env) Answer {
-	members := []map[string]any{}
-	for _, member := range m.membership.All() {
-		members = append(members, map[string]any{"name": member.Name, "role": member.Role, "voter": member.Voter, "zone": member.Zone,
-			"address": member.Address, "state": stateNames[member.State&3], "incarnation": member.Incarnation})
-	}
-	leases := map[string]any{}
-	for _, tag := range append(append([]string{}, m.settings.Zones...), settings.UsageTag) {
-		leases[tag] = map[string]any{"epoch": m.leases.Epoch(tag), "holder": m.leases.Holder(tag), "here": m.leases.Holding(tag, s.Now)}
-	}
-	sliceStatus := map[string]any{}
-	for _, tag := range m.settings.Zones {
-		mark := m.slices[tag].Mark
-		age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now)
-		sliceStatus[tag] = map[string]any{"epoch": mark.Epoch, "seq": mark.Seq, "count": mark.Count, "age_ms": age.Milliseconds(), "known": known, "whole": m.whole[tag]}
-	}
-	configNames := map[string]any{}
-	for _, configName := range m.settings.ConfigNames {
-		version, body, known := m.distribution.ConfigName(configName)
-		age, _ := m.distribution.Age(distribution.ConfigurationTopic(configName), s.Now)
-		configNames[configName] = map[string]any{"version": version, "bytes": len(body), "known": known, "age_ms": age.Milliseconds()}
-	}
-	relays := map[string]any{}
-	for name, seen := range m.proxies {
-		relays[name] = map[string]any{"path": seen.batch.Path, "ready": seen.batch.Ready, "heard_ms": (s.Now - seen.at).Milliseconds()}
-	}
-	parent, path, moves := m.distribution.Parent()
-	return answerJSON(errcode.OK, map[string]any{"node": m.settings.Node, "voter": m.quorum.Voter, "voting": m.quorum.Voting(), "shut_out": m.quorum.ShutOut,
-		"members": members, "relays": relays, "leases": leases, "slices": sliceStatus, "configurations": configNames,
-		"updates": map[string]any{"from": parent, "path": path, "moves": moves}, "usage": map[string]any{"reported": m.usage.reported}})
-}
-
-func (m *Machine) roster(s *statemachine.Env) Answer {
-	registrations, ages, code := map[string][]map[string]any{}, map[string]int64{}, errcode.OK
-	for _, tag := range m.settings.Zones {
-		registrations[tag] = []map[string]any{}
-		if stale := m.vouches(s, distribution.SliceTopic(tag)); stale != errcode.OK {
-			code = stale
-		}
-		if age, known := m.distribution.Age(distribution.SliceTopic(tag), s.Now); known {
-			ages[tag] = age.Milliseconds()
-		}
-		for _, registration := range m.slices[tag].List() {
-			registrations[tag] = append(registrations[tag], map[string]any{"service": registration.Service, "instance": registration.Instance,
-				"incarnation": registration.Incarnation, "address": registration.Address, "slots": registration.Slots,
-				"state": registration.State, "serving_proxy": registration.ServingProxy})
-		}
-	}
-	return answerJSON(code, map[string]any{"slices": registrations, "ages_ms": ages})
-}
--- a/internal/registry/usage.go
+++ b/internal/registry/usage.go
@@ -412,5 +412,5 @@
 	if !known || window > u.reported && !u.final[window] {
 		return answerCode(errcode.UsageNotFound, strconv.FormatInt(window, 10))
 	}
-	return answerJSON(errcode.OK, map[string]any{"window": window, "counts": maps.Clone(held.Counts)})
+	return answerJSON(errcode.OK, usageAnswer{Window: window, Counts: maps.Clone(held.Counts)})
 }
