--- a/internal/tools/days/draw.go
+++ b/internal/tools/days/draw.go
@@ -12,14 +12,27 @@
 // This file draws random days: troubles of every kind at random moments, several at once
 // and the same one more than once. A day is a function of its seed.
 
+// drawnShape is how long a drawn day is and how much happens on it.
+type drawnShape struct {
+	seconds       float64
+	lastTroubleAt float64
+	fewestControl int
+	mostControl   int
+	mostTraffic   int
+	changes       span // of the configuration, one after the other; none for the zero span
+}
+
+// usualDay is as long as the sites' own days; longDay holds hundreds of changes.
+var (
+	usualDay = drawnShape{seconds: 32, lastTroubleAt: 27, fewestControl: 4, mostControl: 9, mostTraffic: 5}
+	longDay  = drawnShape{seconds: 100, lastTroubleAt: 92, fewestControl: 10, mostControl: 20, mostTraffic: 8, changes: span{100, 300}}
+)
+
 // Bounds of a drawn day.
 const (
-	drawnDaySeconds    = 32.0
 	firstTroubleAt     = 1.5
-	lastTroubleAt      = 27.0
-	fewestControl      = 4
-	mostControl        = 9
-	mostTraffic        = 5
+	changesFrom        = 3.0
+	changesUntil       = 85.0
 	clusteredShare     = 0.6 // of the control troubles follow another within clusterSeconds
 	clusterSeconds     = 3.5
 	markShare          = 0.3 // of the entries that may bear a mark
@@ -34,6 +47,7 @@
 	plan    []string
 	faults  []string
 	closing string
+	shape   drawnShape
 }
 
 // drawer makes the random choices of one day.
@@ -43,27 +57,39 @@
 }
 
 // drawDay makes the day of a seed from the kinds that a site knows.
-func drawDay(seed uint64, known kinds) *drawnDay {
-	d := &drawer{random: rand.New(rand.NewPCG(seed, 41)), day: &drawnDay{seed: seed}}
+func drawDay(seed uint64, known kinds, shape drawnShape) *drawnDay {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, 41)), day: &drawnDay{seed: seed, shape: shape}}
 	d.add(trouble{kind: "config_change", planned: true, variants: []string{"idle"}}, firstTroubleAt)
 	d.addControl(known.among(controlTroubles))
 	traffic := known.among(trafficTroubles)
-	for range d.random.IntN(mostTraffic + 1) {
-		d.add(pick(d.random, traffic), d.between(firstTroubleAt, lastTroubleAt))
+	for range d.random.IntN(shape.mostTraffic + 1) {
+		d.add(pick(d.random, traffic), d.between(firstTroubleAt, shape.lastTroubleAt))
 	}
+	d.addChanges()
 	d.day.closing = d.drawClosing()
 	return d.day
 }
 
+// addChanges adds a row of changes of the configuration over most of a long day.
+func (d *drawer) addChanges() {
+	if d.day.shape.changes == (span{}) {
+		return
+	}
+	count := math.Round(d.between(d.day.shape.changes.low, d.day.shape.changes.high))
+	gap := (changesUntil - changesFrom) / count
+	d.add(trouble{kind: "config_race", planned: true, count: span{count, count}, gap: span{gap, gap}}, changesFrom)
+}
+
 // addControl adds troubles of the control side, most of them close behind another.
 func (d *drawer) addControl(catalogue []trouble) {
-	at := d.between(firstTroubleAt, lastTroubleAt/2)
-	for range fewestControl + d.random.IntN(mostControl-fewestControl+1) {
+	shape := d.day.shape
+	at := d.between(firstTroubleAt, shape.lastTroubleAt/2)
+	for range shape.fewestControl + d.random.IntN(shape.mostControl-shape.fewestControl+1) {
 		d.add(pick(d.random, catalogue), at)
 		if d.random.Float64() < clusteredShare {
-			at = min(at+d.between(0, clusterSeconds), lastTroubleAt)
+			at = min(at+d.between(0, clusterSeconds), shape.lastTroubleAt)
 		} else {
-			at = d.between(firstTroubleAt, lastTroubleAt)
+			at = d.between(firstTroubleAt, shape.lastTroubleAt)
 		}
 	}
 }
@@ -147,13 +173,26 @@
 }
 
 // name is the day's name and that of its file.
-func (d *drawnDay) name() string { return fmt.Sprintf("drawn-%d", d.seed) }
+func (d *drawnDay) name() string {
+	if d.shape == longDay {
+		return fmt.Sprintf("drawn-long-%d", d.seed)
+	}
+	return fmt.Sprintf("drawn-%d", d.seed)
+}
+
+// flag is what else the command line has that draws the day.
+func (d *drawnDay) flag() string {
+	if d.shape == longDay {
+		return " --long"
+	}
+	return ""
+}
 
 // text is the day as a file for the bench.
 func (d *drawnDay) text() string {
 	text := strings.Builder{}
-	fmt.Fprintf(&text, "# Drawn by `days --draw-seed %d --draw 1`.\n[[day]]\nname = %q\nslot = \"trouble\"\nseed = %d\nlength_s = %.1f\n",
-		d.seed, d.name(), d.seed, drawnDaySeconds)
+	fmt.Fprintf(&text, "# Drawn by `days --draw-seed %d --draw 1%s`.\n[[day]]\nname = %q\nslot = \"trouble\"\nseed = %d\nlength_s = %.1f\n",
+		d.seed, d.flag(), d.name(), d.seed, d.shape.seconds)
 	text.WriteString(d.closing)
 	fmt.Fprintf(&text, "goal = { floor = %g }\n", drawnFloor)
 	fmt.Fprintf(&text, "plan = [\n  %s,\n]\n", strings.Join(d.plan, ",\n  "))
@@ -162,10 +201,10 @@
 }
 
 // drawDays writes a site's days of consecutive seeds into a folder and lists the files.
-func drawDays(folder, site string, known kinds, firstSeed uint64, count int) ([]string, error) {
+func drawDays(folder, site string, known kinds, shape drawnShape, firstSeed uint64, count int) ([]string, error) {
 	paths := []string{}
 	for seed := firstSeed; seed < firstSeed+uint64(count); seed++ {
-		day := drawDay(seed, known)
+		day := drawDay(seed, known, shape)
 		path := filepath.Join(folder, baseName(site)+"-"+day.name()+".toml")
 		if err := os.WriteFile(path, []byte(day.text()), 0o644); err != nil {
 			return nil, err
--- a/internal/tools/days/draw_test.go
+++ b/internal/tools/days/draw_test.go
@@ -22,8 +22,8 @@
 func TestDrawnDayIsAFunctionOfItsSeed(t *testing.T) {
 	c := qt.New(t)
 	known := allKinds()
-	c.Assert(drawDay(7, known).text(), qt.Equals, drawDay(7, known).text())
-	c.Assert(drawDay(7, known).text(), qt.Not(qt.Equals), drawDay(8, known).text())
+	c.Assert(drawDay(7, known, usualDay).text(), qt.Equals, drawDay(7, known, usualDay).text())
+	c.Assert(drawDay(7, known, usualDay).text(), qt.Not(qt.Equals), drawDay(8, known, usualDay).text())
 }
 
 func TestDrawnDaysHoldNothingThatTheSiteDoesNotKnow(t *testing.T) {
@@ -32,7 +32,7 @@
 	delete(known, "core_cut")
 	delete(known, "srv_grey")
 	for seed := range uint64(100) {
-		text := drawDay(seed, known).text()
+		text := drawDay(seed, known, usualDay).text()
 		c.Assert(strings.Contains(text, "core_cut") || strings.Contains(text, "srv_grey"), qt.IsFalse)
 	}
 }
@@ -43,7 +43,7 @@
 	c := qt.New(t)
 	all, repeated, known := strings.Builder{}, false, allKinds()
 	for seed := range uint64(400) {
-		text := drawDay(seed, known).text()
+		text := drawDay(seed, known, usualDay).text()
 		all.WriteString(text)
 		repeated = repeated || strings.Count(text, `kind = "core_cut"`) > 1
 	}
@@ -58,6 +58,15 @@
 	c.Check(repeated, qt.IsTrue)
 }
 
+func TestLongDaysHoldHundredsOfChanges(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(50) {
+		text := drawDay(seed, allKinds(), longDay).text()
+		c.Assert(strings.Contains(text, "length_s = 100.0"), qt.IsTrue)
+		c.Assert(strings.Contains(text, `at = 3.00, kind = "config_race", count = `), qt.IsTrue)
+	}
+}
+
 func TestDrawnMatrixPlaysEachDayOnEachSite(t *testing.T) {
 	c := qt.New(t)
 	folder := c.TempDir()
--- a/internal/tools/days/main.go
+++ b/internal/tools/days/main.go
@@ -31,6 +31,7 @@
 
 	draw     int    // how many random days are played instead of the files
 	drawSeed uint64 // of the first of them
+	long     bool   // they are long and hold hundreds of changes
 }
 
 func newCommand() *cobra.Command {
@@ -64,6 +65,7 @@
 	flags.StringVar(&chosen.why, "why", "", "a line for the bench's journal")
 	flags.IntVar(&chosen.draw, "draw", 0, "play so many random days instead of the files, each with its own seed")
 	flags.Uint64Var(&chosen.drawSeed, "draw-seed", 1, "seed of the first random day; the others follow")
+	flags.BoolVar(&chosen.long, "long", false, "random days are long and hold hundreds of changes")
 	flags.StringVar(&chosen.reports, "reports", "", "folder that keeps the reports (default: a temporary one)")
 	for _, required := range []string{"bench", "site", "why"} {
 		_ = command.MarkFlagRequired(required)
@@ -105,7 +107,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if perSite[site], err = drawDays(folder, site, known, o.drawSeed, o.draw); err != nil {
+		if perSite[site], err = drawDays(folder, site, known, o.shape(), o.drawSeed, o.draw); err != nil {
 			return nil, err
 		}
 	}
@@ -118,6 +120,13 @@
 	return matrix, nil
 }
 
+func (o options) shape() drawnShape {
+	if o.long {
+		return longDay
+	}
+	return usualDay
+}
+
 func (o options) reportFolder() (string, error) {
 	if o.reports == "" {
 		return os.MkdirTemp("", "days-")
