--- a/internal/configstore/guards_test.go
+++ b/internal/configstore/guards_test.go
@@ -17,7 +17,10 @@
 // mostWalks is how many walks may pass before a fault is found.
 const mostWalks = 2000
 
-var three = explore.Options{Voters: 3, Rounds: 200, Faults: 10}
+var (
+	three = explore.Options{Voters: 3, Rounds: 200, Faults: 10}
+	five  = explore.Options{Voters: 5, Rounds: 200, Faults: 12}
+)
 
 // noContact looks behind the rule that is broken first.
 func noContact(options explore.Options) explore.Options {
@@ -41,6 +44,7 @@
 	"highestPosition":  {three, 1, lost},
 	"committedReads":   {three, 1297, lost},
 	"recommit":         {three, 1, lost},
+	"appendInOrder":    {five, 701545, lost},
 }
 
 // With any of these guards off the exploration finds a broken promise; with all of them
