The model of the two hops has callers that leave

Change: each caller stays, leaves at once, or in the middle of the work; an exchange that is cancelled ends without an answer; no once-only work may be broken off.

--- a/internal/frontend/model_test.go
+++ b/internal/frontend/model_test.go
@@ -18,6 +18,8 @@
 	runs    int
 	first   string // the first wrong run, with its choices
 	reached map[string]int
+
+	cancelled int // exchanges that were broken off
 }
 
 // explore plays every run with at most so many choices other than 0, or until one is wrong.
@@ -31,6 +33,7 @@
 		w.play()
 		w.group.Stop(0)
 		explored.runs++
+		explored.cancelled += len(w.cancelled)
 		for fault := range w.faults {
 			explored.reached[fault]++
 		}
@@ -78,6 +81,7 @@
 			qt.Assert(t, explored.first, qt.Equals, "")
 			t.Logf("%d runs, %d kinds of fault at %d places", explored.runs, modelFaults(), len(explored.reached))
 			qt.Assert(t, explored.runs > 100, qt.IsTrue)
+			qt.Assert(t, explored.cancelled > 0, qt.IsTrue, qt.Commentf("no caller left while repeatable work ran"))
 		})
 	}
 }
--- a/internal/frontend/modelworld_test.go
+++ b/internal/frontend/modelworld_test.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"sort"
+	"strings"
 	"time"
 
 	"beaconvane/internal/backend"
@@ -69,6 +70,14 @@
 	backChoices
 )
 
+// What the caller of one request does.
+const (
+	callerStays = iota
+	callerLeavesAtOnce
+	callerLeavesMidway
+	callerChoices
+)
+
 const (
 	modelBegin    = 20 * time.Second // an age at which a life has its retry allowance
 	modelDeadline = 3 * time.Second
@@ -114,6 +123,7 @@
 	finals []*Final
 	trip   *Trip
 	lost   bool // with a life of its proxy: its caller's connection is closed, which says nothing
+	left   bool // its caller hung up
 }
 
 // model is one run's world.
@@ -130,6 +140,8 @@
 	answers int
 	group   *goroutine.Group
 	faults  map[string]int
+
+	cancelled []string // ids of attempts
 }
 
 // modelProxy is one proxy: the real tracker, frontend, backend and caller.
@@ -137,6 +149,7 @@
 	world   *model
 	address string
 	life    int64
+	running map[string]bool // exchanges by attempt; false: cancelled
 	tracker *Tracker
 	front   *Frontend
 	serving *backend.Backend
@@ -225,6 +238,7 @@
 	w := p.world
 	cfg := modelSettings(w.named)
 	p.life++
+	p.running = map[string]bool{}
 	p.serving = backend.New(cfg, func(message.Forward) errcode.Code { return errcode.OK })
 	p.front = New(cfg, p.serving.PassOf)
 	p.front.UseProtocol(modelCallers{})
@@ -283,7 +297,13 @@
 
 func (b *modelEnvironment) Backlog() time.Duration { return 0 }
 
-func (b *modelEnvironment) Cancel(id string) { b.proxy.caller.Cancel(id) }
+// Cancel breaks off what runs; once-only work is never broken off.
+func (b *modelEnvironment) Cancel(id string) {
+	if b.proxy.running[id] {
+		b.proxy.running[id] = false
+		b.proxy.world.cancelled = append(b.proxy.world.cancelled, id)
+	}
+}
 
 func (b *modelEnvironment) After(wait time.Duration, then func()) {
 	b.proxy.world.after(wait, b.alive(then))
@@ -300,14 +320,27 @@
 		case StageJudge:
 			p.tracker.Judge(item.(Judged))
 		case StageStart:
-			order := item.(backend.Order)
-			outcome := p.caller.Call(order)
-			p.world.after(modelWork, b.alive(func() { p.tracker.Conclude(order, outcome) }))
+			b.start(item.(backend.Order))
 		}
 	}))
 	return true
 }
 
+// start makes an exchange, which takes the time of the work; one that is cancelled in that
+// time ends without an answer.
+func (b *modelEnvironment) start(order backend.Order) {
+	p := b.proxy
+	outcome := p.caller.Call(order)
+	p.running[order.Forward.ID] = true
+	p.world.after(modelWork, b.alive(func() {
+		if !p.running[order.Forward.ID] {
+			outcome = message.Outcome{Kind: message.StartedNoWhole, Code: int64(errcode.UnknownOutcome)}
+		}
+		delete(p.running, order.Forward.ID)
+		p.tracker.Conclude(order, outcome)
+	}))
+}
+
 func (b *modelEnvironment) Open(address string, received func(msg any), closed func(connection Connection)) Connection {
 	link := &modelLink{from: b, to: b.proxy.world.proxies[address], received: received, told: closed, fresh: true}
 	link.toLife = link.to.life
@@ -576,11 +609,19 @@
 			w.after(0, then)
 		}
 	})
-	w.after(modelDeadline, func() {
+	abandon := func() {
 		if asked.lost = p.life != life; !asked.lost {
 			p.tracker.Abandon(asked.trip)
 		}
-	})
+	}
+	w.after(modelDeadline, abandon)
+	leave := func() { asked.left = true; abandon() }
+	switch w.fault("caller of "+path, callerChoices) {
+	case callerLeavesAtOnce:
+		w.after(0, leave)
+	case callerLeavesMidway:
+		w.after(modelWork/2, leave)
+	}
 }
 
 // modelPlan is who asks for what: two at once, and one behind the first on its caller's
@@ -594,9 +635,14 @@
 func (w *model) faulty() []string {
 	wrong := []string{}
 	add := func(rule, text string, values ...any) { wrong = append(wrong, rule+": "+fmt.Sprintf(text, values...)) }
+	for _, id := range w.cancelled {
+		if strings.Contains(id, "/once/") {
+			add("cancelled", "%s was broken off", id)
+		}
+	}
 	for _, asked := range w.asked {
 		runs := w.runs[asked.name]
-		if asked.lost {
+		if asked.lost || asked.left {
 			if asked.once && len(runs) > 1 {
 				add("once", "%s ran %d times", asked.name, len(runs))
 			}
