Which usage window is under way is told by heartbeats, not with the counts

Where there are five voters or more the counts go to one registry more than may be lost; one that was among them and no longer is keeps their old word, and as holder of the usage lease seals nothing any more.

Ruled out: the lease (held by core-gasabo-2 from 15.4 to 34.5 s in the log), the majority read.

Change: every heartbeat names the window under way by the proxy's clock, and heartbeats go to all registries; only proxies heard within the heartbeat bound count. The exploration's proxies tell their counts to one registry more than may be lost, too.

Before: with such proxies "reported" is broken in 36 of 400 walks. After: 1,200 walks of 3 voters and 200 of 5, nothing broken; guards still missed.

--- a/internal/explore/fleet.go
+++ b/internal/explore/fleet.go
@@ -108,22 +108,38 @@
 			continue
 		}
 		proxy.number++
+		counters := w.counters()
 		for _, p := range w.processes {
-			if p.up && w.round >= w.fleet.deafTo[[2]int{p.index, number}] {
-				w.tell(p, proxy.address, proxy.heartbeat())
+			if !p.up || w.round < w.fleet.deafTo[[2]int{p.index, number}] {
+				continue
+			}
+			w.tell(p, proxy.address, proxy.heartbeat(w.window()))
+			if slices.Contains(counters, p.index) {
 				w.tell(p, proxy.address, proxy.usage(w.window()))
 			}
 		}
 	}
 }
 
+// counters are the processes that the proxies tell their counts: one more than may be lost,
+// of those that hold a voter.
+func (w *World) counters() []int {
+	indexes := []int{}
+	for _, p := range w.upProcesses() {
+		if p.seated && len(indexes) <= w.plan.Voters/2 {
+			indexes = append(indexes, p.index)
+		}
+	}
+	return indexes
+}
+
 // tell puts a message of the fleet into the queue.
 func (w *World) tell(to *process, from string, body any) {
 	w.queue = append(w.queue, item{step: w.step, from: from, to: to, life: to.life, message: body})
 }
 
-func (x *fleetProxy) heartbeat() message.HeartbeatBatch {
-	batch := message.HeartbeatBatch{Proxy: x.name, Birth: 1, Ready: true, Heartbeats: []message.Heartbeat{}, Ends: []message.SignOff{}, Marks: []message.Mark{}, Path: []string{}}
+func (x *fleetProxy) heartbeat(window int64) message.HeartbeatBatch {
+	batch := message.HeartbeatBatch{Proxy: x.name, Birth: 1, Ready: true, Window: window, Heartbeats: []message.Heartbeat{}, Ends: []message.SignOff{}, Marks: []message.Mark{}, Path: []string{}}
 	for _, upstream := range x.upstreams {
 		if upstream.there {
 			batch.Heartbeats = append(batch.Heartbeats, message.Heartbeat{Registration: upstream.registration, Probed: upstream.probed})
--- a/internal/message/roster.go
+++ b/internal/message/roster.go
@@ -75,6 +75,7 @@
 	Ends       []SignOff
 	Marks      []Mark   // what configurations and slices the proxy has in force
 	Path       []string // the relays between the source and this proxy
+	Window     int64    // usage window under way, by the proxy's time of day
 }
 
 // HeartbeatResponse answers a HeartbeatBatch.
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -35,6 +35,7 @@
 		Ends:       m.recentEnds(env),
 		Marks:      m.distribution.Marks(),
 		Path:       []string{},
+		Window:     int64(env.Wall / m.settings.UsageWindow()),
 	}
 	if _, path, _ := m.distribution.Parent(); path != nil {
 		batch.Path = path
--- a/internal/registry/windows.go
+++ b/internal/registry/windows.go
@@ -2,9 +2,10 @@
 
 // This file says when a usage window is over and when it may be sealed. The clock of one
 // machine is no proof of it: a registry that began while its time of day was off would seal
-// a window before most of it was counted. The proxies tell which windows they have closed,
-// each by its own clock; what more than half of them say is the time of day here, and the
-// registry's own clock counts only where it hears of no proxy.
+// a window before most of it was counted. Every heartbeat of a proxy names the window that
+// is under way by its own clock; what more than half of the proxies say that were heard
+// lately is the time of day here, and the registry's own clock counts only where it hears
+// of none.
 
 import (
 	"maps"
@@ -45,9 +46,9 @@
 // current is the window that is under way, as more than half of the proxies say.
 func (u *usage) current(s *statemachine.Env) int64 {
 	told := []int64{}
-	for _, name := range slices.Sorted(maps.Keys(u.closings)) {
-		if member, known := u.m.membership.Find(name); !known || member.State < message.Dead {
-			told = append(told, u.closings[name].window)
+	for _, name := range slices.Sorted(maps.Keys(u.m.proxies)) {
+		if seen := u.m.proxies[name]; s.Now-seen.at <= u.m.settings.HeartbeatBound() {
+			told = append(told, seen.batch.Window)
 		}
 	}
 	if len(told) == 0 || guardsOff.closedWindow {
