A disk that a loss of power left torn is read; frames are bound to their log's generation

With as many disks lost as may be, one such disk is a core without a majority. The simulated disk loses the cut of a length too. Scenarios disks-lost-all-off, losses-overlap and core-halved for losses beyond the budget and halves of the core. The simulator's check of readiness counted machines without their vote as standing; it counts those with the disk of their vote now, which is as strict wherever no disk was lost.

--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -135,13 +135,20 @@
 			}
 		case random.IntN(2) == 0:
 			file.current = append([]byte{}, file.synced...)
-		default:
+		case random.IntN(2) == 0:
 			file.current = file.current[:random.IntN(len(file.current)+1)]
+		default:
+			file.current = overwritten(file.synced, file.current[:random.IntN(len(file.current)+1)])
 		}
 		file.synced = append([]byte{}, file.current...)
 	}
 }
 
+// overwritten is a file that was emptied and written anew, when the cut of its length is lost.
+func overwritten(old, written []byte) []byte {
+	return append(append([]byte{}, written...), old[min(len(old), len(written)):]...)
+}
+
 // StopAfter has the machine stop after so many more operations; Crash lifts it.
 func (d *Disk) StopAfter(steps int) { d.steps = steps }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -220,7 +220,7 @@
 	case "put", "put-huge", "withdraw", "restore-keys", "put-race", "put-bad", "put-and-kill", "put-and-kill-disk":
 		w.operate(step)
 	default:
-		if !w.doAnswers(step) && !w.doCutoff(step) && !w.doSameVersion(step) && !w.doSecondLoss(step) && !w.doHundreds(step) {
+		if !w.doAnswers(step) && !w.doCutoff(step) && !w.doSameVersion(step) && !w.doSecondLoss(step) && !w.doHundreds(step) && !w.doOverlap(step) {
 			w.doUpstream(step)
 		}
 	}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -71,6 +71,7 @@
 	inside    int // callers' requests not answered yet
 	stopping  bool
 	retired   bool // its machine was taken away for good
+	wiped     bool // its disk was lost at least once
 	leaving   bool // it is once the process has ended
 	deaf      bool // takes no new requests: its listener is closed
 	spanOn    bool
@@ -426,6 +427,7 @@
 	n.underway = nil
 	n.disk.Crash(n.world.random)
 	if loseDisk {
+		n.wiped = true
 		n.disk = NewDisk()
 	}
 	for _, connection := range n.connections {
--- /dev/null
+++ b/internal/simulation/overlap.go
@@ -0,0 +1,90 @@
+// This file has the scenarios of losses that overlap beyond what the voters are placed to
+// outlive, as long as no more disks are lost than that: machines that come back with their
+// disk while others come back without, all machines without power behind the loss of disks,
+// and a core in two halves that everybody else reaches.
+
+package simulation
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"beaconvane/internal/workload"
+)
+
+// tolerated is how many disks of the core may be lost at once.
+func tolerated(d workload.Deployment) int { return (len(d.CoreNames()) - 1) / 2 }
+
+// disksLostAllOffPlan ends a day as the users' closing fault does: right behind an
+// acknowledgement as many disks as may be lost are, and every other machine of the fleet
+// loses power at the same moment. All come back, each after a while of its own.
+func disksLostAllOffPlan(d workload.Deployment, random *rand.Rand) []Step {
+	plan := []Step{{At: span(random, 9, 10), Do: "order-steadily", For: 6 * time.Second}}
+	at, down := span(random, 13, 15), span(random, 0.3, 3)
+	chosen := random.Perm(len(d.CoreNames()))
+	for place, index := range chosen {
+		do := "kill"
+		if place < tolerated(d) {
+			do = "kill-disk"
+		}
+		plan = append(plan, Step{At: at + span(random, 0, 0.004), Do: do, Target: d.CoreNames()[index], For: down + span(random, 0, 0.3)})
+	}
+	for number := range d.Proxies {
+		plan = append(plan, Step{At: at + span(random, 0, 0.004), Do: "kill", Target: edgeName(number), For: down + span(random, 0, 0.3)})
+	}
+	return append(plan, Step{At: at + down + span(random, 5, 9), Do: "put"})
+}
+
+// lossesOverlapPlan loses up to as many disks as may be lost, and kills other core machines
+// around them, so that at times fewer than a majority are up; all come back in any order.
+func lossesOverlapPlan(d workload.Deployment, random *rand.Rand) []Step {
+	plan := []Step{{At: 9 * time.Second, Do: "order-steadily", For: 20 * time.Second}}
+	at := span(random, 11, 12)
+	chosen := random.Perm(len(d.CoreNames()))
+	wiped := 1 + random.IntN(tolerated(d))
+	for place, index := range chosen {
+		target := d.CoreNames()[index]
+		begins, away := at+span(random, 0, 3), span(random, 0.3, 7)
+		switch {
+		case place < wiped:
+			plan = append(plan, Step{At: begins, Do: "kill-disk", Target: target, For: away})
+		case random.IntN(3) > 0:
+			plan = append(plan, Step{At: begins, Do: "kill", Target: target, For: away})
+		case random.IntN(2) == 0:
+			plan = append(plan, Step{At: begins, Do: "cut-core", Target: target, For: away})
+		}
+	}
+	return append(plan, Step{At: at + span(random, 12, 14), Do: "put"})
+}
+
+// coreHalvedPlan cuts the core machines into two halves, twice, while orders go to both
+// and keys are withdrawn; everybody else reaches both.
+func coreHalvedPlan(d workload.Deployment, random *rand.Rand) []Step {
+	plan := []Step{}
+	for _, from := range []float64{10, 19} {
+		names := append([]string{}, d.CoreNames()...)
+		random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		half := strings.Join(names[:1+random.IntN(len(names)-1)], ",")
+		at := span(random, from, from+2)
+		plan = append(plan, Step{At: at, Do: "halve-core", Target: half, For: span(random, 2, 7)},
+			Step{At: at + span(random, 0, 1), Do: "order-at-all-sides", For: span(random, 2, 5)},
+			Step{At: at + span(random, 0, 2), Do: "withdraw"})
+	}
+	return plan
+}
+
+// doOverlap carries out this file's own steps; false when the step is another's.
+func (w *World) doOverlap(step Step) bool {
+	if step.Do != "halve-core" {
+		return false
+	}
+	half := strings.Split(step.Target, ",")
+	rest := w.cores()
+	for _, machine := range half {
+		rest = without(rest, machine)
+	}
+	w.dangers["cores in two halves"]++
+	w.cutBetween(half, rest, true, step.For)
+	return true
+}
--- a/internal/simulation/platform.go
+++ b/internal/simulation/platform.go
@@ -9,6 +9,7 @@
 
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
+	"beaconvane/internal/registry"
 )
 
 const (
@@ -52,17 +53,25 @@
 	w.after(requestReadyEvery, func() { w.requestReady(until) })
 }
 
-// coreStands: two registries in reach of a node are up, so every tag has a holder.
+// coreStands: more than half of the registries are up, in reach of a node, and have the disk
+// of their vote, so every tag has a holder. One whose disk was lost is no part of that before
+// it has its vote again: while too few others are up nobody can give it one.
 func (w *World) coreStands(nodeName *Node) bool {
 	count := 0
 	for _, board := range w.alive(message.RoleRegistry) {
-		if w.linked(nodeName, board) && w.linked(board, nodeName) && w.now-board.born > commit && !w.cutOff(board.machine) {
+		if w.linked(nodeName, board) && w.linked(board, nodeName) && w.now-board.born > commit && !w.cutOff(board.machine) && !w.voteLost(board) {
 			count++
 		}
 	}
 	return count*2 > len(w.of(message.RoleRegistry))
 }
 
+// voteLost: the disk of a registry's vote was lost, and it has none again.
+func (w *World) voteLost(board *Node) bool {
+	machine, isRegistry := board.control.(*registry.Machine)
+	return board.wiped && isRegistry && !machine.VoterState().Voting
+}
+
 // refusedAfterReady checks a refusal by the caller's own proxy against what it told
 // the platform.
 func (w *World) refusedAfterReady(nodeName *Node, code errcode.Code, attempts int) {
--- a/internal/simulation/scenarios.go
+++ b/internal/simulation/scenarios.go
@@ -245,8 +245,11 @@
 		// more than that.
 		return []Step{{At: span(random, 15.5, 16.5), Do: "kill-all", For: span(random, 3.5, 4.5)}}
 	},
-	"any":       anyPlan,
-	"any-fleet": anyFleetPlan,
+	"disks-lost-all-off": disksLostAllOffPlan,
+	"losses-overlap":     lossesOverlapPlan,
+	"core-halved":        coreHalvedPlan,
+	"any":                anyPlan,
+	"any-fleet":          anyFleetPlan,
 }
 
 // inTurn does something to every machine, one after another.
@@ -329,9 +332,12 @@
 }
 
 func edge(d workload.Deployment, random *rand.Rand) string {
-	return fmt.Sprintf("edge-%d", 1+random.IntN(d.Proxies))
+	return edgeName(random.IntN(d.Proxies))
 }
 
+// edgeName is the name of a proxy's machine, by its place.
+func edgeName(index int) string { return fmt.Sprintf("edge-%d", index+1) }
+
 func upstreamName(d workload.Deployment, random *rand.Rand) string {
 	service := d.Services[random.IntN(len(d.Services))]
 	return fmt.Sprintf("%s/%s-%d", service.Name, service.Name, 1+random.IntN(service.Count))
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -13,20 +13,69 @@
 	frameHead   = 12  // bytes of each of a frame's two heads
 	lengthBytes = 4   // before each record
 	sector      = 512 // bytes that a disk writes at once
+
+	logFormatNumber = 3
+	// boundFormat is the first format whose frames are bound to their log's generation and
+	// end with frameEnd.
+	boundFormat = 3
+	// frameEnd is the last byte of a frame. No single bit turns it into zero, which is what
+	// stands there when the end of a frame was never written.
+	frameEnd = 0xa5
 )
 
+// frameFormat is how the frames of one log are written. Their checksums begin with the log's
+// generation, so that a frame of an earlier generation, which a crash while the log was
+// emptied may have left behind the new head, is not taken for one of this log.
+type frameFormat struct {
+	number     uint32
+	generation uint64
+}
+
+func currentFormat(generation uint64) frameFormat {
+	return frameFormat{logFormatNumber, generation}
+}
+
+func (f frameFormat) bound() bool { return f.number >= boundFormat }
+
+func (f frameFormat) sum(body []byte) uint32 {
+	if !f.bound() {
+		return crc32.Checksum(body, sumTable)
+	}
+	seed := crc32.Checksum(binary.BigEndian.AppendUint64(nil, f.generation), sumTable)
+	return crc32.Update(seed, sumTable, body)
+}
+
+// overhead is how many bytes a frame has besides its body.
+func (f frameFormat) overhead() int {
+	if f.bound() {
+		return 2*frameHead + 1
+	}
+	return 2 * frameHead
+}
+
 // logHeadOf returns an empty log.
 func logHeadOf(generation uint64) []byte {
 	body := make([]byte, logHead)
 	binary.BigEndian.PutUint32(body[0:], logMagic)
-	binary.BigEndian.PutUint32(body[4:], formatNumber)
+	binary.BigEndian.PutUint32(body[4:], logFormatNumber)
 	binary.BigEndian.PutUint64(body[8:], generation)
 	binary.BigEndian.PutUint32(body[logSumAt:], crc32.Checksum(body[:logSumAt], sumTable))
 	return body
 }
 
+// parseLogHead returns how the frames of a log are written; false where its head is bad.
+func parseLogHead(body []byte) (frameFormat, bool) {
+	number := binary.BigEndian.Uint32(body[4:])
+	good := binary.BigEndian.Uint32(body) == logMagic && number >= oldestLogFormat && number <= logFormatNumber &&
+		binary.BigEndian.Uint32(body[logSumAt:]) == crc32.Checksum(body[:logSumAt], sumTable)
+	return frameFormat{number, binary.BigEndian.Uint64(body[8:])}, good
+}
+
+// oldestLogFormat is the oldest format that is read; its frames are not bound to a generation.
+const oldestLogFormat = 2
+
 // frameOf returns the frame of some records, each with its length before it.
-func frameOf(records [][]byte) []byte {
+func (f frameFormat) frameOf(records [][]byte) []byte {
 	body := []byte{}
 	for _, record := range records {
 		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
@@ -34,23 +83,27 @@
 	}
 	var head [frameHead]byte
 	binary.BigEndian.PutUint32(head[0:], uint32(len(body)))
-	binary.BigEndian.PutUint32(head[4:], crc32.Checksum(body, sumTable))
-	binary.BigEndian.PutUint32(head[8:], crc32.Checksum(head[:8], sumTable))
-	return append(append(append([]byte{}, head[:]...), body...), head[:]...)
+	binary.BigEndian.PutUint32(head[4:], f.sum(body))
+	binary.BigEndian.PutUint32(head[8:], f.sum(head[:8]))
+	frame := append(append(append([]byte{}, head[:]...), body...), head[:]...)
+	if f.bound() {
+		frame = append(frame, frameEnd)
+	}
+	return frame
 }
 
 // parseFrame reads the frame at the beginning of some bytes; size is 0 where even its head is bad.
-func parseFrame(rest []byte) (records [][]byte, size int, good bool) {
-	if len(rest) < frameHead || binary.BigEndian.Uint32(rest[8:]) != crc32.Checksum(rest[:8], sumTable) {
+func (f frameFormat) parseFrame(rest []byte) (records [][]byte, size int, good bool) {
+	if len(rest) < frameHead || binary.BigEndian.Uint32(rest[8:]) != f.sum(rest[:8]) {
 		return nil, 0, false
 	}
 	length := int(binary.BigEndian.Uint32(rest))
-	size = 2*frameHead + length
+	size = f.overhead() + length
 	if len(rest) < size {
 		return nil, size, false
 	}
-	head, body, tail := rest[:frameHead], rest[frameHead:frameHead+length], rest[frameHead+length:size]
-	if string(head) != string(tail) || binary.BigEndian.Uint32(head[4:]) != crc32.Checksum(body, sumTable) {
+	head, body, tail := rest[:frameHead], rest[frameHead:frameHead+length], rest[frameHead+length:2*frameHead+length]
+	if string(head) != string(tail) || binary.BigEndian.Uint32(head[4:]) != f.sum(body) || f.bound() && rest[size-1] != frameEnd {
 		return nil, size, false
 	}
 	for len(body) > 0 {
@@ -63,6 +116,16 @@
 	return records, size, true
 }
 
+// holdsFrame says whether a good frame of this format begins anywhere in some bytes.
+func (f frameFormat) holdsFrame(body []byte) bool {
+	for at := range body {
+		if _, _, good := f.parseFrame(body[at:]); good {
+			return true
+		}
+	}
+	return false
+}
+
 // logState is what a log's file is found to be.
 type logState int
 
@@ -72,38 +135,75 @@
 	logBad                   // committed data gone bad
 )
 
-// parseLog returns the log's generation, its records, and how many bytes of it are intact.
-func parseLog(body []byte) (uint64, [][]byte, int, logState) {
+// parsedLog is what a log's file holds.
+type parsedLog struct {
+	state   logState
+	format  frameFormat
+	records [][]byte
+	intact  int // bytes of the file
+}
+
+// parseLog reads a log, given the generation of the newest slot.
+func parseLog(body []byte, newest uint64) parsedLog {
 	if len(body) < logHead || allZero(body) {
-		return 0, nil, 0, logTorn
+		return parsedLog{state: logTorn}
 	}
-	if binary.BigEndian.Uint32(body) != logMagic || binary.BigEndian.Uint32(body[4:]) != formatNumber ||
-		binary.BigEndian.Uint32(body[logSumAt:]) != crc32.Checksum(body[:logSumAt], sumTable) {
-		return 0, nil, 0, logBad
+	format, good := parseLogHead(body)
+	if !good {
+		return parsedLog{state: stateWithoutHead(body, newest)}
 	}
-	generation := binary.BigEndian.Uint64(body[8:])
-	records := [][]byte{}
-	for at := logHead; at < len(body); {
-		held, size, good := parseFrame(body[at:])
+	log := parsedLog{state: logWhole, format: format, records: [][]byte{}, intact: logHead}
+	for log.intact < len(body) {
+		held, size, good := format.parseFrame(body[log.intact:])
 		if !good {
-			if torn(body, at, size) {
-				return generation, records, at, logWhole
+			if !format.endsAt(body, log.intact, size) {
+				log.state = logBad
 			}
-			return generation, records, at, logBad
+			return log
 		}
-		records = append(records, held...)
-		at += size
+		log.records = append(log.records, held...)
+		log.intact += size
 	}
-	return generation, records, len(body), logWhole
+	return log
 }
 
-// torn says whether the bad frame at an offset is the last one, and is as a crash leaves it.
-func torn(body []byte, at, size int) bool {
-	for next := at + 1; next < len(body); next++ {
-		if _, _, good := parseFrame(body[next:]); good {
-			return false
+// stateWithoutHead judges a log whose head is bad. A head is written when the slot of its
+// generation is on disk, and frames follow once the head is: with no frame of the newest
+// generation there is nothing in the file that the slot lacks.
+func stateWithoutHead(body []byte, newest uint64) logState {
+	for _, format := range []frameFormat{currentFormat(newest), currentFormat(newest + 1), {number: oldestLogFormat}} {
+		if format.holdsFrame(body) {
+			return logBad
 		}
 	}
+	return logTorn
+}
+
+// endsAt says whether the log may end before the bad frame at an offset: the frame is the
+// last one and as a crash leaves it, or it is of the log that was replaced by this one.
+func (f frameFormat) endsAt(body []byte, at, size int) bool {
+	if f.holdsFrame(body[at+1:]) {
+		return false
+	}
+	return f.stale(body[at:]) || f.torn(body, at, size)
+}
+
+// stale says whether the frame at the beginning of some bytes is of the generation before.
+func (f frameFormat) stale(rest []byte) bool {
+	if !f.bound() {
+		return false
+	}
+	for _, earlier := range []frameFormat{currentFormat(f.generation - 1), {number: oldestLogFormat}} {
+		if _, _, good := earlier.parseFrame(rest); good {
+			return true
+		}
+	}
+	return false
+}
+
+// torn says whether a bad frame is as a crash leaves it: without its end, or without some
+// sector, where the disk wrote later ones before earlier ones.
+func (f frameFormat) torn(body []byte, at, size int) bool {
 	end := at + size
 	if size == 0 {
 		end = len(body)
@@ -111,6 +211,9 @@
 	if end > len(body) || len(body)-at < frameHead {
 		return true
 	}
+	if f.bound() && body[end-1] == 0 {
+		return true
+	}
 	for from := at; from < end; {
 		to := min(end, (from/sector+1)*sector)
 		if allZero(body[from:to]) {
--- a/internal/storage/powerloss_test.go
+++ b/internal/storage/powerloss_test.go
@@ -2,7 +2,9 @@
 package storage
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"os"
 	"testing"
 
@@ -236,3 +238,32 @@
 	lossDuring(c, filled(c), storedState([]byte("one"), synced), storedState([]byte("one"), append(synced, []byte("fourth"))),
 		func(store *Store) error { return store.Append([][]byte{[]byte("fourth")}) })
 }
+
+// A log of the format before, whose frames are not bound to a generation, is read and
+// appended to until a snapshot replaces it; a crash in that leaves no old record behind.
+func TestLogOfTheFormatBefore(t *testing.T) {
+	c := qt.New(t)
+	disk := filled(c)
+	older := frameFormat{number: oldestLogFormat, generation: 1}
+	head := logHeadOf(1)
+	binary.BigEndian.PutUint32(head[4:], oldestLogFormat)
+	binary.BigEndian.PutUint32(head[logSumAt:], crc32.Checksum(head[:logSumAt], sumTable))
+	disk.durable[logName] = append(head, older.frameOf([][]byte{[]byte("first")})...)
+	store, snapshot, records, err := Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(storedState(snapshot, records), qt.Equals, storedState([]byte("one"), [][]byte{[]byte("first")}))
+	c.Assert(store.Append([][]byte{[]byte("second")}), qt.IsNil)
+	_, _, records, err = Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.DeepEquals, [][]byte{[]byte("first"), []byte("second")})
+	c.Assert(store.Compact([]byte("two")), qt.IsNil)
+	_, snapshot, records, err = Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(storedState(snapshot, records), qt.Equals, storedState([]byte("two"), nil))
+
+	// The cut of the length is lost.
+	disk.durable[logName] = append(logHeadOf(2), older.frameOf([][]byte{[]byte("first")})...)
+	_, snapshot, records, err = Open(disk)
+	c.Assert(err, qt.IsNil)
+	c.Assert(storedState(snapshot, records), qt.Equals, storedState([]byte("two"), nil))
+}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -118,7 +118,7 @@
 			}
 		}
 		behind := crashed.copy()
-		behind.files[logName] = append(behind.files[logName], frameOf([][]byte{[]byte("settled later")})...)
+		behind.files[logName] = append(behind.files[logName], currentFormat(2).frameOf([][]byte{[]byte("settled later")})...)
 		again, _, records, err := Open(crashed)
 		c.Assert(err, qt.IsNil, qt.Commentf("sectors %b of %d", missing, sectors))
 		c.Assert(records, qt.HasLen, map[bool]int{true: 2, false: 4}[lost])
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -5,11 +5,16 @@
 // sync that failed once says nothing by succeeding later.
 //
 // What is appended together is one frame, with the same head at both ends (length, checksum of the
-// body, checksum of the head). Each append is synced before the next, so only the last frame can be
-// torn: it lacks its end, or, where the disk wrote later sectors before earlier ones, some sector's
-// part of it is all zero. A bad frame with a good one behind it, or one without a lost sector, is
-// committed data gone bad. A torn tail is cut off the file where it stands; what is committed is
-// never written again.
+// body, checksum of the head) and a byte that is not zero behind them. Each append is synced before
+// the next, so only the last frame can be torn: it lacks its end, or, where the disk wrote later
+// sectors before earlier ones, some sector's part of it is all zero. A bad frame with a good one
+// behind it, or one that is not torn, is committed data gone bad. A torn tail is cut off the file
+// where it stands; what is committed is never written again.
+//
+// A new slot replaces the log, which is emptied by writing its file anew. A crash then may keep the
+// new head and lose the cut of the length, or keep a part of the head. So the checksums of frames
+// are bound to the generation of their log: frames of the log before are known and cut off, and a
+// log without a head is bad only if a frame of the newest generation stands in it.
 //
 // store.go has the store, slot.go and log.go its file formats, folder.go the disk, ledger.go the
 // machine's side.
@@ -30,6 +35,7 @@
 type Store struct {
 	folder     Folder
 	generation uint64
+	format     frameFormat // of the log's frames
 	failure    error
 }
 
@@ -58,29 +64,29 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, nil, errcode.Wrap("storage.open", errcode.DiskFault, err)
 	}
-	logGeneration, records, intact, state := parseLog(logBody)
+	log := parseLog(logBody, store.generation)
 	switch {
-	case state == logBad:
+	case log.state == logBad:
 		return corrupt("a committed log record fails its checksum")
-	case chosenSnapshot == nil && state == logWhole:
+	case chosenSnapshot == nil && log.state == logWhole:
 		return corrupt("a log without a readable slot")
 	case chosenSnapshot == nil:
 		return store, nil, nil, nil
-	case state == logWhole && logGeneration > store.generation:
+	case log.state == logWhole && log.format.generation > store.generation:
 		return corrupt("the newest slot is unreadable")
-	case state == logTorn || logGeneration < store.generation:
-		records = nil
+	case log.state == logTorn || log.format.generation < store.generation:
 		if err := store.resetLog(); err != nil {
 			return nil, nil, nil, err
 		}
 		return store, chosenSnapshot, nil, nil
 	}
-	if intact != len(logBody) {
-		if err := store.cut(int64(intact)); err != nil {
+	store.format = log.format
+	if log.intact != len(logBody) {
+		if err := store.cut(int64(log.intact)); err != nil {
 			return nil, nil, nil, err
 		}
 	}
-	return store, chosenSnapshot, records, nil
+	return store, chosenSnapshot, log.records, nil
 }
 
 // cut removes a torn tail, so that later frames don't stand behind it.
@@ -102,7 +108,7 @@
 	if s.generation == 0 {
 		return s.fail(errors.New("append before the first snapshot"))
 	}
-	if err := s.folder.Append(logName, frameOf(records)); err != nil {
+	if err := s.folder.Append(logName, s.format.frameOf(records)); err != nil {
 		return s.fail(err)
 	}
 	if err := s.folder.Sync(logName); err != nil {
@@ -138,7 +144,10 @@
 	return nil
 }
 
-func (s *Store) resetLog() error { return s.writeLog(logHeadOf(s.generation)) }
+func (s *Store) resetLog() error {
+	s.format = currentFormat(s.generation)
+	return s.writeLog(logHeadOf(s.generation))
+}
 
 func (s *Store) writeLog(body []byte) error {
 	if err := s.folder.Write(logName, body); err != nil {
