--- /dev/null
+++ b/internal/routeconfig/bench_test.go
@@ -0,0 +1,46 @@
+package routeconfig
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// largeConfiguration has many routes bound to hosts, as operators of a large site write them.
+func largeConfiguration(routes int) []byte {
+	text := strings.Builder{}
+	text.WriteString(`{"version":7,"limits":{"head_bytes":16384},"tenants":[`)
+	for number := range 80 {
+		if number > 0 {
+			text.WriteString(",")
+		}
+		fmt.Fprintf(&text, `{"name":"tenant%d","keys":["key-%d-aaaaaaaaaaaa","key-%d-bbbbbbbbbbbb"],"priority":1}`, number, number, number)
+	}
+	text.WriteString(`],"services":[{"name":"quoter","health":"/health","connections":130},{"name":"bookings","health":"/health","connections":130}],"routes":[`)
+	for number := range routes {
+		if number > 0 {
+			text.WriteString(",")
+		}
+		fmt.Fprintf(&text, `{"name":"r-%d","host":"host%d.example","prefix":"/path%d/","kind":"repeatable","aim_ms":500,"priority":2,"open":false,"service":"quoter","timeout_ms":1200,"attempts":2}`, number, number%9, number)
+	}
+	text.WriteString(`]}`)
+	return []byte(text.String())
+}
+
+func BenchmarkParseLarge(b *testing.B) {
+	body := largeConfiguration(1400)
+	b.ReportAllocs()
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		Parse("main", 7, body, Limits{Bytes: 1 << 24, Entries: 1 << 20, Request: time.Hour, Lenient: true})
+	}
+}
+
+func BenchmarkCheckLarge(b *testing.B) {
+	body := largeConfiguration(1400)
+	b.ReportAllocs()
+	for b.Loop() {
+		Check(body, Limits{Bytes: 1 << 24, Entries: 1 << 20, Request: time.Hour, Lenient: true})
+	}
+}
