A version of a configuration takes over the routes that did not change

Ruled out: caching the whole version by digest, since every version differs. Change: Configuration.Next reuses the parsed routes whose text is the same; routes are held by pointers; prefixes share one index array; Parse stands in a file of its own in short functions.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		if version, body, known := m.distribution.ConfigName(configName); known {
-			m.configurations[configName] = routeconfig.Parse(configName, version, body, m.settings.ConfigurationLimits())
+			m.configurations[configName] = m.configurations[configName].Next(configName, version, body, m.settings.ConfigurationLimits())
 			m.heartbeatAt = env.Now
 		}
 	}
--- a/internal/routeconfig/bench_test.go
+++ b/internal/routeconfig/bench_test.go
@@ -44,3 +44,13 @@
 		Check(body, Limits{Bytes: 1 << 24, Entries: 1 << 20, Request: time.Hour, Lenient: true})
 	}
 }
+
+func BenchmarkNextLarge(b *testing.B) {
+	limits := Limits{Bytes: 1 << 24, Entries: 1 << 20, Request: time.Hour, Lenient: true}
+	body := largeConfiguration(1400)
+	configuration := Parse("main", 7, body, limits)
+	b.ReportAllocs()
+	for b.Loop() {
+		configuration = configuration.Next("main", 7, body, limits)
+	}
+}
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -11,11 +11,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"sort"
 	"strings"
 	"time"
-
-	"github.com/tidwall/gjson"
 )
 
 // Limits bound a configuration. Lenient ones may hold fields that are not known here,
@@ -71,12 +68,13 @@
 type Configuration struct {
 	ConfigName string
 	Version    int64
-	Routes     []Route
+	Routes     []*Route
 	keys       map[[sha256.Size]byte]string
 	tenants    map[string]bool  // those with a key
 	ranks      map[string]int64 // priorities of the tenants that have one
 	hosts      map[string]map[string][]int
 	kinds      map[string]Service
+	texts      map[string]*Route // the routes by their text, for the next version
 
 	CallerLimits CallerLimits
 }
@@ -101,104 +99,6 @@
 // Honours says that some key of a tenant is honoured.
 func (l *Configuration) Honours(tenant string) bool { return l.tenants[tenant] }
 
-// Parse reads a configuration that Check has passed.
-func Parse(configName string, version int64, body []byte, limits Limits) *Configuration {
-	configuration := &Configuration{ConfigName: configName, Version: version, keys: map[[sha256.Size]byte]string{}, tenants: map[string]bool{},
-		ranks: map[string]int64{}, hosts: map[string]map[string][]int{}, kinds: map[string]Service{}}
-	root := gjson.ParseBytes(body)
-	configuration.CallerLimits = parseCallerLimits(root.Get("limits"))
-	for _, item := range root.Get("services").Array() {
-		service := Service{Name: item.String()}
-		if item.IsObject() {
-			service = Service{Name: item.Get("name").String(), Health: item.Get("health").String(), Connections: item.Get("connections").Int()}
-		}
-		configuration.kinds[service.Name] = service
-	}
-	for _, tenant := range root.Get("tenants").Array() {
-		if rank := tenant.Get("priority"); rank.Exists() {
-			configuration.ranks[tenant.Get("name").String()] = rank.Int()
-		}
-		for _, key := range tenant.Get("keys").Array() {
-			configuration.keys[sha256.Sum256([]byte(key.String()))] = tenant.Get("name").String()
-			configuration.tenants[tenant.Get("name").String()] = true
-		}
-	}
-	set := func(value gjson.Result) map[string]bool {
-		names := map[string]bool{}
-		for _, item := range value.Array() {
-			names[item.String()] = true
-		}
-		return names
-	}
-	for _, item := range root.Get("routes").Array() {
-		route := Route{Name: item.Get("name").String(), Service: item.Get("service").String(), Path: item.Get("path").String(),
-			Prefix: item.Get("match").String() == "prefix", Methods: set(item.Get("methods")), Callers: set(item.Get("callers")),
-			Tenants: set(item.Get("tenants")), Limit: milliseconds(item.Get("timeout_ms")), BodyCap: item.Get("body_bytes").Int(),
-			Host: strings.ToLower(item.Get("host").String()), Attempts: item.Get("attempts").Int(), Aim: milliseconds(item.Get("aim_ms")),
-			Priority: LeastPriority, Open: item.Get("open").Bool()}
-		if route.Host != "" {
-			route.Path, route.Prefix = item.Get("prefix").String(), true
-		}
-		if rank := item.Get("priority"); rank.Exists() {
-			route.Priority = rank.Int()
-		}
-		for _, share := range item.Get("split").Array() {
-			route.Split = append(route.Split, Share{share.Get("service").String(), weightOf(share)})
-		}
-		if route.Limit <= 0 || route.Limit > limits.Request {
-			route.Limit = limits.Request
-		}
-		switch once, kind := item.Get("once"), item.Get("kind"); {
-		case once.Exists():
-			route.Once = once.Bool()
-		case kind.Exists():
-			route.Once = kind.String() != "repeatable"
-		case len(route.Methods) == 0:
-			route.Once = true
-		default:
-			for method := range route.Methods {
-				route.Once = route.Once || method != "GET" && method != "HEAD"
-			}
-		}
-		if calendar := item.Get("calendar"); calendar.Exists() {
-			route.Calendar = ParseCalendar(calendar)
-		}
-		configuration.Routes = append(configuration.Routes, route)
-	}
-	sort.SliceStable(configuration.Routes, func(i, j int) bool {
-		left, right := configuration.Routes[i], configuration.Routes[j]
-		if left.Prefix != right.Prefix {
-			return !left.Prefix
-		}
-		return len(left.Path) > len(right.Path)
-	})
-	for index, route := range configuration.Routes {
-		if route.Host == "" {
-			continue
-		}
-		if configuration.hosts[route.Host] == nil {
-			configuration.hosts[route.Host] = map[string][]int{}
-		}
-		configuration.hosts[route.Host][route.Path] = append(configuration.hosts[route.Host][route.Path], index)
-	}
-	return configuration
-}
-
-// weightScale makes whole numbers of weights, which may be fractions.
-const weightScale = 1000
-
-func weightOf(share gjson.Result) int64 {
-	return int64(share.Get("weight").Float() * weightScale)
-}
-
-// longestTime bounds what a figure of milliseconds may come to.
-const longestTime = 365 * 24 * time.Hour
-
-// milliseconds reads a time, fractions included.
-func milliseconds(value gjson.Result) time.Duration {
-	return time.Duration(min(max(value.Float(), 0), float64(longestTime/time.Millisecond)) * float64(time.Millisecond))
-}
-
 // Find gives the route of a host with the longest prefix that begins a raw path; a
 // host without routes of its own has those that are bound to none.
 func (l *Configuration) Find(host, method, path string) (Route, bool) {
@@ -213,7 +113,7 @@
 		}
 		for _, index := range places[path[:end]] {
 			if route := l.Routes[index]; len(route.Methods) == 0 || route.Methods[method] {
-				return route, true
+				return *route, true
 			}
 		}
 	}
@@ -255,7 +155,7 @@
 func (l *Configuration) Match(method, path string) (Route, bool) {
 	for _, route := range l.Routes {
 		if route.Host == "" && route.Methods[method] && route.covers(path) {
-			return route, true
+			return *route, true
 		}
 	}
 	return Route{}, false
@@ -265,7 +165,7 @@
 func (l *Configuration) Named(name string) (Route, bool) {
 	for _, route := range l.Routes {
 		if route.Name == name {
-			return route, true
+			return *route, true
 		}
 	}
 	return Route{}, false
