Each process tells its own figures on a page

Ruled out: a metrics library with a registry of its own; the figures are counters and state that exist, and a proxy has 72 MB.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -60,6 +60,7 @@
 	"address":   "ip:port for the other processes",
 	"outside":   "ip:port for HTTP",
 	"data":      "data folder",
+	"metrics":   "ip:port for the page of the process's figures",
 	"seeds":     "three ip:port, comma between",
 	"collector": "URL that takes usage reports",
 	"found":     "true: this start, on an empty disk, may found the core group",
--- a/internal/cli/core.go
+++ b/internal/cli/core.go
@@ -31,6 +31,7 @@
 			if err := process.RunFromDisk(build); err != nil {
 				return err
 			}
+			serveMetrics(cfg, group, process, nil)
 			return server.Serve(group, cfg.Outside)
 		},
 		OnStop: func(ctx context.Context) error {
@@ -45,7 +46,11 @@
 			build := func(snapshot []byte, records [][]byte) (node.DiskMachine, error) {
 				return configstore.New(cfg, node.Self(cfg, message.RoleConfigStore), snapshot, records)
 			}
-			return process.RunFromDisk(build)
+			if err := process.RunFromDisk(build); err != nil {
+				return err
+			}
+			serveMetrics(cfg, group, process, nil)
+			return nil
 		},
 		OnStop: func(ctx context.Context) error {
 			return stopCore(ctx, cfg, group, process, configstore.Stop{}, nil)
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -93,6 +93,7 @@
 	}
 	p.goroutines.Go("proxy.count-usage", p.countUsage)
 	p.goroutines.Go("proxy.log-answers", p.logAnswers)
+	serveMetrics(p.settings, p.goroutines, p.process, p.api.Metrics)
 	if !p.callersApart() {
 		return p.server.Serve(p.goroutines, p.settings.Outside)
 	}
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -16,6 +16,7 @@
 	"beaconvane/internal/lease"
 	"beaconvane/internal/membership"
 	"beaconvane/internal/message"
+	"beaconvane/internal/metrics"
 	"beaconvane/internal/quorum"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/statemachine"
@@ -221,10 +222,12 @@
 
 // Asked takes the process's own questions.
 func (m *Machine) Asked(s *statemachine.Env, requestID int64, question any) {
-	if reseeded, isReseeded := question.(statemachine.Reseeded); isReseeded {
-		m.membership.Reseed(reseeded.Seeds)
-	}
-	if _, isStop := question.(Stop); isStop {
+	switch asked := question.(type) {
+	case statemachine.Reseeded:
+		m.membership.Reseed(asked.Seeds)
+	case metrics.Read:
+		s.Reply(requestID, m.metrics(s))
+	case Stop:
 		m.stopping = true
 		m.leases.Yield(s)
 		m.Depart(s, requestID, errcode.OK)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -50,6 +50,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	counts := map[string]int64{"goroutines": n.Group.Running(), "control_queue": int64(len(n.commands)), "writes_queue": int64(len(n.writes))}
+	n.load.tell(counts)
 	for name, count := range n.counts {
 		counts[name] = count
 	}
--- /dev/null
+++ b/internal/node/load.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/atomic"
+)
+
+// controlLoad is how busy the control goroutine is: a command that takes long keeps probes,
+// renewals and updates waiting.
+type controlLoad struct {
+	commands atomic.Int64
+	busy     atomic.Duration
+	longest  atomic.Duration // since it was told last
+}
+
+// add notes a command that was applied; only the control goroutine calls it.
+func (l *controlLoad) add(took time.Duration) {
+	l.commands.Inc()
+	l.busy.Add(took)
+	if took > l.longest.Load() {
+		l.longest.Store(took)
+	}
+}
+
+// tell adds the figures to the counters, and begins a new longest time.
+func (l *controlLoad) tell(counts map[string]int64) {
+	counts["control_commands_total"] = l.commands.Load()
+	counts["control_busy_microseconds_total"] = l.busy.Load().Microseconds()
+	counts["control_longest_microseconds"] = l.longest.Swap(0).Microseconds()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	build     Build // nil: the state is not on disk
 
 	reporter *reporter
+	load     controlLoad
 
 	replacements chan replacement
 
@@ -140,6 +141,7 @@
 		for _, effect := range env.Drain() {
 			n.perform(effect)
 		}
+		n.load.add(n.Group.Now() - env.Now)
 	}
 	for {
 		select {
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,15 @@
+package proxy
+
+import (
+	"beaconvane/internal/metrics"
+	"beaconvane/internal/statemachine"
+)
+
+// metrics are the control machine's figures for the metrics page.
+func (m *Machine) metrics(env *statemachine.Env) []metrics.Sample {
+	samples := append(m.distribution.Metrics(env.Now), m.membership.Metrics()...)
+	for configName, version := range m.inForce {
+		samples = append(samples, metrics.About("configuration_in_force", "configuration", configName, float64(version)))
+	}
+	return samples
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"beaconvane/internal/distribution"
 	"beaconvane/internal/membership"
 	"beaconvane/internal/message"
+	"beaconvane/internal/metrics"
 	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/statemachine"
@@ -114,6 +115,8 @@
 		env.Reply(requestID, m.SealedBelow())
 	case ReadStatus:
 		env.Reply(requestID, m.status(env.Now))
+	case metrics.Read:
+		env.Reply(requestID, m.metrics(env))
 	case Stop:
 		m.stopping = true
 		m.membership.Leave(env)
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -14,6 +14,7 @@
 	"beaconvane/internal/distribution"
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
+	"beaconvane/internal/metrics"
 	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/statemachine"
@@ -107,6 +108,8 @@
 		m.membership.Reseed(asked.Seeds)
 	case statemachine.ConnectionBroke:
 		m.distribution.ConnectionBroke(s, asked.Address)
+	case metrics.Read:
+		s.Reply(requestID, m.metrics(s))
 	case Stop:
 		m.stopping = true
 		m.leases.Yield(s)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -158,6 +158,9 @@
 	if role != message.RoleConfigStore {
 		faults.address("outside", c.Outside)
 	}
+	if c.Metrics != "" {
+		faults.address("metrics", c.Metrics)
+	}
 	for index, address := range c.Beacon {
 		faults.address(fmt.Sprintf("beacon.%d", index), address)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,7 @@
 	Zones       []string          `json:"zones"`
 	Address     string            `json:"address"`
 	Outside     string            `json:"outside"`
+	Metrics     string            `json:"metrics"` // ip:port of the page of the process's own figures; "": none
 	Seeds       []string          `json:"seeds"`
 	Data        string            `json:"data"`
 	ConfigNames []string          `json:"configurations"`
@@ -181,7 +182,7 @@
 // takeFlags lays the command line's values over the file's.
 func (c *Settings) takeFlags(flags map[string]string) {
 	texts := map[string]*string{"node": &c.Node, "voter": &c.Voter, "zone": &c.Zone, "address": &c.Address,
-		"outside": &c.Outside, "data": &c.Data, "collector": &c.Collector}
+		"outside": &c.Outside, "data": &c.Data, "collector": &c.Collector, "metrics": &c.Metrics}
 	for name, value := range flags {
 		if text, known := texts[name]; known {
 			*text = value
