--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -11,27 +11,24 @@
 	"beaconvane/internal/node"
 )
 
-// metricsPath is where every program tells its figures.
-const metricsPath = "/metrics"
-
 // heapMetric is the runtime's figure of the memory in use.
 const heapMetric = "/memory/classes/heap/objects:bytes"
 
 // eventCounter begins the name of a counter of events.
 const eventCounter = "event_"
 
-// NewMetricsHandler serves the figures of a process as text. While the control machine doesn't
-// answer in time the page has the process's own figures only, and says so.
+// NewMetricsHandler serves the figures of a process as text, on every path. While the control
+// machine doesn't answer in time the page has the process's own figures only, and says so.
 func NewMetricsHandler(process *node.Node, group *goroutine.Group, more func() []figures.Sample) http.Handler {
 	router := newRouter()
-	router.HandleFunc(metricsPath, func(out http.ResponseWriter, _ *http.Request) {
+	router.PathPrefix("/").Methods(http.MethodGet).HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
 		samples := append(processSamples(process), controlSamples(process, group)...)
 		if more != nil {
 			samples = append(samples, more()...)
 		}
 		out.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		figures.Write(out, samples)
-	}).Methods(http.MethodGet)
+	})
 	return router
 }
 
