A route's fields are read in one pass

Cause: the first read of a configuration searched each route 18 times; after a loss of power all proxies make it at one moment, with 0.16 cores each. Change: one pass over a route's fields, the first of a name counts, as before. Ruled out: keeping the parsed form on the wire.

--- a/internal/routeconfig/parse.go
+++ b/internal/routeconfig/parse.go
@@ -65,10 +65,12 @@
 func (l *Configuration) takeRoutes(routes gjson.Result, limits Limits, known map[string]*Route) {
 	l.Routes = make([]*Route, 0, len(known))
 	l.texts = make(map[string]*Route, len(known))
+	fields := routeFields{}
 	routes.ForEach(func(_, item gjson.Result) bool {
 		route, unchanged := known[item.Raw]
 		if !unchanged {
-			route = parseRoute(item, limits)
+			fieldsOf(item, fields)
+			route = parseRoute(fields, limits)
 		}
 		l.texts[item.Raw] = route
 		l.Routes = append(l.Routes, route)
@@ -109,26 +111,40 @@
 	}
 }
 
-func parseRoute(item gjson.Result, limits Limits) *Route {
-	route := &Route{Name: item.Get("name").String(), Service: item.Get("service").String(), Path: item.Get("path").String(),
-		Prefix: item.Get("match").String() == "prefix", Methods: nameSet(item.Get("methods")), Callers: nameSet(item.Get("callers")),
-		Tenants: nameSet(item.Get("tenants")), Limit: milliseconds(item.Get("timeout_ms")), BodyCap: item.Get("body_bytes").Int(),
-		Host: strings.ToLower(item.Get("host").String()), Attempts: item.Get("attempts").Int(), Aim: milliseconds(item.Get("aim_ms")),
-		Priority: LeastPriority, Open: item.Get("open").Bool()}
+// routeFields are the fields of a route's text, each as it stands first.
+type routeFields map[string]gjson.Result
+
+// fieldsOf reads the fields of an object in one pass.
+func fieldsOf(item gjson.Result, fields routeFields) {
+	clear(fields)
+	item.ForEach(func(name, value gjson.Result) bool {
+		if _, twice := fields[name.Str]; !twice {
+			fields[name.Str] = value
+		}
+		return true
+	})
+}
+
+func parseRoute(item routeFields, limits Limits) *Route {
+	route := &Route{Name: item["name"].String(), Service: item["service"].String(), Path: item["path"].String(),
+		Prefix: item["match"].String() == "prefix", Methods: nameSet(item["methods"]), Callers: nameSet(item["callers"]),
+		Tenants: nameSet(item["tenants"]), Limit: milliseconds(item["timeout_ms"]), BodyCap: item["body_bytes"].Int(),
+		Host: strings.ToLower(item["host"].String()), Attempts: item["attempts"].Int(), Aim: milliseconds(item["aim_ms"]),
+		Priority: LeastPriority, Open: item["open"].Bool()}
 	if route.Host != "" {
-		route.Path, route.Prefix = item.Get("prefix").String(), true
+		route.Path, route.Prefix = item["prefix"].String(), true
 	}
-	if rank := item.Get("priority"); rank.Exists() {
+	if rank := item["priority"]; rank.Exists() {
 		route.Priority = rank.Int()
 	}
-	for _, share := range item.Get("split").Array() {
+	for _, share := range item["split"].Array() {
 		route.Split = append(route.Split, Share{share.Get("service").String(), weightOf(share)})
 	}
 	if route.Limit <= 0 || route.Limit > limits.Request {
 		route.Limit = limits.Request
 	}
 	route.Once = runsOnce(item, route.Methods)
-	if calendar := item.Get("calendar"); calendar.Exists() {
+	if calendar := item["calendar"]; calendar.Exists() {
 		route.Calendar = ParseCalendar(calendar)
 	}
 	return route
@@ -136,11 +152,11 @@
 
 // runsOnce says whether a route's requests may run once only; where the route does not say,
 // its methods do.
-func runsOnce(item gjson.Result, methods map[string]bool) bool {
-	if once := item.Get("once"); once.Exists() {
+func runsOnce(item routeFields, methods map[string]bool) bool {
+	if once := item["once"]; once.Exists() {
 		return once.Bool()
 	}
-	if kind := item.Get("kind"); kind.Exists() {
+	if kind := item["kind"]; kind.Exists() {
 		return kind.String() != "repeatable"
 	}
 	for method := range methods {
