Reproduction: with narrow links and many routes the core never comes back

The simulator's links carried any message at once; they have a rate now, in both directions, and datagrams are dropped on a full one (deployment jendela-narrow: 86 and 2.3 Mbit/s, as the users' grown site). Scenario large-all-off: 1,900 routes, an order every 0.15 s, all core machines without power for 0.4 to 1 s, later all proxies.

--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -46,7 +46,7 @@
 			return nil
 		}}
 	flags := root.Flags()
-	flags.StringVar(&name, "deployment", name, "small, umuyoboro, jendela, umuyoboro-platform, jendela-platform, voters-3, voters-5, voters-3-4 or voters-zones")
+	flags.StringVar(&name, "deployment", name, "small, umuyoboro, jendela, umuyoboro-platform, jendela-platform, jendela-narrow, voters-3, voters-5, voters-3-4 or voters-zones")
 	flags.StringVar(&scenarios, "scenario", scenarios, "all, or some of: "+strings.Join(simulation.Names(), ", "))
 	flags.Uint64Var(&first, "seed", first, "first seed")
 	flags.IntVar(&count, "count", count, "how many seeds")
--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -88,3 +88,10 @@
 	reached(t, "stores that came back behind", seen["danger: stores that came back behind"], 1)
 	reached(t, "versions they were behind", seen["danger: versions they were behind"], 200)
 }
+
+// All core machines lose power with a configuration of many routes in force, on links that
+// carry its log in seconds: orders are taken again soon, and requests are answered.
+func TestLargeConfigurationAfterAllOff(t *testing.T) {
+	seen := playControl(t, "jendela-narrow", "large-all-off", 4, 5)
+	reached(t, "returns of the whole core with a large configuration", seen["danger: returns of the whole core with a large configuration"], 2)
+}
--- a/internal/simulation/overlap.go
+++ b/internal/simulation/overlap.go
@@ -74,11 +74,65 @@
 	return plan
 }
 
+// manyRoutes is how many routes the large configurations have, about as on the users' grown
+// sites; each order changes a few of them.
+const manyRoutes = 1900
+
+// largeOrdersEvery is the time between the orders of large configurations.
+const largeOrdersEvery = 150 * time.Millisecond
+
+// takenAgainWithin is how soon an order has to be taken once all core machines are back.
+const takenAgainWithin = 2500 * time.Millisecond
+
+// largeAllOffPlan has a large configuration change steadily while all core machines lose
+// power, and later all proxies too.
+func largeAllOffPlan(d workload.Deployment, random *rand.Rand) []Step {
+	plan := []Step{{At: 9 * time.Second, Do: "order-large", For: 18 * time.Second}}
+	at, down := span(random, 14, 15), span(random, 0.4, 1)
+	plan = append(plan, Step{At: at, Do: "kill-core", For: down}, Step{At: at + down, Do: "taken-again"})
+	at = at + span(random, 6, 7)
+	for number := range d.Proxies {
+		plan = append(plan, Step{At: at, Do: "kill", Target: edgeName(number), For: down})
+	}
+	return plan
+}
+
+// orderLarge sends an order for a configuration of many routes.
+func (w *World) orderLarge() {
+	w.versions++
+	tenants := w.options.Deployment.Tenants()[:w.tenants]
+	body := w.options.Deployment.Configuration(tenants, manyRoutes+int(w.versions%8))
+	w.persist(w.newOrder(w.versions, tenants, body, nil))
+}
+
+// takenAgain holds the core to its return: an order is taken in time.
+func (w *World) takenAgain() {
+	before := w.newestAcked
+	w.dangers["returns of the whole core with a large configuration"]++
+	w.after(takenAgainWithin, func() {
+		if w.newestAcked == before {
+			w.fail("no order was taken for %s after all core machines were back", takenAgainWithin)
+		}
+	})
+}
+
 // doOverlap carries out this file's own steps; false when the step is another's.
 func (w *World) doOverlap(step Step) bool {
-	if step.Do != "halve-core" {
+	switch step.Do {
+	case "order-large":
+		w.repeat(largeOrdersEvery, w.now+step.For, w.orderLarge)
+	case "taken-again":
+		w.takenAgain()
+	case "halve-core":
+		w.halveCore(step)
+	default:
 		return false
 	}
+	return true
+}
+
+// halveCore cuts the core machines of a list from the others.
+func (w *World) halveCore(step Step) {
 	half := strings.Split(step.Target, ",")
 	rest := w.cores()
 	for _, machine := range half {
@@ -86,5 +140,4 @@
 	}
 	w.dangers["cores in two halves"]++
 	w.cutBetween(half, rest, true, step.For)
-	return true
 }
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -96,6 +96,8 @@
 
 // closing reads back, through each voter, every version kept and every window.
 func (w *World) closing() {
+	// What is read is under test here, not how long it takes on narrow links.
+	w.options.Deployment.CoreLink = 0
 	for _, nodeName := range w.alive(message.RoleRegistry) {
 		board := nodeName
 		board.request(registry.GetConfiguration{ConfigName: "main", List: true}, func(answer any) {
--- a/internal/simulation/scenarios.go
+++ b/internal/simulation/scenarios.go
@@ -247,6 +247,7 @@
 	},
 	"disks-lost-all-off": disksLostAllOffPlan,
 	"losses-overlap":     lossesOverlapPlan,
+	"large-all-off":      largeAllOffPlan,
 	"core-halved":        coreHalvedPlan,
 	"any":                anyPlan,
 	"any-fleet":          anyFleetPlan,
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -72,6 +72,7 @@
 	cuts      map[string]int // "from>to" by machine name, counted
 	cutSince  map[string]time.Duration
 	lastAt    map[string]time.Duration
+	links     map[string]*link // by machine
 	loss      float64
 	delay     time.Duration
 
@@ -117,7 +118,7 @@
 // NewWorld builds a deployment; nothing runs yet.
 func NewWorld(options Options) *World {
 	w := &World{options: options, random: rand.New(rand.NewPCG(options.Seed, 99)), nodes: map[string]*Node{}, byAddress: map[string]*Node{},
-		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
+		cuts: map[string]int{}, cutSince: map[string]time.Duration{}, lastAt: map[string]time.Duration{}, links: map[string]*link{}, upstreams: map[string]*Upstream{}, addresses: map[string]*Upstream{},
 		sent: map[int64]int{}, dangers: map[string]int{}, readiness: map[string]*readiness{}, couldServe: map[string]bool{}, unvouched: map[string]bool{},
 		taken: map[int64]string{}, contents: map[string]int64{}, severed: map[string]time.Duration{}, voting: map[string]int{}, loss: 0.002, delay: 300 * time.Microsecond}
 	w.record.Bounds = checker.BriefBounds(options.Deployment.Withdrawal)
@@ -211,7 +212,7 @@
 		return
 	}
 	lane := from.address() + ">" + to
-	arrival := max(w.now+w.transit(), w.lastAt[lane])
+	arrival := max(w.passLinks(from, target, len(frame)), w.lastAt[lane])
 	life := target.life
 	var deliver func()
 	deliver = func() {
@@ -240,10 +241,10 @@
 		w.broken = append(w.broken, fmt.Sprintf("datagram of %d bytes: %T", len(frame), msg))
 	}
 	target, found := w.byAddress[to]
-	if !found || !w.linked(from, target) || w.random.Float64() < w.loss {
+	if !found || !w.linked(from, target) || w.random.Float64() < w.loss || w.crowded(from, target) {
 		return
 	}
-	w.after(w.transit(), func() {
+	w.at(w.passLinks(from, target, len(frame)), func() {
 		if target.up && w.linked(from, target) {
 			target.arrive(from.address(), frame)
 		}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -37,6 +37,9 @@
 	Writes     string        // how the configuration store takes orders; "": by the default
 	// CoreZones are the zones of the core machines, in order; none: the zones in turn.
 	CoreZones []string
+	// CoreLink and ProxyLink are the bytes a second that a machine's link carries each way; 0:
+	// not bounded.
+	CoreLink, ProxyLink int64
 	// Tolerated is what the voters are placed to outlive.
 	Tolerated settings.Tolerated
 }
@@ -70,7 +73,8 @@
 func (d Deployment) Vanish() time.Duration { return 150 * time.Millisecond }
 
 // Named returns a deployment by name. "small" is Umuyoboro with few machines, for quick runs;
-// the ones ending in "-platform" are set up as on the users' platform;
+// the ones ending in "-platform" are set up as on the users' platform, "jendela-narrow" with the
+// narrow links of their grown site besides;
 // "voters-3" and "voters-5" are small ones whose core groups find their voters, "voters-3-4" has a
 // core machine more than voters, and "voters-zones" two core machines a zone, for three voters of
 // which a lost zone leaves a majority.
@@ -84,6 +88,10 @@
 		return onPlatform(Umuyoboro(), 3), true
 	case "jendela-platform":
 		return onPlatform(Jendela(), 5), true
+	case "jendela-narrow":
+		narrow := onPlatform(Jendela(), 5)
+		narrow.Name, narrow.CoreLink, narrow.ProxyLink = name, narrowCoreLink, narrowProxyLink
+		return narrow, true
 	case "small":
 		small := Umuyoboro()
 		small.Name, small.Proxies, small.Rate = "small", 3, 120
@@ -107,6 +115,12 @@
 	return Deployment{}, false
 }
 
+// The links of the users' grown site, in bytes a second: 86 and 2.3 Mbit/s.
+const (
+	narrowCoreLink  = 86e6 / 8
+	narrowProxyLink = 2.3e6 / 8
+)
+
 // onPlatform is a deployment with the settings that the users' platform gives: the core
 // processes find their voters, and the highest version holds.
 func onPlatform(d Deployment, voters int) Deployment {
