A node that was held up itself leaves no parent for it; ticks come behind what waits

The tick that follows judges the parent by the silence of that time, though its answers wait in the queue; the proxy leaves it, and chains of proxies form. Ruled out: registries and stores as the late ones (no such event there). Change: a tick is applied behind the commands that had come; the distribution forgives its own lateness, as membership does; control-late is journalled past the interval of updates.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -71,6 +71,7 @@
 	fruitless   int                      // parents in a row that never answered
 	round       int64
 	requestAt   time.Duration
+	tickedAt    time.Duration
 	avoid       map[string]time.Duration
 	failed      map[string]time.Duration // those avoided for what they are, not for being full
 	spoilt      map[string]time.Duration // those whose knowledge is old, so that every way from them is
--- a/internal/distribution/late.go
+++ b/internal/distribution/late.go
@@ -16,6 +16,9 @@
 // patientTries is how many parents are tried before the time for each begins to grow.
 const patientTries = 2
 
+// ticksForgiven is how many ticks may pass without one before a node counts as held up.
+const ticksForgiven = 2
+
 // earlierRequest is a request to a parent that was left before it answered.
 type earlierRequest struct {
 	parent string
@@ -31,6 +34,16 @@
 	return patience
 }
 
+// forgiveOwnLateness gives the parent more time when this node itself was held up: its own
+// lateness is no silence of the parent's.
+func (c *Distribution) forgiveOwnLateness(now time.Duration) {
+	gap := now - c.tickedAt
+	c.tickedAt = now
+	if gap > c.settings.TickEvery()*ticksForgiven {
+		c.answered = min(c.answered+gap, now)
+	}
+}
+
 // forgetRequests begins anew with a parent; what the one before was asked is kept apart for
 // as long as an answer may be on its way.
 func (c *Distribution) forgetRequests(now time.Duration) {
--- a/internal/distribution/parents.go
+++ b/internal/distribution/parents.go
@@ -16,6 +16,7 @@
 
 // Tick asks, and moves to another parent when this one is silent or stale.
 func (c *Distribution) Tick(s *statemachine.Env) {
+	c.forgiveOwnLateness(s.Now)
 	for name, known := range c.children {
 		if s.Now-known.receivedAt > c.settings.ParentLimit()*2 {
 			delete(c.children, name)
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -12,6 +12,7 @@
 	commands atomic.Int64
 	busy     atomic.Duration
 	longest  atomic.Duration // since it was told last
+	tickAt   time.Duration   // of the control goroutine alone
 }
 
 // add notes a command that was applied; only the control goroutine calls it.
@@ -23,6 +24,13 @@
 	}
 }
 
+// ticked notes a tick, and says how long after the one before it came.
+func (l *controlLoad) ticked(now time.Duration) time.Duration {
+	gap := now - l.tickAt
+	l.tickAt = now
+	return gap
+}
+
 // tell adds the figures to the counters, and begins a new longest time.
 func (l *controlLoad) tell(counts map[string]int64) {
 	counts["control_commands_total"] = l.commands.Load()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// noteLateness records that the control goroutine was held up for longer than updates may take.
+func (n *Node) noteLateness() {
+	now := n.Group.Now()
+	gap := n.load.ticked(now)
+	if gap <= n.Settings.UpdatesEvery() {
+		return
+	}
+	cause := fmt.Sprintf("%d ms since the last tick, %d commands waiting", gap.Milliseconds(), len(n.commands))
+	n.record(statemachine.Event{At: now, EventName: "control-late", Cause: cause})
+}
+
 // runControl applies commands one after the other, and carries their effects out.
 func (n *Node) runControl(ctx context.Context) {
 	var seed [8]byte
@@ -148,7 +159,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			// What has come is taken before a tick judges anybody by silence.
+			for range len(n.commands) {
+				apply(<-n.commands)
+			}
 			apply(statemachine.Ticked{})
+			n.noteLateness()
 		case command := <-n.commands:
 			apply(command)
 		case next := <-n.replacements:
