Tests of the packed log

The log on its way is the log again, hardly longer than one version; spoilt differences are refused; an earlier build's whole bodies are taken. No change of code.

--- /dev/null
+++ b/internal/configstore/packing_test.go
@@ -0,0 +1,81 @@
+package configstore
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"beaconvane/internal/message"
+)
+
+// versionsOf makes a log of versions that differ a little, of two configurations.
+func versionsOf(dice *rand.Rand, count, routes int) ([]message.StoredConfiguration, []message.VersionDigest) {
+	list, digests := []message.StoredConfiguration{}, []message.VersionDigest{}
+	for _, configName := range []string{"main", "other"} {
+		lines := make([]string, routes)
+		for index := range lines {
+			lines[index] = fmt.Sprintf("route %d of %s goes to %d", index, configName, dice.IntN(1000))
+		}
+		for version := range count {
+			lines[dice.IntN(routes)] = fmt.Sprintf("changed %d", dice.IntN(1000))
+			body := []byte(strings.Join(lines, "\n"))
+			list = append(list, message.StoredConfiguration{ConfigName: configName, Version: int64(version + 1), Epoch: 1, Seq: int64(version), Body: body})
+			digests = append(digests, message.VersionDigest{ConfigName: configName, Version: int64(version + 1), Digest: contentDigest(body)})
+		}
+	}
+	return list, digests
+}
+
+func bytesOf(list []message.StoredConfiguration) int {
+	total := 0
+	for _, configuration := range list {
+		total += len(configuration.Body)
+	}
+	return total
+}
+
+// A log on its way is the log, whole again, and hardly longer than one version of it.
+func TestPackedLogIsTheLog(t *testing.T) {
+	c := qt.New(t)
+	const limit = 1 << 24
+	for seed := range uint64(20) {
+		dice := rand.New(rand.NewPCG(seed, 7))
+		list, digests := versionsOf(dice, 16, 400)
+		p := packer{}
+		packed := p.pack(list)
+		c.Assert(bytesOf(packed) < bytesOf(list)/16, qt.IsTrue, qt.Commentf("%d of %d bytes", bytesOf(packed), bytesOf(list)))
+		whole, err := unpack(packed, digests, limit)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reflect.DeepEqual(whole, list), qt.IsTrue)
+
+		// The oldest versions go; what was made of the others stays, but for the first.
+		shorter := append(append([]message.StoredConfiguration{}, list[3:16]...), list[20:]...)
+		whole, err = unpack(p.pack(shorter), digests, limit)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reflect.DeepEqual(whole, shorter), qt.IsTrue)
+
+		// An earlier build sends bodies as they are.
+		whole, err = unpack(list, digests, limit)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reflect.DeepEqual(whole, list), qt.IsTrue)
+	}
+}
+
+// Differences that don't give what the digests say are refused, and nothing of them is taken.
+func TestSpoiltLogIsRefused(t *testing.T) {
+	c := qt.New(t)
+	list, digests := versionsOf(rand.New(rand.NewPCG(1, 7)), 4, 50)
+	packed := (&packer{}).pack(list)
+	missing := append(append([]message.StoredConfiguration{}, packed[:1]...), packed[2:]...)
+	_, err := unpack(missing, digests, 1<<20)
+	c.Assert(err, qt.IsNotNil)
+	_, err = unpack(packed, digests, 100)
+	c.Assert(err, qt.IsNotNil)
+	packed[2].Body = []byte("no difference")
+	_, err = unpack(packed, digests, 1<<20)
+	c.Assert(err, qt.IsNotNil)
+}
