Differences between versions are kept by content, not by number

Cause: found when the whole change was read again. The packer kept differences by (name, base, version). A version that was in flight at a holder that lost its lease may be committed with other content later; a store that had packed the first then packed the second from it, and the log it sent did not agree with its digests: followers refused it, and a newcomer that was granted it ended. Ruled out: wrong content taken anywhere, since the digest is compared at the receiver. Change: kept by the digests of both contents, 64 at most. Figures: TestPackedContentIsTheOneHeld red before, green now; packages configstore, explore, lease and quorum green.

--- a/internal/configstore/answers.go
+++ b/internal/configstore/answers.go
@@ -29,7 +29,7 @@
 		response.Body = []byte{}
 	}
 	if len(response.Body) > packedFrom {
-		response.Body, response.Packed = m.packer.whole(response.ConfigName, response.Version, response.Body), true
+		response.Body, response.Packed = m.packer.whole(response.Body), true
 	}
 	if response.Versions == nil {
 		response.Versions = []int64{}
--- a/internal/configstore/packing.go
+++ b/internal/configstore/packing.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 
@@ -17,12 +18,15 @@
 // errDigest is returned for content that is not what its digest says.
 var errDigest = errors.New("configstore: content differs from its digest")
 
-// differenceKey names a difference between two versions; a base of 0 is the empty document.
+// differenceKey names a difference by the digests of both contents. Numbers wouldn't do: a
+// version that was lost in flight may be committed with another content later.
 type differenceKey struct {
-	configName    string
-	base, version int64
+	base, content [sha256.Size]byte
 }
 
+// differencesKept bounds what a packer keeps between two logs.
+const differencesKept = 64
+
 // packer makes differences, and keeps those of its last log: all but the newest are the same
 // the next time.
 type packer struct {
@@ -31,16 +35,16 @@
 	wholeMade []byte
 }
 
-func (p *packer) difference(key differenceKey, base, body []byte) []byte {
+func (p *packer) difference(base, body []byte) (differenceKey, []byte) {
+	key := differenceKey{sha256.Sum256(base), sha256.Sum256(body)}
 	if made, known := p.made[key]; known {
-		return made
+		return key, made
 	}
-	made := delta.Encode(base, body)
-	if p.made == nil {
+	if p.made == nil || len(p.made) >= differencesKept {
 		p.made = map[differenceKey][]byte{}
 	}
-	p.made[key] = made
-	return made
+	p.made[key] = delta.Encode(base, body)
+	return key, p.made[key]
 }
 
 // packedFrom is the size in bytes above which a content travels compressed.
@@ -48,8 +52,8 @@
 
 // whole is a version compressed by itself. The last one is kept: orders that alter nothing
 // are all answered with the current version.
-func (p *packer) whole(configName string, version int64, body []byte) []byte {
-	key := differenceKey{configName: configName, version: version}
+func (p *packer) whole(body []byte) []byte {
+	key := differenceKey{content: sha256.Sum256(body)}
 	if p.wholeKey != key || len(p.wholeMade) == 0 {
 		p.wholeKey, p.wholeMade = key, delta.Encode(nil, body)
 	}
@@ -65,10 +69,10 @@
 		if configuration.ConfigName != before.ConfigName {
 			before = message.StoredConfiguration{}
 		}
-		key := differenceKey{configuration.ConfigName, before.Version, configuration.Version}
-		used[key] = p.difference(key, before.Body, configuration.Body)
+		key, difference := p.difference(before.Body, configuration.Body)
+		used[key] = difference
 		before = configuration
-		configuration.Body = used[key]
+		configuration.Body = difference
 		packed = append(packed, configuration)
 	}
 	p.made = used
@@ -134,9 +138,9 @@
 // packedAppend is the append of the version in flight, as it travels.
 func (m *Machine) packedAppend(configuration message.StoredConfiguration) message.LogAppendPacked {
 	base := m.appendBase(configuration.ConfigName)
-	key := differenceKey{configuration.ConfigName, base.Version, configuration.Version}
+	_, difference := m.packer.difference(base.Body, configuration.Body)
 	return message.LogAppendPacked{Epoch: configuration.Epoch, Seq: configuration.Seq, Voter: m.quorum.Voter, ConfigName: configuration.ConfigName,
-		Version: configuration.Version, Base: base.Version, Difference: m.packer.difference(key, base.Body, configuration.Body), Digest: contentDigest(configuration.Body)}
+		Version: configuration.Version, Base: base.Version, Difference: difference, Digest: contentDigest(configuration.Body)}
 }
 
 // unpackAppend rebuilds the append that follows this voter's log; false where the log isn't
--- a/internal/configstore/packing_test.go
+++ b/internal/configstore/packing_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"beaconvane/internal/delta"
 	"beaconvane/internal/message"
 )
 
@@ -79,3 +80,24 @@
 	_, err = unpack(packed, digests, 1<<20)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// A version that was in flight and lost may be committed with another content later, at a
+// store that packed the first: what it packs then is what it holds.
+func TestPackedContentIsTheOneHeld(t *testing.T) {
+	c := qt.New(t)
+	base := message.StoredConfiguration{ConfigName: "main", Version: 4, Body: []byte(strings.Repeat("base ", 300))}
+	lost, taken := base, base
+	lost.Version, lost.Body = 5, append([]byte("lost "), base.Body...)
+	taken.Version, taken.Body = 5, append([]byte("taken "), base.Body...)
+	p := packer{}
+	p.pack([]message.StoredConfiguration{base, lost})
+	p.whole(lost.Body)
+	list := []message.StoredConfiguration{base, taken}
+	digests := []message.VersionDigest{{ConfigName: "main", Version: 4, Digest: contentDigest(base.Body)}, {ConfigName: "main", Version: 5, Digest: contentDigest(taken.Body)}}
+	whole, err := unpack(p.pack(list), digests, 1<<20)
+	c.Assert(err, qt.IsNil)
+	c.Assert(reflect.DeepEqual(whole, list), qt.IsTrue)
+	body, err := delta.Apply(nil, p.whole(taken.Body), 1<<20)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, string(taken.Body))
+}
