Review case 2: an acknowledged sign-off is forgotten after a kill

Cause: a sign-off is acknowledged when it stands in the proxy's memory; the registries keep it in memory until the next maintenance of the roster; a restarted proxy adopts the upstream from the roster on disk.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(f *fleet, trouble bool) int{
 	"foreign-answer": foreignAnswer,
+	"lost-signoff":   lostSignOff,
 }
 
 func main() {
