Review case 2: a proxy hangs for good after a freeze (two locks in both orders)

Cause: Frontend.lock then Backend.lock in selectUpstream (RetryShare), Backend.lock then Frontend.lock in HandleForward and startQueued (AuthorizeForward). A goroutine dump of the hung process shows the two.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(f *fleet, trouble bool) int{
 	"foreign-answer": foreignAnswer,
 	"lost-signoff":   lostSignOff,
+	"hang":           hang,
 }
 
 func main() {
--- a/review/_stand/standins.go
+++ b/review/_stand/standins.go
@@ -49,6 +49,7 @@
 	machine  *machine
 	instance string
 	work     time.Duration
+	calls    int // that it makes while it runs a request
 	server   *http.Server
 	number   atomic.Int64
 	state    atomic.Value // "ready" or "leaving"
@@ -93,6 +94,7 @@
 	u.lock.Unlock()
 	u.machine.fleet.record.line("upstream  %s (%s) runs %s %s", u.instance, u.machine.service, attempt, in.URL.Path)
 	time.Sleep(u.work)
+	u.callOthers(attempt)
 	out.Header().Set("X-Beaconvane-Server-Seal", "seal."+u.instance+"."+attempt)
 	fmt.Fprintf(out, "%s %s", u.machine.service, attempt)
 }
