Review case 3: without keys, a configuration with tenants lets every request run

Cause: Configuration.Keyless counts keys, not tenants: when the last key of all tenants is taken away, the proxies want no key any more.

--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -171,7 +171,7 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command("target/"+program, "--platform")
+	command := exec.Command(programFolder()+program, "--platform")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.folder, "BEACONVANE_SETTINGS=" + path}
 	command.Stdout, command.Stderr = log, log
 	// The processes end with this driver, also if it is killed.
@@ -272,3 +272,11 @@
 	r.line(format, arguments...)
 	fmt.Printf("%8.3f  %s\n", r.now().Seconds(), fmt.Sprintf(format, arguments...))
 }
+
+// programFolder is the folder of the programs, as the deploy file builds them.
+func programFolder() string {
+	if folder := os.Getenv("PROGRAMS"); folder != "" {
+		return folder
+	}
+	return "target/"
+}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -19,6 +19,7 @@
 	"foreign-answer": foreignAnswer,
 	"lost-signoff":   lostSignOff,
 	"hang":           hang,
+	"last-keys":      lastKeys,
 }
 
 func main() {
--- a/review/_stand/standins.go
+++ b/review/_stand/standins.go
@@ -167,8 +167,13 @@
 	failure error
 }
 
-// request sends one request to the egress address of a sidecar, as a client beside it.
+// request sends one request with the tenant's key to the egress address of a sidecar, as a client beside it.
 func (f *fleet) request(m *machine, method, host, path string, deadline time.Duration) reply {
+	return f.send(m, method, host, path, key, deadline)
+}
+
+// send sends one request with a key.
+func (f *fleet) send(m *machine, method, host, path, apiKey string, deadline time.Duration) reply {
 	result := reply{attempt: fmt.Sprintf("a%08d", attempts.Add(1)), sentAt: f.record.now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -176,8 +181,8 @@
 	request.Host = host
 	request.Header.Set("X-Beaconvane-Attempt-Id", result.attempt)
 	request.Header.Set("X-Beaconvane-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	request.Header.Set("Authorization", "Token "+key)
-	f.record.line("client    %s sends %s %s%s at %s", result.attempt, method, host, path, m.name)
+	request.Header.Set("Authorization", "Token "+apiKey)
+	f.record.line("client    %s sends %s %s%s at %s with key %s", result.attempt, method, host, path, m.name, apiKey)
 	response, err := plainClient.Do(request)
 	if err == nil {
 		defer response.Body.Close()
