--- a/review/_stand/foreign_answer.go
+++ b/review/_stand/foreign_answer.go
@@ -72,14 +72,18 @@
 	return nil
 }
 
-// The processes that are killed together come back within a second of the first kill: the registry that
-// took the order first, the others later.
-const (
-	killSpread    = 60 * time.Millisecond // from the first to the last kill
-	registryBack  = 150 * time.Millisecond
-	othersBack    = 600 * time.Millisecond
-	operatorPause = 5 * time.Millisecond
-)
+// killTimes are the times of one round, from the first kill on. The processes that are killed together come back
+// within a second: the registry that took the order first, the others later.
+type killTimes struct{ lastKill, registryBack, othersBack time.Duration }
+
+// rounds: the second one, with the two machines exchanged, is played only if the first one broke nothing.
+var rounds = []killTimes{
+	{25 * time.Millisecond, 130 * time.Millisecond, 150 * time.Millisecond},
+	{60 * time.Millisecond, 150 * time.Millisecond, 600 * time.Millisecond},
+}
+
+// operatorPause is the pause of operator B between calls that were not taken.
+const operatorPause = 5 * time.Millisecond
 
 // invalidConfiguration returns a configuration with a route that names an unknown service. Its other route
 // sends /x/ to the given service.
@@ -97,9 +101,7 @@
 // them the registry that took it. They come back within a second. Operator B sends an invalid configuration
 // to the registry that has come back. Without a clear answer, A sends its order again.
 func foreignAnswer(f *fleet, trouble bool) int {
-	old, newer := configuration(10, "alpha", "alpha", "beta"), configuration(20, "beta", "alpha", "beta")
-	invalid := invalidConfiguration(25, "alpha", "alpha", "beta")
-	if _, ok := setUp(f, f.cores[0], []string{"alpha", "beta"}, old); !ok {
+	if _, ok := setUp(f, f.cores[0], []string{"alpha", "beta"}, configuration(10, "alpha", "alpha", "beta")); !ok {
 		return exitNotRun
 	}
 	time.Sleep(2 * time.Second)
@@ -108,23 +110,41 @@
 		f.record.say("no holder of the configuration log found")
 		return exitNotRun
 	}
-	// The order goes to a core machine that is not the holder and has taken no order before.
+	// The order goes to a core machine that is not the holder and, if possible, has taken no order before.
 	others := []*machine{}
 	for _, core := range append(f.cores[1:], f.cores[0]) {
 		if core != holder {
 			others = append(others, core)
 		}
 	}
-	taker, third := others[0], others[1]
+	code := foreignAnswerRound(f, trouble, rounds[0], holder, others[0], others[1], 20, "beta", "alpha")
+	if code == exitHeld {
+		time.Sleep(3 * time.Second)
+		if holder = f.holder(); holder == nil || holder == others[1] {
+			return code
+		}
+		third := others[0]
+		if holder == third {
+			return code
+		}
+		code = foreignAnswerRound(f, trouble, rounds[1], holder, others[1], third, 40, "alpha", "beta")
+	}
+	return code
+}
+
+// foreignAnswerRound plays one round: the valid version sends /x/ to one service, the invalid one, whose number is
+// higher by 5, to the other.
+func foreignAnswerRound(f *fleet, trouble bool, times killTimes, holder, taker, third *machine, version int, service, other string) int {
+	newer := configuration(version, service, "alpha", "beta")
+	invalid := invalidConfiguration(version+5, other, "alpha", "beta")
 	sidecar := f.sidecars[0]
 	for _, m := range f.sidecars {
-		if m.zone == third.zone {
+		if m.zone == taker.zone {
 			sidecar = m
 		}
 	}
 	f.record.say("holder %s; order to %s; to be killed: both programs of %s and %s, the proxy of %s", holder.name, taker.name, taker.name,
 		third.name, sidecar.name)
-
 	var pending sync.WaitGroup
 	pending.Add(1)
 	startedAt := time.Now()
@@ -139,15 +159,15 @@
 		_, _, _ = f.put("A", taker, newer)
 	}()
 	if trouble {
-		time.Sleep(killSpread)
+		time.Sleep(times.lastKill)
 		taker.signal("registry", syscall.SIGKILL)
 		f.record.say("killed: both programs of %s and %s, the proxy of %s", taker.name, third.name, sidecar.name)
-		sidecar.reap("proxy")
-		for _, m := range []*machine{taker, third} {
-			m.reap("registry")
-			m.reap("configstore")
+		for _, m := range []*machine{taker, third, sidecar} {
+			for _, program := range m.programs() {
+				m.reap(program)
+			}
 		}
-		time.Sleep(registryBack - time.Since(startedAt))
+		time.Sleep(times.registryBack - time.Since(startedAt))
 		if taker.start("registry") != nil {
 			return exitNotRun
 		}
@@ -155,20 +175,20 @@
 		pending.Add(1)
 		go func() {
 			defer pending.Done()
-			time.Sleep(othersBack - time.Since(startedAt))
+			time.Sleep(times.othersBack - time.Since(startedAt))
 			_, _, _ = third.startAll(), sidecar.startAll(), taker.start("configstore")
 			f.record.say("the other processes started again")
 		}()
 	} else {
 		pending.Wait()
 	}
-	restartedAt := f.record.now() + othersBack
+	restartedAt := f.record.now() + times.othersBack
 	invalidAcknowledged := false
 	// B sends its order until a node takes the call.
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(operatorPause) {
 		status, answer, err := f.put("B", taker, invalid)
 		if err == nil {
-			f.record.say("answer to the invalid configuration, version 25: %d %s", status, firstLine(answer))
+			f.record.say("answer to the invalid configuration, version %d: %d %s", version+5, status, firstLine(answer))
 			invalidAcknowledged = status/100 == 2
 			break
 		}
@@ -179,10 +199,10 @@
 		return err == nil && status == http.StatusOK
 	})
 	if !acknowledged {
-		f.record.say("version 20 was not acknowledged")
+		f.record.say("version %d was not acknowledged", version)
 		return exitNotRun
 	}
-	f.record.say("version 20 acknowledged")
+	f.record.say("version %d acknowledged", version)
 	// Judged are requests sent more than config-apply-s after the acknowledgement, and more than twice
 	// contact-s after the start of the processes, when all machines are in touch.
 	time.Sleep(max(2*time.Second, restartedAt+6*time.Second-f.record.now()) + 200*time.Millisecond)
@@ -193,7 +213,7 @@
 			switch {
 			case answer.failure != nil || answer.status != http.StatusOK:
 				failed++
-			case answer.body == "beta "+answer.attempt:
+			case answer.body == service+" "+answer.attempt:
 				right++
 			default:
 				wrong[m.name]++
@@ -205,9 +225,9 @@
 		status, body, _ := f.read(core)
 		f.record.say("read back from %s: %d, %s", core.name, status, configurationLabel(body))
 	}
-	f.record.say("requests run by the service of version 20: %d, by the other service: %v, not served: %d", right, wrong, failed)
+	f.record.say("requests run by the service of version %d: %d, by the other service: %v, not served: %d", version, right, wrong, failed)
 	if len(wrong) > 0 {
-		f.record.say("CONFIG broken: the invalid configuration is in force: requests ran as version 20 does not allow")
+		f.record.say("CONFIG broken: the invalid configuration is in force: requests ran as version %d does not allow", version)
 	}
 	if invalidAcknowledged {
 		f.record.say("CONFIG broken: an invalid configuration was acknowledged")
