--- a/review/_stand/foreign_answer.go
+++ b/review/_stand/foreign_answer.go
@@ -101,7 +101,7 @@
 // them the registry that took it. They come back within a second. Operator B sends an invalid configuration
 // to the registry that has come back. Without a clear answer, A sends its order again.
 func foreignAnswer(f *fleet, trouble bool) int {
-	if _, ok := setUp(f, f.cores[0], []string{"alpha", "beta"}, configuration(10, "alpha", "alpha", "beta")); !ok {
+	if _, ok := setUp(f, f.cores[0], []string{"alpha", "beta", "gamma"}, configuration(10, "alpha", "alpha", "beta", "gamma")); !ok {
 		return exitNotRun
 	}
 	time.Sleep(2 * time.Second)
@@ -117,7 +117,7 @@
 			others = append(others, core)
 		}
 	}
-	code := foreignAnswerRound(f, trouble, rounds[0], holder, others[0], others[1], 20, "beta", "alpha")
+	code := foreignAnswerRound(f, trouble, rounds[0], holder, others[0], others[1], 20, "beta")
 	if code == exitHeld {
 		time.Sleep(3 * time.Second)
 		if holder = f.holder(); holder == nil || holder == others[1] {
@@ -127,16 +127,16 @@
 		if holder == third {
 			return code
 		}
-		code = foreignAnswerRound(f, trouble, rounds[1], holder, others[1], third, 40, "alpha", "beta")
+		code = foreignAnswerRound(f, trouble, rounds[1], holder, others[1], third, 40, "alpha")
 	}
 	return code
 }
 
-// foreignAnswerRound plays one round: the valid version sends /x/ to one service, the invalid one, whose number is
-// higher by 5, to the other.
-func foreignAnswerRound(f *fleet, trouble bool, times killTimes, holder, taker, third *machine, version int, service, other string) int {
-	newer := configuration(version, service, "alpha", "beta")
-	invalid := invalidConfiguration(version+5, other, "alpha", "beta")
+// foreignAnswerRound plays one round: the valid version sends /x/ to a service, the invalid one, whose number is
+// higher by 5, to gamma, which no other version names for it.
+func foreignAnswerRound(f *fleet, trouble bool, times killTimes, holder, taker, third *machine, version int, service string) int {
+	newer := configuration(version, service, "alpha", "beta", "gamma")
+	invalid := invalidConfiguration(version+5, "gamma", "alpha", "beta", "gamma")
 	sidecar := f.sidecars[0]
 	for _, m := range f.sidecars {
 		if m.zone == taker.zone {
@@ -206,7 +206,7 @@
 	// Judged are requests sent more than config-apply-s after the acknowledgement, and more than twice
 	// contact-s after the start of the processes, when all machines are in touch.
 	time.Sleep(max(2*time.Second, restartedAt+6*time.Second-f.record.now()) + 200*time.Millisecond)
-	wrong, right, failed := map[string]int{}, 0, 0
+	invalidRuns, olderRuns, right, failed := map[string]int{}, 0, 0, 0
 	for range 20 {
 		for _, m := range f.sidecars {
 			answer := f.request(m, http.MethodGet, "shop.example", "/x/1", 1200*time.Millisecond)
@@ -215,22 +215,28 @@
 				failed++
 			case answer.body == service+" "+answer.attempt:
 				right++
+			case answer.body == "gamma "+answer.attempt:
+				invalidRuns[m.name]++
 			default:
-				wrong[m.name]++
+				olderRuns++
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	status, body, _ := f.read(holder)
 	f.record.say("read back from %s: %d, %s", holder.name, status, configurationLabel(body))
-	f.record.say("requests run by the service of version %d: %d, by the other service: %v, not served: %d", version, right, wrong, failed)
-	if len(wrong) > 0 {
-		f.record.say("CONFIG broken: the invalid configuration is in force: requests ran as version %d does not allow", version)
+	f.record.say("requests run by the service of version %d: %d, by the invalid one's: %v, by an older version's: %d, not served: %d",
+		version, right, invalidRuns, olderRuns, failed)
+	if len(invalidRuns) > 0 {
+		f.record.say("CONFIG broken: the invalid configuration is in force")
+	}
+	if olderRuns > 0 {
+		f.record.say("CONFIG broken: requests ran as only an older version allows")
 	}
 	if invalidAcknowledged {
 		f.record.say("CONFIG broken: an invalid configuration was acknowledged")
 	}
-	if invalidAcknowledged || len(wrong) > 0 {
+	if invalidAcknowledged || len(invalidRuns)+olderRuns > 0 {
 		return exitBroken
 	}
 	return exitHeld
--- a/review/_stand/hang.go
+++ b/review/_stand/hang.go
@@ -30,11 +30,12 @@
 const (
 	freezeTime    = 3500 * time.Millisecond
 	contactPause  = 3200 * time.Millisecond
-	maxFreezes    = 9
+	maxFreezes    = 4
 	perSecond     = 20 // requests of all clients
 	nestedCalls   = 3  // of each run of alpha
 	routeDeadline = 5 * time.Second
 	answerSlack   = 500 * time.Millisecond
+	unreadPause   = time.Second // after which a client abandons a try that the node has not read
 )
 
 // sentRequest is a request of the judged time: how long it took, and whether it got a final answer.
@@ -47,6 +48,8 @@
 type load struct {
 	fleet   *fleet
 	stopped atomic.Bool
+	alpha   *machine
+	frozen  atomic.Bool // alpha
 	clients sync.WaitGroup
 	lock    sync.Mutex
 	sent    []sentRequest
@@ -64,8 +67,13 @@
 			l.clients.Add(1)
 			go func() {
 				defer l.clients.Done()
-				// The client waits a little longer than the route's deadline-s and the slack of the rule.
-				answer := l.fleet.request(m, http.MethodGet, "shop.example", "/x/1", routeDeadline+answerSlack+100*time.Millisecond)
+				// The client waits a little longer than the route's deadline-s and the slack of the rule. A frozen node
+				// reads nothing.
+				patience := routeDeadline + answerSlack + 100*time.Millisecond
+				if m == l.alpha && l.frozen.Load() {
+					patience = unreadPause
+				}
+				answer := l.fleet.request(m, http.MethodGet, "shop.example", "/x/1", patience)
 				l.lock.Lock()
 				defer l.lock.Unlock()
 				l.sent = append(l.sent, sentRequest{answer.sentAt, l.fleet.record.now() - answer.sentAt, answer.failure == nil})
@@ -74,7 +82,7 @@
 	}()
 }
 
-// hang: one sidecar machine freezes and wakes again, up to nine times, while the clients of all zones call its
+// hang: one sidecar machine freezes and wakes again, up to four times, while the clients of all zones call its
 // upstream, which makes calls of its own.
 func hang(f *fleet, trouble bool) int {
 	alpha := f.addSidecar(0, "alpha")
@@ -113,7 +121,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	f.record.say("all served")
-	traffic := &load{fleet: f}
+	traffic := &load{fleet: f, alpha: alpha}
 	for zone := range f.zones {
 		inZone := []*machine{}
 		for _, m := range f.sidecars {
@@ -125,12 +133,14 @@
 	}
 	for freeze := 1; freeze <= maxFreezes; freeze++ {
 		if trouble {
+			traffic.frozen.Store(true)
 			alpha.signal("proxy", syscall.SIGSTOP)
 			f.record.line("frozen: %s", alpha.name)
 		}
 		time.Sleep(freezeTime)
 		if trouble {
 			alpha.signal("proxy", syscall.SIGCONT)
+			traffic.frozen.Store(false)
 			f.record.line("awake: %s", alpha.name)
 		}
 		time.Sleep(contactPause)
--- a/review/_stand/last_keys.go
+++ b/review/_stand/last_keys.go
@@ -32,19 +32,25 @@
 	if before.status != http.StatusUnauthorized {
 		return exitNotRun
 	}
-	next := withKeys(20, secondKey)
+	// One key is taken away, and with the disruption the other one gap_s later.
+	versions := [][]byte{withKeys(20, secondKey)}
 	if trouble {
-		next = withKeys(20)
+		versions = append(versions, withKeys(30))
 	}
-	acknowledged := waitFor(10*time.Second, func() bool {
-		status, _, err := f.put("A", f.cores[1], next)
-		return err == nil && status == http.StatusOK
-	})
-	if !acknowledged {
-		f.record.say("version 20 was not acknowledged")
-		return exitNotRun
+	for number, version := range versions {
+		if number > 0 {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		acknowledged := waitFor(10*time.Second, func() bool {
+			status, _, err := f.put("A", f.cores[1], version)
+			return err == nil && status == http.StatusOK
+		})
+		if !acknowledged {
+			f.record.say("not acknowledged: %s", configurationLabel(version))
+			return exitNotRun
+		}
+		f.record.say("acknowledged, which takes away a key: %s", configurationLabel(version))
 	}
-	f.record.say("version 20 acknowledged, which removes the key")
 	// revoke-s is 5.
 	time.Sleep(5500 * time.Millisecond)
 	removed, foreign, answers := 0, 0, map[int]int{}
@@ -61,7 +67,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	f.record.say("sent from %.1f s after the acknowledgement: answers with the removed key %v; run with it: %d of 30, with a key that no configuration held: %d of 30",
+	f.record.say("sent from %.1f s after the last acknowledgement: answers with the removed key %v; run with it: %d of 30, with a key that no configuration held: %d of 30",
 		5.5, answers, removed, foreign)
 	if removed > 0 {
 		f.record.say("CONFIG broken: requests run that were sent later than revoke-s after the acknowledgement of a configuration that removed their key")
