--- a/review/_stand/hang.go
+++ b/review/_stand/hang.go
@@ -30,7 +30,7 @@
 const (
 	freezeTime    = 3500 * time.Millisecond
 	contactPause  = 3200 * time.Millisecond
-	maxFreezes    = 4
+	maxFreezes    = 6
 	perSecond     = 20 // requests of all clients
 	nestedCalls   = 3  // of each run of alpha
 	routeDeadline = 5 * time.Second
@@ -82,7 +82,7 @@
 	}()
 }
 
-// hang: one sidecar machine freezes and wakes again, up to four times, while the clients of all zones call its
+// hang: one sidecar machine freezes and wakes again, up to six times, while the clients of all zones call its
 // upstream, which makes calls of its own.
 func hang(f *fleet, trouble bool) int {
 	alpha := f.addSidecar(0, "alpha")
