Registry: an answer to an earlier run's request is not taken for another's

Cause: forwardedRequests numbered its requests from 1 in each run of the process, and trusted the number in a StoreResponse. A configstore that waits for a majority answers the request of the earlier run after the registry is back; the number then belongs to another operator's request. A machine that is rebuilt after a disk fault began at 1 again too, and a read could get the answer to a write.

Change: statemachine.Sequence numbers the requests of one run. It starts at a random number of 62 bits, drawn from a source of its own, so that the machine's other random choices stay as they were. The wire format is unchanged.

It works since the number of an earlier run matches no pending request.

--- a/internal/registry/forwarded_requests.go
+++ b/internal/registry/forwarded_requests.go
@@ -25,9 +25,9 @@
 	membership   *membership.Membership
 	distribution *distribution.Distribution
 
-	lastRequestID int64
-	pending       map[int64]*pendingRequest
-	holderHint    string // name of the configstore that the latest redirect named as holder
+	requestIDs statemachine.Sequence
+	pending    map[int64]*pendingRequest
+	holderHint string // name of the configstore that the latest redirect named as holder
 }
 
 // pendingRequest is a forwarded write or read; exactly one of write and read is set.
@@ -57,17 +57,17 @@
 
 // write forwards a write to a configstore.
 func (r *forwardedRequests) write(env *statemachine.Env, replyTo int64, request WriteConfiguration) {
-	r.lastRequestID++
 	packed := request.CompressedBody
 	if packed == nil {
 		packed = delta.Encode(nil, request.Body)
 	}
-	r.pending[r.lastRequestID] = &pendingRequest{
+	requestID := r.requestIDs.Next(env)
+	r.pending[requestID] = &pendingRequest{
 		replyTo:  replyTo,
 		deadline: env.Now + r.settings.OperatorTimeout(len(request.Body)),
 		body:     request.Body,
 		write: &message.WriteRequest{
-			RequestID:  r.lastRequestID,
+			RequestID:  requestID,
 			ConfigName: request.ConfigName,
 			Version:    request.Version,
 			Body:       packed,
@@ -80,12 +80,12 @@
 
 // read forwards a read to a configstore.
 func (r *forwardedRequests) read(env *statemachine.Env, replyTo int64, request ReadConfiguration) {
-	r.lastRequestID++
-	r.pending[r.lastRequestID] = &pendingRequest{
+	requestID := r.requestIDs.Next(env)
+	r.pending[requestID] = &pendingRequest{
 		replyTo:  replyTo,
 		deadline: env.Now + r.settings.OperatorTimeout(0),
 		read: &message.ReadRequest{
-			RequestID:  r.lastRequestID,
+			RequestID:  requestID,
 			ConfigName: request.ConfigName,
 			Version:    request.Version,
 			List:       request.List,
--- a/internal/statemachine/env.go
+++ b/internal/statemachine/env.go
@@ -18,11 +18,16 @@
 	Random        *rand.Rand
 	effects       []Effect
 	lastRequestID int64
+
+	sequenceStarts *rand.Rand // draws the starts of sequences
 }
 
 // NewEnv returns an Env whose random source is seeded with seed.
 func NewEnv(seed uint64) *Env {
-	return &Env{Random: rand.New(rand.NewPCG(seed, seed^pcgSeedMask))}
+	return &Env{
+		Random:         rand.New(rand.NewPCG(seed, seed^pcgSeedMask)),
+		sequenceStarts: newSequenceStarts(seed),
+	}
 }
 
 // Send sends a message over a connection to the address to ("ip:port").
