Leases, tree, roster and membership: rounds of two runs of a process differ

- Lease: a candidate that restarts requests the epoch after its stored vote.
A vote that another voter granted to the earlier run in that epoch counted for the new run's round of the same number, and the lease was taken to run from the new round.
- Roster digests and pings: the same, by reading.

All use statemachine.Sequence now.

--- a/internal/distribution/requests.go
+++ b/internal/distribution/requests.go
@@ -17,7 +17,7 @@
 // requestLog contains the unanswered requests to the current parent and to earlier ones. On congested
 // links an answer may arrive after its parent was left; its content is still valid.
 type requestLog struct {
-	round     int64                      // number of the last request since the process started
+	rounds    statemachine.Sequence      // numbers the requests
 	pending   map[int64]time.Duration    // send time of each unanswered request to the current parent, by round
 	abandoned map[int64]abandonedRequest // unanswered requests to earlier parents, by round
 }
@@ -32,12 +32,12 @@
 	return requestLog{pending: map[int64]time.Duration{}, abandoned: map[int64]abandonedRequest{}}
 }
 
-// record adds a request sent at the given time and returns its round.
-func (l *requestLog) record(now time.Duration) int64 {
-	l.round++
-	l.pending[l.round] = now
-	delete(l.pending, l.round-recordedRounds)
-	return l.round
+// record adds a request that is sent now and returns its round.
+func (l *requestLog) record(env *statemachine.Env) int64 {
+	round := l.rounds.Next(env)
+	l.pending[round] = env.Now
+	delete(l.pending, round-recordedRounds)
+	return round
 }
 
 // acknowledge removes the pending requests up to and including the answered round.
@@ -71,7 +71,7 @@
 // request sends the parent an UpdatesRequest with this node's positions, and resumes stalled downloads.
 func (d *Distribution) request(env *statemachine.Env) {
 	d.nextRequestAt = env.Now + d.requestInterval()
-	round := d.requests.record(env.Now)
+	round := d.requests.record(env)
 	positions := []message.Position{}
 	for _, topic := range d.requiredTopics() {
 		positions = append(positions, d.topics[topic].requestPosition())
--- a/internal/distribution/subscribers.go
+++ b/internal/distribution/subscribers.go
@@ -15,12 +15,15 @@
 // removed.
 const missedParentTimeouts = 2
 
+// maxRoundGap is the most requests that a subscriber sends between two that arrive here.
+const maxRoundGap = 1 << 32
+
 // subscriber is a child in the tree: a node that requests updates from this one.
 type subscriber struct {
 	address       string
 	lastRequestAt time.Duration
 	positions     map[string]message.Position // its positions, by subscribed topic
-	round         int64                       // of its last request; a lower round means that it has restarted
+	round         int64                       // of its last request
 	deliveries    map[string]delivery         // large updates in transit to it, by topic
 }
 
@@ -49,7 +52,7 @@
 // update applies a request to the state of its subscriber. A subscriber that has restarted or changed
 // its address has not received earlier deliveries, so they are discarded.
 func (s *subscriber) update(now time.Duration, from string, request message.UpdatesRequest) {
-	if s.deliveries == nil || request.Round < s.round || s.address != from {
+	if s.deliveries == nil || s.restartedBefore(request.Round) || s.address != from {
 		s.deliveries = map[string]delivery{}
 	}
 	s.round = request.Round
@@ -60,6 +63,12 @@
 	}
 }
 
+// restartedBefore reports whether a request with the given round is the first after a restart of the
+// subscriber. Each run of a process numbers its requests from another start.
+func (s *subscriber) restartedBefore(round int64) bool {
+	return round < s.round || round-s.round > maxRoundGap
+}
+
 // subscribers contains the children of a node, by name.
 type subscribers map[string]*subscriber
 
--- a/internal/lease/group_test.go
+++ b/internal/lease/group_test.go
@@ -29,6 +29,7 @@
 	votes         []message.Vote // on the simulated disk
 	pendingWrites []func()
 	diskFailure   error
+	rounds        map[int64]bool // the rounds of its requests since it was last cleared
 }
 
 // testGroup is a group of three voters for one tag, whose clocks, network and disks are simulated.
@@ -71,6 +72,7 @@
 			address:  "a" + name,
 			settings: cfg,
 			env:      statemachine.NewEnv(uint64(index + 1)),
+			rounds:   map[int64]bool{},
 			state: message.VoterState{
 				Identity: memberList[name], Formed: true, Voting: true, Voter: name, MemberList: memberList,
 			},
@@ -148,6 +150,7 @@
 			}
 			for _, effect := range voter.env.Drain() {
 				if send, isSend := effect.(statemachine.Send); isSend {
+					voter.recordRound(send.Message)
 					deliveries = append(deliveries, delivery{voter.address, send.To, send.Message})
 				}
 			}
@@ -161,6 +164,13 @@
 	return duration
 }
 
+// recordRound records the round of a request that the voter sends.
+func (v *testVoter) recordRound(msg any) {
+	if request, isRequest := msg.(message.LeaseRequest); isRequest {
+		v.rounds[request.Round] = true
+	}
+}
+
 // voterAt returns the voter with the given address, or nil.
 func (g *testGroup) voterAt(address string) *testVoter {
 	for _, voter := range g.voters {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -47,10 +47,10 @@
 	host           Host
 	quorum         *quorum.Quorum
 	tags           map[string]*tagState
-	tagNames       []string      // sorted
-	restartWaitEnd time.Duration // end of the wait before voting; restartWaitNotStarted before BeginVoting
-	promisesOnDisk bool          // the votes on this disk include every promise that it made
-	lastRound      int64         // number of the last request round, over all tags
+	tagNames       []string              // sorted
+	restartWaitEnd time.Duration         // end of the wait before voting; restartWaitNotStarted before BeginVoting
+	promisesOnDisk bool                  // the votes on this disk include every promise that it made
+	rounds         statemachine.Sequence // numbers the request rounds of all tags
 	callbacks      Callbacks
 }
 
--- a/internal/lease/round.go
+++ b/internal/lease/round.go
@@ -10,7 +10,7 @@
 // round is one request to all voters and the grants received for it. Candidates request pre-votes and
 // votes in rounds, and holders renew their lease in rounds.
 type round struct {
-	number    int64 // from 1; 0 matches no answer
+	number    int64 // 0 matches no answer
 	startedAt time.Duration
 	grants    map[string]string // signatures by voter
 	pending   bool              // not yet granted by a majority
@@ -19,9 +19,9 @@
 
 // startRound starts a round: it requests the candidate's epoch from all voters, from this one last.
 func (m *Manager) startRound(env *statemachine.Env, tag *tagState) {
-	m.lastRound++
+	number := m.rounds.Next(env)
 	tag.candidate.round = round{
-		number:    m.lastRound,
+		number:    number,
 		startedAt: env.Now,
 		grants:    map[string]string{},
 		pending:   true,
@@ -33,7 +33,7 @@
 		Epoch:     tag.candidate.epoch,
 		Voter:     m.quorum.Voter,
 		Identity:  m.quorum.Signature(),
-		Round:     m.lastRound,
+		Round:     number,
 		PreVote:   tag.candidate.preVote,
 	}
 	m.sendToPeers(env, request)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,7 +29,7 @@
 	probe        *probe                // current probe, or nil
 	probeOrder   []string              // members not yet probed in this round
 	nextProbeAt  time.Duration         // when the next probe starts
-	lastSequence int64                 // number of the last ping
+	pings        statemachine.Sequence // numbers the pings
 	pingRequests map[int64]pingRequest // being served for other nodes, by the number of this node's ping
 
 	nextJoinAt           time.Duration
@@ -135,8 +135,7 @@
 	m.self.Incarnation++
 	m.self.State = message.Left
 	for _, member := range m.Alive("") {
-		m.lastSequence++
-		env.Datagram(member.Address, message.Ping{Sequence: m.lastSequence, Target: member.Name, From: m.self})
+		env.Datagram(member.Address, message.Ping{Sequence: m.pings.Next(env), Target: member.Name, From: m.self})
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -79,10 +79,9 @@
 
 // ping starts a probe of a member.
 func (m *Membership) ping(env *statemachine.Env, target message.Member) {
-	m.lastSequence++
-	m.probe = &probe{target: target.Name, sequence: m.lastSequence, sentAt: env.Now}
+	m.probe = &probe{target: target.Name, sequence: m.pings.Next(env), sentAt: env.Now}
 	env.Datagram(target.Address, message.Ping{
-		Sequence: m.lastSequence,
+		Sequence: m.probe.sequence,
 		Target:   target.Name,
 		From:     m.self,
 		Gossip:   m.piggybackFor(target.Name),
@@ -151,13 +150,13 @@
 func (m *Membership) handlePingRequest(env *statemachine.Env, request message.IndirectPing) {
 	m.mergeSender(env, request.From)
 	m.mergeAll(env, request.Gossip)
-	m.lastSequence++
-	m.pingRequests[m.lastSequence] = pingRequest{
+	sequence := m.pings.Next(env)
+	m.pingRequests[sequence] = pingRequest{
 		requester:  request.From.Address,
 		sequence:   request.Sequence,
 		receivedAt: env.Now,
 	}
-	env.Datagram(request.Address, message.Ping{Sequence: m.lastSequence, Target: request.Target, From: m.self})
+	env.Datagram(request.Address, message.Ping{Sequence: sequence, Target: request.Target, From: m.self})
 }
 
 // expirePingRequests drops ping-reqs of other nodes whose target has not answered in time.
--- a/internal/registry/replication.go
+++ b/internal/registry/replication.go
@@ -15,7 +15,7 @@
 // replicationState tracks how this registry's copies of the zones are synchronized with their
 // holders.
 type replicationState struct {
-	round       int64                   // number of the latest round of digest requests
+	rounds      statemachine.Sequence   // numbers the rounds of digest requests
 	requestedAt map[int64]time.Duration // time of the digest request, by round
 
 	snapshotDue    bool          // a zone snapshot was received or an epoch was started that is not in the disk snapshot yet
@@ -28,16 +28,16 @@
 }
 
 // beginRound starts a round of digest requests, and drops the oldest retained one.
-func (r *replicationState) beginRound(now time.Duration) {
-	r.round++
-	r.requestedAt[r.round] = now
-	delete(r.requestedAt, r.round-digestRoundRetention)
+func (r *replicationState) beginRound(env *statemachine.Env) {
+	round := r.rounds.Next(env)
+	r.requestedAt[round] = env.Now
+	delete(r.requestedAt, round-digestRoundRetention)
 }
 
 // synchronizeZones sends the peers a digest request for each zone whose copy is complete, and a
 // pull for each zone whose copy is not. Zones held here are skipped.
 func (m *Machine) synchronizeZones(env *statemachine.Env) {
-	m.replication.beginRound(env.Now)
+	m.replication.beginRound(env)
 	for _, zone := range m.settings.Zones {
 		replica := m.zones[zone]
 		if m.holdsZone(env, zone) {
@@ -61,7 +61,7 @@
 func (m *Machine) rosterCheck(zone string) message.RosterCheck {
 	return message.RosterCheck{
 		Zone:     zone,
-		Round:    m.replication.round,
+		Round:    m.replication.rounds.Last(),
 		Voter:    m.quorum.Voter,
 		Position: m.zones[zone].slice.Position,
 	}
