Proxy: the frontend and the backend no longer wait for each other's locks

Connection pool and guard connections no longer call the backend under their locks either.

Looked at: every sync.Mutex in internal/ outside the test tools (api 2, backend 4, frontend 7, goroutine 1, node 3, transport 3). All are locking.Mutex now.

--- a/internal/api/caller_timeouts.go
+++ b/internal/api/caller_timeouts.go
@@ -6,10 +6,10 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"beaconvane/internal/frontend"
+	"beaconvane/internal/locking"
 )
 
 // The HTTP server is configured with placeholder timeouts longer than any configured limit. From the
@@ -80,7 +80,7 @@
 	net.Conn
 	timeouts CallerTimeouts
 
-	lock             sync.Mutex
+	lock             locking.Mutex
 	idleSince        time.Time // start of the wait for a request; zero while the server does not wait for one
 	handlingSince    time.Time // when the handler of the current request started; zero while none runs
 	nextArrivedAt    time.Time // arrival of the next request's first byte, if it arrived during the current request
--- a/internal/api/connection_limit.go
+++ b/internal/api/connection_limit.go
@@ -3,7 +3,8 @@
 import (
 	"net"
 	"net/http"
-	"sync"
+
+	"beaconvane/internal/locking"
 )
 
 // connectionLimit bounds the number of open connections. When a new connection exceeds the limit, the
@@ -11,7 +12,7 @@
 // read a request from an idle connection, so a caller may safely retry a request that it sent on one.
 type connectionLimit struct {
 	maxOpen int
-	lock    sync.Mutex
+	lock    locking.Mutex
 	open    map[net.Conn]bool
 	idle    connectionQueue
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,10 +5,10 @@
 	"encoding/hex"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 	"beaconvane/internal/settings"
 )
@@ -44,7 +44,7 @@
 }
 
 // Authorizer checks a forwarded request against the configurations of this serving proxy. It returns
-// errcode.OK for an allowed request.
+// errcode.OK for an allowed request. It is called with Backend.lock held, so it must not take a lock.
 type Authorizer func(forward message.Forward) errcode.Code
 
 // upstream is the state of one registration at this proxy. It is guarded by Backend.lock.
@@ -69,7 +69,7 @@
 	authorize Authorizer
 	newToken  func() string
 
-	lock         sync.Mutex // guards the fields below
+	lock         locking.Mutex // guards the fields below
 	upstreams    map[string]*upstream
 	retired      map[string]time.Duration // time of retirement by instance; announcements of these instances are ignored
 	delegations  map[string]Delegation    // by delegation token
--- a/internal/backend/calls.go
+++ b/internal/backend/calls.go
@@ -1,6 +1,6 @@
 package backend
 
-import "sync"
+import "beaconvane/internal/locking"
 
 // call is a request that is being sent to an upstream or awaits its response. It is guarded by
 // callRegistry.lock.
@@ -12,7 +12,7 @@
 
 // callRegistry tracks the active calls, so that a call can be cancelled after its caller disconnected.
 type callRegistry struct {
-	lock   sync.Mutex
+	lock   locking.Mutex
 	active map[string]*call // by attempt id
 }
 
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -3,7 +3,8 @@
 // outcome of each attempt.
 //
 // Backend makes the decisions. It does no I/O, receives the current time as a parameter and holds
-// one mutex briefly, so that the simulator runs the same code. UpstreamClient executes the decisions
+// one mutex briefly, so that the simulator runs the same code. Under that mutex it calls nothing but its
+// Authorizer, which takes no lock (package locking has the rule). UpstreamClient executes the decisions
 // to start: it maintains connections to upstreams and sends requests on them. ResponseMatcher
 // identifies the response to a request in the bytes that an upstream sends.
 //
--- a/internal/backend/guard.go
+++ b/internal/backend/guard.go
@@ -1,10 +1,12 @@
 package backend
 
 import (
-	"sync"
+	"maps"
+	"slices"
 	"time"
 
 	"beaconvane/internal/goroutine"
+	"beaconvane/internal/locking"
 )
 
 // guardConnections keeps one connection to each upstream that carries no requests. When another machine
@@ -14,7 +16,7 @@
 	backend    *Backend
 	goroutines *goroutine.Group
 
-	lock   sync.Mutex
+	lock   locking.Mutex
 	guards map[Target]*upstreamConnection
 }
 
@@ -36,33 +38,55 @@
 // isIntact reports whether a target has a guard connection and the peer has not closed it or sent
 // bytes on it. Otherwise it closes the connection and records its loss.
 func (g *guardConnections) isIntact(target Target) bool {
+	known, lost := g.closeIfLost(poolKey(target))
+	if lost {
+		g.backend.RecordConnectionLoss(g.goroutines.Now(), target)
+	}
+	return known && !lost
+}
+
+// closeIfLost reports whether there is a guard connection with the given key, and whether the peer has
+// closed it or sent bytes on it. It then closes and removes it.
+func (g *guardConnections) closeIfLost(key Target) (known, lost bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	key := poolKey(target)
 	guard, known := g.guards[key]
 	if !known || guard.isQuiet() {
-		return known
+		return known, false
 	}
 	guard.close()
 	delete(g.guards, key)
-	g.backend.RecordConnectionLoss(g.goroutines.Now(), target)
-	return false
+	return true, true
 }
 
 // sweep closes guard connections that were lost, and records the loss, and those whose target is no
 // longer registered.
 func (g *guardConnections) sweep(now time.Duration) {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	for target, guard := range g.guards {
-		quiet := guard.isQuiet()
-		if quiet && g.backend.IsRegistered(target) {
+	for _, target := range g.targets() {
+		_, lost := g.closeIfLost(target)
+		if lost {
+			g.backend.RecordConnectionLoss(now, target)
 			continue
 		}
+		if !g.backend.IsRegistered(target) {
+			g.remove(target)
+		}
+	}
+}
+
+// targets returns the targets with guard connections.
+func (g *guardConnections) targets() []Target {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return slices.Collect(maps.Keys(g.guards))
+}
+
+// remove closes and removes the guard connection of a target, if it has one.
+func (g *guardConnections) remove(target Target) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if guard, known := g.guards[target]; known {
 		guard.close()
 		delete(g.guards, target)
-		if !quiet {
-			g.backend.RecordConnectionLoss(now, target)
-		}
 	}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,10 +1,12 @@
 package backend
 
 import (
-	"sync"
+	"maps"
+	"slices"
 	"time"
 
 	"beaconvane/internal/goroutine"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/settings"
 )
 
@@ -19,7 +21,7 @@
 	serving    *Backend
 	goroutines *goroutine.Group
 
-	lock sync.Mutex
+	lock locking.Mutex
 	idle map[Target][]*upstreamConnection
 }
 
@@ -53,11 +55,12 @@
 // release returns a connection to the pool. It closes the connection if the pool already holds
 // maxIdleConnections for the target or, except with proof "target", ConnectionsUsable no longer holds.
 func (p *connectionPool) release(target Target, connection *upstreamConnection) {
+	connection.idleSince = p.goroutines.Now()
+	usable := p.settings.ProofByTarget() || p.serving.ConnectionsUsable(connection.idleSince, target)
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	connection.idleSince = p.goroutines.Now()
 	key := poolKey(target)
-	if len(p.idle[key]) >= maxIdleConnections || !p.serving.ConnectionsUsable(connection.idleSince, target) && !p.settings.ProofByTarget() {
+	if len(p.idle[key]) >= maxIdleConnections || !usable {
 		connection.close()
 		return
 	}
@@ -81,12 +84,16 @@
 
 // sweep closes connections that exceed their idle limit or whose target is no longer usable.
 func (p *connectionPool) sweep(now time.Duration) {
+	unusable := map[Target]bool{}
+	for _, target := range p.targets() {
+		unusable[target] = !p.isUsable(now, target)
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	for target, list := range p.idle {
 		remaining := list[:0]
 		for _, connection := range list {
-			if now-connection.idleSince < p.idleLimit(connection) && p.isUsable(now, target) {
+			if now-connection.idleSince < p.idleLimit(connection) && !unusable[target] {
 				remaining = append(remaining, connection)
 			} else {
 				connection.close()
@@ -99,6 +106,13 @@
 	}
 }
 
+// targets returns the targets with idle connections.
+func (p *connectionPool) targets() []Target {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return slices.Collect(maps.Keys(p.idle))
+}
+
 // isUsable reports whether idle connections to a target may be kept. With proof "target" it suffices
 // that the target is registered.
 func (p *connectionPool) isUsable(now time.Duration, target Target) bool {
--- a/internal/frontend/bodyquota.go
+++ b/internal/frontend/bodyquota.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 )
 
 const (
@@ -27,7 +27,7 @@
 // bodyQuota limits the total memory for the bodies of callers' requests. A body that exceeds the
 // available quota is refused immediately.
 type bodyQuota struct {
-	lock      sync.Mutex
+	lock      locking.Mutex
 	available int64 // bytes
 }
 
--- a/internal/frontend/callerlimits.go
+++ b/internal/frontend/callerlimits.go
@@ -1,9 +1,9 @@
 package frontend
 
 import (
-	"sync"
 	"time"
 
+	"beaconvane/internal/locking"
 	"beaconvane/internal/routeconfig"
 	"beaconvane/internal/settings"
 )
@@ -23,7 +23,7 @@
 // bounded by the process settings. When the idle time is lowered, the previous value stays in force
 // for its own duration, since connections that became idle before the change may rely on it.
 type callerLimits struct {
-	lock             sync.Mutex
+	lock             locking.Mutex
 	configured       routeconfig.CallerLimits
 	loweredIdleTimes []loweredIdleTime
 }
--- a/internal/frontend/dispatcher.go
+++ b/internal/frontend/dispatcher.go
@@ -2,13 +2,13 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/atomic"
 
 	"beaconvane/internal/backend"
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 	"beaconvane/internal/proxy"
 	"beaconvane/internal/settings"
@@ -34,7 +34,7 @@
 
 	announcementReceived atomic.Bool // an upstream has announced itself since this process started
 
-	lock        sync.Mutex
+	lock        locking.Mutex
 	connections map[string]Connection          // by address of the serving proxy
 	pending     map[string]*PendingRequest     // by id of the attempt without an outcome
 	replies     map[string]func(msg any) error // by id of the attempt that was forwarded to this proxy
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -8,9 +8,10 @@
 //   - outcome.go and retry.go turn the attempt's outcome into the final answer or a retry, within
 //     the budget of retrybudget.go.
 //
-// The Frontend makes these decisions. It holds its lock only briefly and receives the current
-// time as an argument. The Dispatcher moves a request from step to step and, at the serving proxy,
-// passes forwarded requests to the backend. The Pipeline runs the Dispatcher in a real process.
+// The Frontend makes these decisions. It holds its lock only briefly, calls no other component while
+// it does (package locking has the rule), and receives the current time as an argument. The
+// Dispatcher moves a request from step to step and, at the serving proxy, passes forwarded requests to
+// the backend. The Pipeline runs the Dispatcher in a real process.
 //
 // Two invariants hold (docs/request-safety.md has the arguments):
 //
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -1,11 +1,13 @@
 package frontend
 
 import (
-	"sync"
 	"time"
 
+	"go.uber.org/atomic"
+
 	"beaconvane/internal/backend"
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 	"beaconvane/internal/proxy"
 	"beaconvane/internal/settings"
@@ -19,9 +21,9 @@
 	lookupDelegation func(token string) (backend.Delegation, bool)
 	retryMonitor     RetryMonitor
 	callerLimits     callerLimits
+	snapshot         atomic.Pointer[proxy.Snapshot] // replaced as a whole, so that reading it needs no lock
 
-	lock         sync.Mutex // guards the fields below
-	snapshot     *proxy.Snapshot
+	lock         locking.Mutex              // guards the fields below
 	upstreams    map[string]*upstreamStats  // by upstreamKey
 	routeLatency map[string]float64         // by route: natural logarithm of the typical service time in nanoseconds
 	retryBudgets map[string]*retryBudget    // by service
@@ -54,10 +56,10 @@
 // UpdateSnapshot replaces the snapshot of the control state, and drops the statistics of upstreams
 // that are neither registered nor processing an attempt from this proxy.
 func (f *Frontend) UpdateSnapshot(now time.Duration, snapshot *proxy.Snapshot) {
+	f.callerLimits.update(now, snapshot.Configurations)
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.snapshot = snapshot
-	f.callerLimits.update(now, snapshot.Configurations)
+	f.snapshot.Store(snapshot)
 	registered := map[string]bool{}
 	for _, registrations := range snapshot.Upstreams {
 		for _, registration := range registrations {
@@ -77,17 +79,12 @@
 }
 
 // currentSnapshot returns the latest snapshot of the control state, or nil before the first one.
-func (f *Frontend) currentSnapshot() *proxy.Snapshot {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	return f.snapshot
-}
+// It takes no lock, since the backend calls AuthorizeForward while it holds its own.
+func (f *Frontend) currentSnapshot() *proxy.Snapshot { return f.snapshot.Load() }
 
 // Ready reports whether this proxy can serve requests. It answers the platform's readiness probe.
 func (f *Frontend) Ready(now time.Duration) bool {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	return f.snapshot.Ready(now, f.settings.MaxAgeReady())
+	return f.currentSnapshot().Ready(now, f.settings.MaxAgeReady())
 }
 
 // synced reports whether this proxy has received configurations and the roster since it started.
--- a/internal/frontend/linkbacklog_test.go
+++ b/internal/frontend/linkbacklog_test.go
@@ -37,7 +37,7 @@
 		address := "here:1"
 		if test.local {
 			address = "serving-a"
-			f.snapshot.Upstreams["pay"] = f.snapshot.Upstreams["pay"][:1]
+			f.currentSnapshot().Upstreams["pay"] = f.currentSnapshot().Upstreams["pay"][:1]
 		}
 		serving := backend.New(f.settings, f.AuthorizeForward)
 		environment.dispatcher = NewDispatcher(f.settings, f, serving, environment, message.Member{Name: "me", Address: address})
--- a/internal/frontend/outcome.go
+++ b/internal/frontend/outcome.go
@@ -79,7 +79,7 @@
 // avoidServingProxy excludes every upstream of a serving proxy from selection for two update
 // intervals.
 func (f *Frontend) avoidServingProxy(now time.Duration, address string) {
-	for _, registrations := range f.snapshot.Upstreams {
+	for _, registrations := range f.currentSnapshot().Upstreams {
 		for _, registration := range registrations {
 			if registration.ServingProxyAddress == address {
 				f.statsOf(upstreamKey(registration)).avoidUntil = now + f.settings.UpdatesEvery()*2
@@ -93,7 +93,7 @@
 // otherwise requests that are only refused fill the link of the upstream's serving proxy.
 func (f *Frontend) saturationBackoff(refusals int) time.Duration {
 	shortest := f.settings.UpdatesEvery() / 4
-	longest := min(shortest*time.Duration(max(1, f.snapshot.ProxyCount/proxiesPerBackoff)), f.settings.UpdatesEvery()*4)
+	longest := min(shortest*time.Duration(max(1, f.currentSnapshot().ProxyCount/proxiesPerBackoff)), f.settings.UpdatesEvery()*4)
 	return min(shortest<<min(refusals-1, maxBackoffDoublings), longest)
 }
 
--- a/internal/frontend/outcomequery.go
+++ b/internal/frontend/outcomequery.go
@@ -3,8 +3,8 @@
 import (
 	"maps"
 	"slices"
-	"sync"
 
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 )
 
@@ -21,7 +21,7 @@
 	remainingQueries int // after this one
 	connection       Connection
 
-	lock       sync.Mutex
+	lock       locking.Mutex
 	startTimes map[string]int64 // by attempt id: start time of the serving proxy it was sent to
 	running    map[string]bool  // by attempt id: reported as running
 }
--- a/internal/frontend/pending.go
+++ b/internal/frontend/pending.go
@@ -1,9 +1,9 @@
 package frontend
 
 import (
-	"sync"
 	"time"
 
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 )
 
@@ -15,7 +15,7 @@
 	onDone      func(response *Response)
 	submittedAt time.Duration
 
-	lock       sync.Mutex
+	lock       locking.Mutex
 	attemptID  string     // of the attempt in progress; "" for none
 	connection Connection // on which that attempt was sent; nil if this proxy is the serving proxy
 	resolving  bool       // an outcome has arrived; the answer or the next attempt follows
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/atomic"
 
 	"beaconvane/internal/backend"
 	"beaconvane/internal/goroutine"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/transport"
@@ -78,13 +78,13 @@
 
 // lockedSource is a random source that is safe for concurrent use by the workers.
 type lockedSource struct {
-	lock   *sync.Mutex
+	lock   *locking.Mutex
 	source mathrand.Source
 }
 
 // newLockedSource returns a source with a random seed.
 func newLockedSource() lockedSource {
-	return lockedSource{&sync.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())}
+	return lockedSource{&locking.Mutex{}, mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())}
 }
 
 // Uint64 returns the next random number.
--- a/internal/frontend/retrybudget.go
+++ b/internal/frontend/retrybudget.go
@@ -93,10 +93,11 @@
 	if now < f.settings.RetryWindow() {
 		return 0
 	}
-	return float64(f.settings.Bounds.RetryAllowance) / float64(max(1, f.snapshot.ProxyCount))
+	return float64(f.settings.Bounds.RetryAllowance) / float64(max(1, f.currentSnapshot().ProxyCount))
 }
 
-// RetryMonitor measures and pauses the retries that start at the upstreams of this proxy.
+// RetryMonitor measures and pauses the retries that start at the upstreams of this proxy. The frontend
+// calls it without holding a lock.
 type RetryMonitor interface {
 	// RetryShare returns the share of retries among the requests that start at these upstreams.
 	RetryShare() float64
@@ -109,27 +110,20 @@
 func (f *Frontend) UseRetryMonitor(monitor RetryMonitor) { f.retryMonitor = monitor }
 
 // spendFirstAttempt counts a request's first attempt and reports whether it may be made. A call made
-// by a running retry counts as a retry of the called service and spends that service's budget. A
-// call does not identify the attempt that makes it, so a random draw by the share of retries among
-// started requests decides whether it counts as one. When the budget is exhausted, refusing calls
-// alone would mostly hit calls of first attempts; so retries are also prevented from starting here
-// for one bucket span, which stops their calls at the source.
-func (f *Frontend) spendFirstAttempt(now time.Duration, request *Request, random *rand.Rand) bool {
-	if !f.isCallOfRetry(request, random) {
+// by a running retry counts as a retry of the called service and spends that service's budget.
+func (f *Frontend) spendFirstAttempt(now time.Duration, request *Request, callOfRetry bool) bool {
+	if !callOfRetry {
 		f.countFirstAttempt(now, request.Service)
 		return true
 	}
-	if f.spendRetry(now, request.Service) {
-		return true
-	}
-	f.retryMonitor.PauseRetries(now + f.bucketSpan())
-	return false
+	return f.spendRetry(now, request.Service)
 }
 
-// isCallOfRetry reports whether a request counts as the call of a running retry, by a random draw
-// with the share of retries as the probability.
+// isCallOfRetry reports whether a request that has made no attempt counts as the call of a running
+// retry. A call does not identify the attempt that makes it, so a random draw decides, with the share
+// of retries among started requests as the probability.
 func (f *Frontend) isCallOfRetry(request *Request, random *rand.Rand) bool {
-	if !request.nested() || f.retryMonitor == nil {
+	if request.Attempts > 0 || !request.nested() || f.retryMonitor == nil {
 		return false
 	}
 	share := f.retryMonitor.RetryShare()
--- a/internal/frontend/selection.go
+++ b/internal/frontend/selection.go
@@ -18,8 +18,26 @@
 )
 
 // selectUpstream picks the upstream for a request's next attempt and stores it in the request. It
-// returns the final answer if no attempt can be made, and nil otherwise.
+// returns the final answer if no attempt can be made, and nil otherwise. When the budget for the calls
+// of retries is exhausted, refusing calls alone would mostly hit calls of first attempts; so retries are
+// also prevented from starting here for one bucket span, which stops their calls at the source.
 func (f *Frontend) selectUpstream(now time.Duration, request *Request, random *rand.Rand) *Response {
+	callOfRetry := f.isCallOfRetry(request, random)
+	refused := f.beginSelectedAttempt(now, request, random, callOfRetry)
+	if callOfRetry && refused != nil && refused.Code == errcode.BusyBudget {
+		f.retryMonitor.PauseRetries(now + f.bucketSpan())
+	}
+	return refused
+}
+
+// beginSelectedAttempt implements selectUpstream for a request that counts as the call of a running
+// retry, or doesn't.
+func (f *Frontend) beginSelectedAttempt(
+	now time.Duration,
+	request *Request,
+	random *rand.Rand,
+	callOfRetry bool,
+) *Response {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if now >= request.Deadline {
@@ -42,7 +60,7 @@
 	if farther, otherCost := f.pickCheapest(now, otherZones, random); otherCost < cost {
 		chosen = farther
 	}
-	if request.Attempts == 0 && !f.spendFirstAttempt(now, request, random) {
+	if request.Attempts == 0 && !f.spendFirstAttempt(now, request, callOfRetry) {
 		return request.refuse(errcode.BusyBudget)
 	}
 	f.beginAttempt(now, request, chosen)
@@ -67,7 +85,7 @@
 	request *Request,
 	includeSaturated bool,
 ) (sameZone, otherZones []message.Registration, ready int) {
-	for _, registration := range f.snapshot.Upstreams[request.Service] {
+	for _, registration := range f.currentSnapshot().Upstreams[request.Service] {
 		if registration.State != message.StateReady {
 			continue
 		}
--- a/internal/goroutine/wall_clock.go
+++ b/internal/goroutine/wall_clock.go
@@ -1,8 +1,9 @@
 package goroutine
 
 import (
-	"sync"
 	"time"
+
+	"beaconvane/internal/locking"
 )
 
 const (
@@ -18,7 +19,7 @@
 // clock. Corrections below minStep change the offset at once, a step only once it has persisted for
 // stepConfirmation.
 type wallClock struct {
-	lock           sync.Mutex
+	lock           locking.Mutex
 	started        bool
 	offset         time.Duration // wall clock minus monotonic clock, as applied
 	candidate      time.Duration // observed offset that is a step away from offset
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -2,7 +2,8 @@
 
 import (
 	"maps"
-	"sync"
+
+	"beaconvane/internal/locking"
 )
 
 // Names of counters in the metrics page and in the response of the counters endpoint.
@@ -21,7 +22,7 @@
 
 // counters holds the counts of a process by name. It is safe for concurrent use.
 type counters struct {
-	lock   sync.Mutex
+	lock   locking.Mutex
 	counts map[string]int64
 }
 
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
+	"beaconvane/internal/locking"
 	"beaconvane/internal/statemachine"
 )
 
@@ -26,7 +26,7 @@
 
 // journal holds the newest events of a process in memory. It is safe for concurrent use.
 type journal struct {
-	lock    sync.Mutex
+	lock    locking.Mutex
 	entries []Entry
 }
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/statemachine"
 )
 
@@ -55,7 +55,7 @@
 
 // pendingRequests holds the requests to the machine that have no reply yet.
 type pendingRequests struct {
-	lock    sync.Mutex
+	lock    locking.Mutex
 	lastID  int64
 	replies map[int64]chan any // by request ID; each has a buffer for its one reply
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"beaconvane/internal/errcode"
+	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
 )
 
@@ -31,7 +32,7 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	lock sync.Mutex
+	lock locking.Mutex
 	conn net.Conn // nil until attach
 }
 
--- a/internal/transport/pacer.go
+++ b/internal/transport/pacer.go
@@ -1,8 +1,9 @@
 package transport
 
 import (
-	"sync"
 	"time"
+
+	"beaconvane/internal/locking"
 )
 
 // maxBurst limits the burst after an idle period: the time by which sending may run ahead of the rate.
@@ -15,7 +16,7 @@
 type pacer struct {
 	rate int64 // bytes per second; 0 for no limit. Set before the transport starts
 
-	lock   sync.Mutex
+	lock   locking.Mutex
 	freeAt time.Time // end of the last reservation
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -2,11 +2,11 @@
 
 import (
 	"net"
-	"sync"
 	"time"
 
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/goroutine"
+	"beaconvane/internal/locking"
 )
 
 // Config is the configuration of a Transport.
@@ -33,7 +33,7 @@
 	counters         frameCounters
 	pacer            pacer
 
-	lock     sync.Mutex             // guards the fields below
+	lock     locking.Mutex          // guards the fields below
 	control  map[string]*Connection // connections that Send opened, by address
 	accepted map[net.Conn]bool      // connections that other processes opened
 }
