Configuration: tenants without keys are not taken for a configuration without tenants

Cause: Configuration.Keyless reported that no key exists, which is also so where tenants are listed and all their keys are gone. The proxies took that for a configuration without tenants, which needs no keys ("If the configuration contains tenants, every request must bear a key", PROTOCOL).

Change: Keyless reports that the configuration has no field tenants. A list that is empty, or whose tenants have no keys, admits no one but to open routes.

--- a/internal/routeconfig/configuration.go
+++ b/internal/routeconfig/configuration.go
@@ -25,6 +25,7 @@
 	Routes       []*Route // exact routes first, then prefixes; longer paths before shorter ones
 	CallerLimits CallerLimits
 
+	hasTenants     bool // the configuration has a list of tenants, which may be empty
 	tenantByKey    map[keyDigest]string
 	tenantsWithKey map[string]bool
 	priorities     map[string]int64          // by tenant, for tenants that have one
@@ -33,8 +34,9 @@
 	routesByJSON   map[string]*Route // by their JSON text, for Next
 }
 
-// Keyless reports whether no tenant has a key. Requests to routes that are bound to a host then need no key.
-func (c *Configuration) Keyless() bool { return len(c.tenantByKey) == 0 }
+// Keyless reports whether the configuration has no list of tenants. Requests to routes that are bound to a host
+// then need no key. Where tenants are listed and none of them has a key, no key is valid.
+func (c *Configuration) Keyless() bool { return !c.hasTenants }
 
 // Priority returns the priority of a request; the lowest number goes first. Requests are ordered by the
 // priority of their tenant, and within a tenant by the priority of their route. Tenants without a priority
--- a/internal/routeconfig/parse.go
+++ b/internal/routeconfig/parse.go
@@ -60,6 +60,7 @@
 
 // parseTenants parses the tenants' priorities and keys.
 func (c *Configuration) parseTenants(tenants gjson.Result) {
+	c.hasTenants = tenants.Exists()
 	for _, tenant := range tenants.Array() {
 		name := tenant.Get("name").String()
 		if priority := tenant.Get("priority"); priority.Exists() {
