Configuration: an empty list of tenants, callers or methods of a route allows none

Routes without a host already refuse empty lists of methods and callers; now an empty list allows none on every route. Looked at: every 'len(x) == 0' in internal/ and platform/ outside the test tools; no other one decides what is allowed.

--- a/internal/routeconfig/check_route.go
+++ b/internal/routeconfig/check_route.go
@@ -118,7 +118,7 @@
 	}
 	matchKey := strings.ToLower(route.Get("host").String()) + " " + route.Get("prefix").String()
 	other, duplicate := c.routesByMatch[matchKey]
-	if duplicate && len(route.Get("methods").Array()) == 0 {
+	if duplicate && !route.Get("methods").Exists() {
 		c.add(path, "stands at the place of "+other)
 	}
 	c.routesByMatch[matchKey] = path
--- a/internal/routeconfig/configuration.go
+++ b/internal/routeconfig/configuration.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		for _, index := range byPrefix[path[:end]] {
-			if route := c.Routes[index]; len(route.Methods) == 0 || route.Methods[method] {
+			if route := c.Routes[index]; route.Methods == nil || route.Methods[method] {
 				return *route, true
 			}
 		}
--- a/internal/routeconfig/parse_route.go
+++ b/internal/routeconfig/parse_route.go
@@ -109,12 +109,12 @@
 	return len(methods) == 0
 }
 
-// nameSet parses a list of names; nil if the list is empty.
+// nameSet parses a list of names; nil if there is none. An empty list is a set without names.
 func nameSet(value gjson.Result) map[string]bool {
-	list := value.Array()
-	if len(list) == 0 {
+	if !value.Exists() {
 		return nil
 	}
+	list := value.Array()
 	names := make(map[string]bool, len(list))
 	for _, item := range list {
 		names[item.String()] = true
--- a/internal/routeconfig/revocation_test.go
+++ b/internal/routeconfig/revocation_test.go
@@ -27,3 +27,25 @@
 		c.Check(next.Keyless(), qt.Equals, keyless, qt.Commentf(tenants))
 	}
 }
+
+// A list of tenants, callers or methods that is empty allows none; only a list that is left out allows all.
+func TestEmptyListsOfARouteAllowNone(t *testing.T) {
+	c := qt.New(t)
+	for lists, allowed := range map[string]bool{
+		``:                                    true,
+		`,"tenants":["*"]`:                    true,
+		`,"tenants":["t"]`:                    true,
+		`,"tenants":[]`:                       false,
+		`,"callers":["*"]`:                    true,
+		`,"callers":[]`:                       false,
+		`,"methods":["GET"]`:                  true,
+		`,"methods":[]`:                       false,
+		`,"tenants":[],"callers":[]`:          false,
+		`,"tenants":["t"],"callers":["shop"]`: true,
+	} {
+		configuration := mustParse(c, `{"services":["a"],"tenants":[{"name":"t","keys":["k"]}],"routes":[`+
+			`{"name":"r","host":"h","prefix":"/","service":"a","timeout_ms":1`+lists+`}]}`)
+		route, found := configuration.MatchHost("h", "GET", "/")
+		c.Check(found && route.Allows("t", "shop"), qt.Equals, allowed, qt.Commentf(lists))
+	}
+}
--- a/internal/routeconfig/route.go
+++ b/internal/routeconfig/route.go
@@ -25,10 +25,10 @@
 	Host    string          // in lower case; "": any
 	Path    string          // the path, or the prefix
 	Prefix  bool            // Path is a prefix, of whole segments
-	Methods map[string]bool // empty on a route that is bound to a host: any
+	Methods map[string]bool // nil on a route that is bound to a host: any
 
-	Callers map[string]bool // calling services; wildcard, or empty on a route that is bound to a host: all
-	Tenants map[string]bool // empty or wildcard: all
+	Callers map[string]bool // calling services; wildcard, or nil on a route that is bound to a host: all
+	Tenants map[string]bool // nil or wildcard: all
 	Public  bool            // no key is needed
 
 	Service string            // receives all requests if there is no split
@@ -68,10 +68,10 @@
 	return len(r.Split) == 0 && r.Service == service
 }
 
-// Allows reports whether a tenant and a calling service may use the route.
+// Allows reports whether a tenant and a calling service may use the route. A list without names allows none.
 func (r Route) Allows(tenant, caller string) bool {
-	tenantAllowed := len(r.Tenants) == 0 || r.Tenants[wildcard] || r.Tenants[tenant]
-	callerAllowed := r.Host != "" && len(r.Callers) == 0 || r.Callers[wildcard] || r.Callers[caller]
+	tenantAllowed := r.Tenants == nil || r.Tenants[wildcard] || r.Tenants[tenant]
+	callerAllowed := r.Host != "" && r.Callers == nil || r.Callers[wildcard] || r.Callers[caller]
 	return tenantAllowed && callerAllowed
 }
 
