Sign-off: acknowledged once a majority of the registries have it on disk

Cause: a sign-off was acknowledged when the proxy had it in memory. Registries had it in memory only until the next maintenance of the roster, up to 0.2 s later. Besides, a proxy that had no registration of the instance acknowledged the sign-off and told nobody.

Change: each registry writes a deregistration to its log and confirms it (DeregistrationsStored); the proxy acknowledges with a majority of the voters, else answers 503 after 0.8 s and the upstream asks the next proxy. An instance unknown to the proxy is looked up in the roster.

Golden frames: two lines more, none changed; the stub of the proxy's API test answers the new query.

Two message kinds are new. An older process closes the connection on which it gets one, so in a fleet of two builds sign-offs cost reconnections; and an older build doesn't open a disk with the new record.

--- a/internal/api/announcements.go
+++ b/internal/api/announcements.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,8 @@
 	"beaconvane/internal/backend"
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
+	"beaconvane/internal/node"
+	"beaconvane/internal/proxy"
 	"beaconvane/internal/settings"
 )
 
@@ -143,10 +146,28 @@
 	return name != "" && len(name) <= maxNameBytes && !strings.ContainsAny(name, "/ \t\r\n")
 }
 
-// signOffNamed deregisters the instance that the path names.
+// signOffNamed deregisters the instance that the path names. It is acknowledged once a majority of the
+// registries have the deregistration on disk, so that no crash brings the registration back. An instance
+// that neither this proxy nor the roster knows is not registered anywhere.
 func (p *Proxy) signOffNamed(out http.ResponseWriter, in *http.Request) {
-	p.pipeline.RetireInstance(mux.Vars(in)["instance"])
-	WriteCode(out, errcode.OK, "")
+	ended, found := p.pipeline.RetireInstance(mux.Vars(in)["instance"])
+	switch {
+	case found && !p.awaitStored(in.Context(), ended):
+		WriteCode(out, errcode.BusyNotReady, "the sign-off is not on enough disks yet")
+	case !found && !p.frontend.KnowsRoster():
+		WriteCode(out, errcode.BusyNotReady, "")
+	default:
+		WriteCode(out, errcode.OK, "")
+	}
+}
+
+// awaitStored waits until a majority of the registries have a deregistration on disk. It returns false if
+// they don't within DeregistrationTimeout.
+func (p *Proxy) awaitStored(ctx context.Context, ended message.Deregistration) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DeregistrationTimeout())
+	defer cancel()
+	_, err := node.RequestAs[proxy.DeregistrationStored](ctx, p.process, proxy.AwaitStored{Deregistration: ended})
+	return err == nil
 }
 
 // signOffRequest is the request body with which an upstream deregisters one of its incarnations.
@@ -167,5 +188,9 @@
 		WriteCode(out, errcode.AnnounceUnknown, "")
 		return
 	}
+	if !p.awaitStored(in.Context(), message.Deregistration(request)) {
+		WriteCode(out, errcode.BusyNotReady, "the sign-off is not on enough disks yet")
+		return
+	}
 	WriteCode(out, errcode.OK, "")
 }
--- a/internal/frontend/registration.go
+++ b/internal/frontend/registration.go
@@ -72,15 +72,42 @@
 	}
 }
 
-// RetireInstance ends an instance's registration for good. Instance names are not reused.
-func (d *Dispatcher) RetireInstance(instance string) {
-	previous, found, decisions := d.serving.RetireInstance(d.environment.Now(), instance)
+// RetireInstance ends an instance's registration for good. Instance names are not reused. It returns the
+// deregistration for the registries, of the registration here or of that in the roster: the upstream may
+// have been registered at another proxy, or at this one before a restart. It returns false if there is none.
+func (d *Dispatcher) RetireInstance(instance string) (ended message.Deregistration, found bool) {
+	previous, registered, decisions := d.serving.RetireInstance(d.environment.Now(), instance)
+	d.execute(decisions)
+	ended, found = message.Deregistration{Service: previous.Service, Instance: instance, Incarnation: previous.Incarnation}, registered
+	if !registered {
+		ended, found = d.frontend.registeredInstance(instance)
+	}
 	if found {
-		d.environment.Notify(proxy.SignedOff{Service: previous.Service, Instance: instance, Incarnation: previous.Incarnation})
+		d.environment.Notify(proxy.SignedOff(ended))
 	}
-	d.execute(decisions)
+	return ended, found
+}
+
+// registeredInstance returns the deregistration of an instance that the roster lists.
+func (f *Frontend) registeredInstance(instance string) (ended message.Deregistration, found bool) {
+	snapshot := f.currentSnapshot()
+	if snapshot == nil {
+		return message.Deregistration{}, false
+	}
+	for _, registrations := range snapshot.Upstreams {
+		for _, registration := range registrations {
+			if registration.Instance == instance {
+				ended.Service, ended.Instance, ended.Incarnation = registration.Service, instance, registration.Incarnation
+				return ended, true
+			}
+		}
+	}
+	return message.Deregistration{}, false
 }
 
+// KnowsRoster reports whether this proxy has received the roster since it started.
+func (f *Frontend) KnowsRoster() bool { return f.synced() }
+
 // Deregister ends an upstream's registration. It returns false if the upstream is not registered
 // with this proxy; the control state is notified in either case.
 func (d *Dispatcher) Deregister(service, instance string, incarnation int64) bool {
--- a/internal/golden/proxy_api_test.go
+++ b/internal/golden/proxy_api_test.go
@@ -34,6 +34,8 @@
 		env.Reply(requestID, proxy.Status{AgesMS: map[string]int64{"topic": 11}, Configurations: map[string]int64{"main": 12},
 			Members: 13, Moves: 14,
 			Parent: "registry/a", Path: []string{"registry/a", "proxy/b"}})
+	case proxy.AwaitStored:
+		env.Reply(requestID, proxy.DeregistrationStored{})
 	case metrics.Read:
 		env.Reply(requestID, []metrics.Sample{metrics.Of("figure", 1)})
 	}
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -63,6 +63,8 @@
 	UsageSealed{},
 	UsageReported{},
 	LogAppendDelta{},
+	Deregistration{},
+	DeregistrationsStored{},
 }
 
 // firstKind is the kind byte of the first registered type.
--- a/internal/message/roster.go
+++ b/internal/message/roster.go
@@ -59,13 +59,20 @@
 	ProbeResult  int64 // result for this incarnation: NotProbed, ProbeAnswered or ProbeRefused
 }
 
-// Deregistration ends the registration of one incarnation of an instance.
+// Deregistration ends the registration of one incarnation of an instance. It is also the form of a
+// deregistration on disk.
 type Deregistration struct {
 	Service     string
 	Instance    string
 	Incarnation int64
 }
 
+// DeregistrationsStored tells a proxy which deregistrations of its batch are on a registry's disk.
+type DeregistrationsStored struct {
+	Registry        string
+	Deregistrations []Deregistration
+}
+
 // HeartbeatBatch carries the state of a proxy and of the upstreams beside it to the registries. A proxy
 // sends it once per heartbeat interval and after each change.
 type HeartbeatBatch struct {
--- a/internal/message/samples_golden_test.go
+++ b/internal/message/samples_golden_test.go
@@ -775,6 +775,19 @@
 		Difference:  []byte("bytes-8"),
 		Digest:      []byte("bytes-9"),
 	}},
+	{54, message.Deregistration{
+		Service:     "text-1",
+		Instance:    "text-2",
+		Incarnation: 3_010007,
+	}},
+	{55, message.DeregistrationsStored{
+		Registry: "text-1",
+		Deregistrations: []message.Deregistration{{
+			Service:     "text-2",
+			Instance:    "text-3",
+			Incarnation: 4_010007,
+		}},
+	}},
 }
 
 // boolSamples has, for each message with several bools, one sample per bool in which only this bool is
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -18,6 +18,13 @@
 	Incarnation int64
 }
 
+// AwaitStored queries whether a deregistration is on the disks of a majority of the registries. The reply, a
+// DeregistrationStored, comes as soon as it is. Otherwise there is none.
+type AwaitStored struct{ Deregistration message.Deregistration }
+
+// DeregistrationStored is the reply to AwaitStored.
+type DeregistrationStored struct{}
+
 // Probed reports the result of a probe.
 type Probed struct {
 	Key         string // key of the registration
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,8 @@
 		case message.HeartbeatResponse:
 			m.sealed[received.Registry] = received.SealedBelow
 			m.distribution.HandleNewerPositions(env, received.Registry, received.NewerPositions)
+		case message.DeregistrationsStored:
+			m.upstreams.recordStored(env, received)
 		}
 	}
 	m.sendDue(env)
@@ -91,6 +93,8 @@
 	case SignedOff:
 		m.upstreams.signOff(env.Now, request)
 		m.nextHeartbeat = env.Now
+	case AwaitStored:
+		m.upstreams.awaitStored(env, requestID, request.Deregistration)
 	case Probed:
 		m.handleProbed(env, request)
 	case UsageCounted:
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -19,7 +19,7 @@
 type localUpstreams struct {
 	settings settings.Settings
 	running  map[string]*localUpstream
-	ended    map[string]endedUpstream
+	ended    map[string]*endedUpstream
 }
 
 // localUpstream is an announced upstream that has not been deregistered.
@@ -34,11 +34,13 @@
 type endedUpstream struct {
 	deregistration message.Deregistration
 	endedAt        time.Duration
+	storedBy       map[string]bool // names of the registries that have it on disk
+	waiting        []int64         // request IDs of AwaitStored
 }
 
 // newLocalUpstreams returns an empty localUpstreams.
 func newLocalUpstreams(cfg settings.Settings) localUpstreams {
-	return localUpstreams{settings: cfg, running: map[string]*localUpstream{}, ended: map[string]endedUpstream{}}
+	return localUpstreams{settings: cfg, running: map[string]*localUpstream{}, ended: map[string]*endedUpstream{}}
 }
 
 // announce records an accepted announcement, and reports whether the registration changed. The result
@@ -62,12 +64,55 @@
 func (u *localUpstreams) signOff(now time.Duration, notice SignedOff) {
 	key := upstreamKey(notice.Service, notice.Instance)
 	deregistration := message.Deregistration{Service: notice.Service, Instance: notice.Instance, Incarnation: notice.Incarnation}
-	u.ended[key] = endedUpstream{deregistration, now}
+	u.end(now, key, deregistration)
 	if upstream, known := u.running[key]; known && upstream.registration.Incarnation <= notice.Incarnation {
 		delete(u.running, key)
 	}
 }
 
+// end records a deregistration, unless it or that of a later incarnation is recorded. It is then only kept
+// for longer.
+func (u *localUpstreams) end(now time.Duration, key string, deregistration message.Deregistration) *endedUpstream {
+	ended, known := u.ended[key]
+	if !known || ended.deregistration.Incarnation < deregistration.Incarnation {
+		ended = &endedUpstream{deregistration: deregistration, storedBy: map[string]bool{}}
+		u.ended[key] = ended
+	}
+	ended.endedAt = now
+	return ended
+}
+
+// awaitStored replies to a request as soon as a majority of the registries have a deregistration on disk.
+func (u *localUpstreams) awaitStored(env *statemachine.Env, requestID int64, deregistration message.Deregistration) {
+	ended := u.end(env.Now, upstreamKey(deregistration.Service, deregistration.Instance), deregistration)
+	ended.waiting = append(ended.waiting, requestID)
+	u.replyIfStored(env, ended)
+}
+
+// recordStored records that deregistrations are on a registry's disk, and replies to the requests that wait
+// for it.
+func (u *localUpstreams) recordStored(env *statemachine.Env, stored message.DeregistrationsStored) {
+	for _, deregistration := range stored.Deregistrations {
+		ended, known := u.ended[upstreamKey(deregistration.Service, deregistration.Instance)]
+		if known && ended.deregistration == deregistration {
+			ended.storedBy[stored.Registry] = true
+			u.replyIfStored(env, ended)
+		}
+	}
+}
+
+// replyIfStored replies to the waiting requests if a majority of the registries have the deregistration on
+// disk.
+func (u *localUpstreams) replyIfStored(env *statemachine.Env, ended *endedUpstream) {
+	if len(ended.storedBy) <= len(u.settings.Voters)/2 {
+		return
+	}
+	for _, requestID := range ended.waiting {
+		env.Reply(requestID, DeregistrationStored{})
+	}
+	ended.waiting = nil
+}
+
 // recordProbe records the result of a probe, and reports whether it differs from the previous result.
 func (u *localUpstreams) recordProbe(result Probed) bool {
 	upstream, known := u.running[result.Key]
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -64,6 +64,16 @@
 	})
 }
 
+// AppendToLog appends a record that is not part of the snapshot, and calls onSynced like Persist.
+func (c *ControlBase) AppendToLog(env *statemachine.Env, record any, onSynced storage.SyncCallback) {
+	c.writer.AppendToLog(env, record, onSynced)
+}
+
+// AfterCompact sets a function that is called after each snapshot, to append what the snapshot doesn't contain.
+func (c *ControlBase) AfterCompact(appendRecords func(env *statemachine.Env)) {
+	c.writer.AfterCompact(appendRecords)
+}
+
 // WriteLatency returns the moving average of the time from a write request to its sync, queueing included.
 func (c *ControlBase) WriteLatency() time.Duration { return c.writeLatency }
 
--- a/internal/registry/heartbeats.go
+++ b/internal/registry/heartbeats.go
@@ -27,8 +27,10 @@
 
 // deregistration records that an upstream has ended an incarnation and all earlier ones.
 type deregistration struct {
-	incarnation int64
-	receivedAt  time.Duration
+	message    message.Deregistration
+	receivedAt time.Duration
+	stored     bool // it is on this registry's disk
+	restored   bool // it was on disk when this process started
 }
 
 // heartbeatTable holds the latest heartbeat and deregistration of each upstream, by the keys of
@@ -62,23 +64,10 @@
 	return true
 }
 
-// recordDeregistration stores the end of an incarnation, unless that of the same or a later
-// incarnation is stored.
-func (t *heartbeatTable) recordDeregistration(key string, incarnation int64, now time.Duration) {
-	if last, exists := t.deregistrations[key]; !exists || last.incarnation < incarnation {
-		t.deregistrations[key] = deregistration{incarnation, now}
-	}
-}
-
 // isDeregistered reports whether the incarnation of a registration has ended.
 func (t *heartbeatTable) isDeregistered(registration message.Registration) bool {
 	last, deregistered := t.deregistrations[registration.Key()]
-	return deregistered && registration.Incarnation <= last.incarnation
-}
-
-// dropDeregistrations removes the deregistrations that were received before an instant.
-func (t *heartbeatTable) dropDeregistrations(before time.Duration) {
-	maps.DeleteFunc(t.deregistrations, func(_ string, recorded deregistration) bool { return recorded.receivedAt < before })
+	return deregistered && registration.Incarnation <= last.message.Incarnation
 }
 
 // handleHeartbeats processes a batch of upstream heartbeats that a proxy has forwarded.
@@ -91,9 +80,7 @@
 		SealedBelow:    m.usage.sealed.lowestUnsealed(),
 		NewerPositions: m.distribution.NewerThan(batch.Positions),
 	})
-	for _, ended := range batch.Deregistrations {
-		m.heartbeats.recordDeregistration(ended.Service+"/"+ended.Instance, ended.Incarnation, env.Now)
-	}
+	m.handleDeregistrations(env, from, batch.Deregistrations)
 	for _, heartbeat := range batch.Heartbeats {
 		announcedAt := env.Now - time.Duration(heartbeat.Age)
 		if m.heartbeats.record(upstreamHeartbeat{heartbeat, announcedAt, batch.Proxy}) {
--- a/internal/registry/heartbeats_test.go
+++ b/internal/registry/heartbeats_test.go
@@ -45,8 +45,9 @@
 func TestDeregistrationsEndIncarnations(t *testing.T) {
 	c := qt.New(t)
 	table := newHeartbeatTable()
-	table.recordDeregistration("dispatch/dispatch-1", 2, time.Second)
-	table.recordDeregistration("dispatch/dispatch-1", 1, 2*time.Second)
+	c.Assert(table.recordDeregistration(endOf(2), time.Second), qt.IsTrue)
+	c.Assert(table.recordDeregistration(endOf(1), 2*time.Second), qt.IsFalse)
+	c.Assert(table.recordDeregistration(endOf(2), 2*time.Second), qt.IsFalse)
 	for incarnation, ended := range map[int64]bool{1: true, 2: true, 3: false} {
 		registration := heartbeatOf(incarnation, "", 0).heartbeat.Registration
 		c.Check(table.isDeregistered(registration), qt.Equals, ended)
--- a/internal/registry/machine.go
+++ b/internal/registry/machine.go
@@ -58,6 +58,7 @@
 	m.membership = membership.New(cfg, self, saved.KnownAddresses)
 	m.distribution = m.newDistribution()
 	m.ControlBase = quorum.NewControlBase(cfg, message.RoleRegistry, m.membership, m.snapshot, snapshot == nil)
+	m.AfterCompact(m.appendDeregistrations)
 	m.usage = newUsageManager(m, saved)
 	m.requests = newForwardedRequests(cfg, m.ControlBase, m.membership, m.distribution)
 	restored := quorum.RestoredState{Voter: saved.Voter, Votes: saved.Votes}
@@ -150,6 +151,7 @@
 	if env.Now >= m.nextMaintenanceAt {
 		m.nextMaintenanceAt = env.Now + m.settings.DigestEvery()
 		m.synchronizeZones(env)
+		m.shareRestoredDeregistrations(env)
 		m.maintainRoster(env)
 	}
 	m.compactWhenDue(env)
@@ -187,6 +189,8 @@
 		m.handleRosterPull(env, from, received)
 	case message.RosterSnapshot:
 		m.handleRosterSnapshot(env, received)
+	case message.Deregistration:
+		m.handlePeerDeregistration(env, received)
 	}
 }
 
--- a/internal/registry/persistence.go
+++ b/internal/registry/persistence.go
@@ -22,6 +22,8 @@
 		if replica, known := m.replicaOfTopic(saved.Position.Topic); known {
 			replica.slice.Append(saved.Position.Epoch, saved.Registration, saved.Removed, saved.Cause)
 		}
+	case message.Deregistration:
+		m.heartbeats.restoreDeregistration(saved)
 	case message.UsageSealed:
 		m.usage.sealed.merge(saved)
 	case message.UnreportedUsage:
--- a/internal/settings/timers.go
+++ b/internal/settings/timers.go
@@ -106,6 +106,10 @@
 // ReloadEvery is the interval at which a process reads its settings file again.
 func (c Settings) ReloadEvery() time.Duration { return milliseconds(c.Bounds.Restore) / 6 }
 
+// DeregistrationTimeout is how long an upstream that signs off waits for its acknowledgement. It is below the second
+// after which it calls another proxy.
+func (c Settings) DeregistrationTimeout() time.Duration { return operatorBaseTimeout }
+
 // ProbeEvery is the interval of membership probes. It is short enough for a lost voter to be detected, suspected
 // and replaced within the time that a new core machine has to catch up.
 func (c Settings) ProbeEvery() time.Duration {
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -22,6 +22,8 @@
 	logBytes    int // size of the records written after the newest snapshot
 	maxLogBytes int
 	hasSnapshot bool
+
+	afterCompact func(env *statemachine.Env) // appends records that a snapshot doesn't contain; may be nil
 }
 
 // NewWriter returns a writer. snapshot returns the machine's complete state. A snapshot is written instead
@@ -35,6 +37,12 @@
 	}
 }
 
+// AfterCompact sets a function that is called after each snapshot. It calls AppendToLog for what must stay
+// on disk and isn't part of the snapshot.
+func (w *Writer) AfterCompact(appendRecords func(env *statemachine.Env)) {
+	w.afterCompact = appendRecords
+}
+
 // Failure returns the error of the first failed write, or nil if none has failed.
 func (w *Writer) Failure() error { return w.failure }
 
@@ -54,6 +62,29 @@
 		w.Compact(env, synced)
 		return
 	}
+	w.append(env, body, synced)
+}
+
+// AppendToLog writes a message as a record, also where Persist would write a snapshot instead: the message
+// isn't part of the snapshot.
+func (w *Writer) AppendToLog(env *statemachine.Env, record any, synced SyncCallback) {
+	if w.failure != nil {
+		synced(env, w.failure)
+		return
+	}
+	body, err := message.Encode(record)
+	if err != nil {
+		synced(env, err)
+		return
+	}
+	if !w.hasSnapshot || w.logBytes+len(body) > w.maxLogBytes {
+		w.Compact(env, func(*statemachine.Env, error) {})
+	}
+	w.append(env, body, synced)
+}
+
+// append writes an encoded record to the log.
+func (w *Writer) append(env *statemachine.Env, body []byte, synced SyncCallback) {
 	w.logBytes += len(body)
 	w.callbacks[env.Append(body)] = synced
 }
@@ -66,6 +97,9 @@
 	}
 	w.logBytes, w.hasSnapshot = 0, true
 	w.callbacks[env.Compact(w.snapshot())] = synced
+	if w.afterCompact != nil {
+		w.afterCompact(env)
+	}
 }
 
 // Synced processes the result of the write with a request ID.
