--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -18,8 +18,8 @@
 )
 
 func main() {
-	if newCommand().Execute() != nil {
-		os.Exit(1)
+	if err := newCommand().Execute(); err != nil {
+		os.Exit(exitStatus(err))
 	}
 }
 
@@ -54,7 +54,7 @@
 	flags.Uint64Var(&o.seed, "seed", o.seed, "seed of the load")
 	flags.Float64Var(&o.slack, "slack", 1, "stretch the bounds in time, for busy machines")
 	flags.BoolVar(&o.keep, "keep", false, "keep the folder")
-	root.AddCommand(newLayCommand())
+	root.AddCommand(newLayCommand(), newSoakCommand())
 	return root
 }
 
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -112,6 +112,23 @@
 	<-process.exited
 }
 
+// WaitExited waits until the process has exited, and reports whether it has within the time limit.
+func (p *Process) WaitExited(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+		return true
+	default:
+	}
+	select {
+	case <-p.exited:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // StopAll stops every process by SIGTERM, kills those that still run after stopTimeout, and stops the
 // collector and the fleet's goroutines.
 func (f *Fleet) StopAll() {
