--- a/internal/backend/admission.go
+++ b/internal/backend/admission.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"slices"
 	"time"
 
 	"beaconvane/internal/errcode"
@@ -48,16 +47,16 @@
 	return append(decisions, b.refuseOverflow(registered)...)
 }
 
-// refuseOverflow refuses one request of a queue that is longer than the number of slots of its upstream.
+// refuseOverflow refuses the last request of a queue that is longer than the number of slots of its
+// upstream.
 func (b *Backend) refuseOverflow(registered *upstream) []Decision {
 	if len(registered.queue) <= int(registered.announcement.Slots) {
 		return nil
 	}
-	index := registered.overflowIndex()
-	refused := registered.queue[index]
-	registered.queue = slices.Delete(registered.queue, index, index+1)
-	delete(b.records, refused.forward.ID)
-	return []Decision{refusal(refused.forward, errcode.BusySlotsFull)}
+	last := registered.queue[len(registered.queue)-1]
+	registered.queue = registered.queue[:len(registered.queue)-1]
+	delete(b.records, last.forward.ID)
+	return []Decision{refusal(last.forward, errcode.BusySlotsFull)}
 }
 
 // checkForward checks whether a request may start at an upstream now, and returns errcode.OK or the
--- a/internal/backend/queue.go
+++ b/internal/backend/queue.go
@@ -11,33 +11,11 @@
 // latencyDivisor is the reciprocal of the weight of one sample in the moving averages of service times.
 const latencyDivisor = 16
 
-// Calls that running requests make go before the requests of callers, since the work of the running request
-// is lost if its call fails. Where both kinds wait for an upstream that is overloaded, calls still leave the
-// requests of callers a share of it: a call overtakes at most maxOvertakes times, and calls hold at most
-// maxCallShare of the queue's places.
-const (
-	maxOvertakes = 3
-	maxCallShare = 0.75
-)
-
 // queuedRequest is a request that waits for a slot.
 type queuedRequest struct {
 	forward       message.Forward
 	deadline      time.Duration
 	latencyTarget time.Duration // time after which the response has less value; 0 if not set
-	overtaken     int           // number of calls that were queued before this request of a caller
-}
-
-// isCall reports whether an upstream made this request while it ran another one. Such a request has no
-// tenant. Where the configuration has no tenants, all requests count as calls.
-func (q queuedRequest) isCall() bool { return q.forward.Tenant == "" }
-
-// mayOvertake reports whether this request may be queued before another one.
-func (q queuedRequest) mayOvertake(other queuedRequest) bool {
-	if q.forward.Priority >= other.forward.Priority {
-		return false
-	}
-	return !q.isCall() || other.isCall() || other.overtaken < maxOvertakes
 }
 
 // runningRequest is a request that has started at an upstream and has not ended.
@@ -46,34 +24,15 @@
 }
 
 // enqueue inserts a request after the queued requests of the same or a better (numerically lower)
-// priority, and after those that it may not overtake.
+// priority.
 func (u *upstream) enqueue(item queuedRequest) {
 	position := len(u.queue)
-	for position > 0 && item.mayOvertake(u.queue[position-1]) {
+	for position > 0 && u.queue[position-1].forward.Priority > item.forward.Priority {
 		position--
-		if item.isCall() {
-			u.queue[position].overtaken++
-		}
 	}
 	u.queue = slices.Insert(u.queue, position, item)
 }
 
-// overflowIndex returns the index of the queued request to refuse where the queue is too long: the last call
-// if calls hold more than their share of the places, and otherwise the last request.
-func (u *upstream) overflowIndex() int {
-	calls, lastCall := 0, 0
-	for index, item := range u.queue {
-		if item.isCall() {
-			calls++
-			lastCall = index
-		}
-	}
-	if float64(calls) > maxCallShare*float64(len(u.queue)) {
-		return lastCall
-	}
-	return len(u.queue) - 1
-}
-
 // cannotMeetLatencyTarget reports whether a request is expected to miss its latency target, given the
 // requests ahead of it in the queue. It would take a slot that another request could still use in time.
 func (u *upstream) cannotMeetLatencyTarget(now time.Duration, item queuedRequest) bool {
