--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -16,7 +16,10 @@
 	seen.writes = []write{
 		{version: 3, body: string(first.encode()), valid: true, sentAt: 0, endedAt: time.Second, status: 200},
 		{version: 4, body: string(second.encode()), valid: true, sentAt: 40 * time.Second, endedAt: 41 * time.Second, status: 200},
-		{version: 5, body: string(newConfiguration(5).invalid().encode()), sentAt: 41 * time.Second, endedAt: 41 * time.Second, status: 422},
+		{
+			version: 5, body: string(newConfiguration(5).invalid().encode()),
+			sentAt: 41 * time.Second, endedAt: 41 * time.Second, status: 422,
+		},
 	}
 	seen.reads = []read{{sentAt: 50 * time.Second, status: 200, version: 4, body: string(second.encode())}}
 	seen.serve("before", 10*time.Second, serviceOf(3))
@@ -35,6 +38,15 @@
 	})
 }
 
+// addSilent adds requests that a machine in touch never answers.
+func (o *observations) addSilent(count int) {
+	for range count {
+		o.requests = append(o.requests, request{
+			id: "silent", proxy: "p", path: oncePath, sentAt: 40 * time.Second, endedAt: 44 * time.Second,
+		})
+	}
+}
+
 // brokenRules returns the rules that a run broke.
 func brokenRules(seen *observations) []Rule {
 	rules := []Rule{}
@@ -84,9 +96,7 @@
 			seen.signOffs = []signOff{{serviceOf(4) + "-0/1", calm - 3*time.Second, calm + time.Second}}
 		}},
 		"no final answer": {RuleFinal, func(seen *observations) {
-			for range minUnanswered {
-				seen.requests = append(seen.requests, request{id: "silent", proxy: "p", path: oncePath, sentAt: 40 * time.Second, endedAt: 44 * time.Second})
-			}
+			seen.addSilent(minUnanswered)
 		}},
 		"no service": {RuleRecovery, func(seen *observations) {
 			seen.requests = append(seen.requests, request{
@@ -114,9 +124,7 @@
 			seen.signOffs = []signOff{{serviceOf(4) + "-0/1", 40 * time.Second, 44 * time.Second}}
 		},
 		"few requests without a final answer": func(seen *observations) {
-			for range minUnanswered - 1 {
-				seen.requests = append(seen.requests, request{id: "silent", proxy: "p", path: oncePath, sentAt: 40 * time.Second, endedAt: 44 * time.Second})
-			}
+			seen.addSilent(minUnanswered - 1)
 		},
 		"no service before the bound": func(seen *observations) {
 			seen.requests = append(seen.requests, request{
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,7 +21,7 @@
 
 const (
 	startTimeout      = 30 * time.Second
-	writers           = 3
+	writers           = 8
 	readers           = 2
 	recoveryPause     = 3 * time.Second // for requests after the recovery bound
 	revocationPause   = 3 * time.Second // for requests after the bound of the revocation
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -25,6 +25,7 @@
 	maxExtraRegistry = 200 * time.Millisecond
 	maxExtraRestart  = 800 * time.Millisecond
 	maxHerdRounds    = 4
+	maxHerdPause     = 700 * time.Millisecond // between two rounds
 	signOffKillDelay = 60 * time.Millisecond
 )
 
@@ -45,7 +46,7 @@
 // kinds are the troubles that a series draws from. Some appear more than once to be drawn more often.
 func (t *troubles) kinds() []func(ctx context.Context, random *rand.Rand) {
 	return []func(ctx context.Context, random *rand.Rand){
-		t.killHerd, t.killHerd, t.killOne, t.freeze, t.freeze, t.stopGracefully, t.reload, t.signOffAndKill,
+		t.killHerd, t.killHerd, t.killHerd, t.killOne, t.freeze, t.freeze, t.stopGracefully, t.reload, t.signOffAndKill,
 	}
 }
 
@@ -133,9 +134,11 @@
 
 // killHerd kills the core machines, all or all but one, a few times in a row, at times with some proxies.
 func (t *troubles) killHerd(ctx context.Context, random *rand.Rand) {
-	spared := ""
-	if random.Float64() < 0.8 {
-		core := t.core("")
+	spared, core := "", t.core("")
+	switch draw := random.Float64(); {
+	case draw < 0.5:
+		spared = core[0].Node // the preferred holder of the configuration log
+	case draw < 0.8:
 		spared = core[random.IntN(len(core))].Node
 	}
 	herd := t.core(spared)
@@ -149,7 +152,7 @@
 	for range 1 + random.IntN(maxHerdRounds) {
 		t.kill(ctx, random, taken)
 		t.restart(ctx, random, taken)
-		sleep(ctx, time.Duration(random.Int64N(int64(maxTroublePause))))
+		sleep(ctx, time.Duration(random.Int64N(int64(maxHerdPause))))
 	}
 }
 
