--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -160,14 +159,10 @@
 			r.operators.registries = append(r.operators.registries, process.HTTPAddress)
 		}
 	}
-	for index, process := range r.fleet.Of(message.RoleProxy) {
+	for index := range r.fleet.Of(message.RoleProxy) {
 		service := allServices[index%len(allServices)]
-		host, _, err := net.SplitHostPort(process.HTTPAddress)
-		if err != nil {
-			return err
-		}
 		beside := &upstream{
-			seen: r.seen, service: service, name: service + "-" + strconv.Itoa(index), address: host + ":0",
+			seen: r.seen, service: service, name: service + "-" + strconv.Itoa(index), address: fmt.Sprintf("127.77.4.%d:0", index+1),
 			zone: r.fleet.Deployment.Zones[index%len(r.fleet.Deployment.Zones)], proxies: r.proxiesFrom(index),
 		}
 		if err := beside.start(r.group); err != nil {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,8 +26,11 @@
 	minRestart       = 100 * time.Millisecond
 	maxExtraRegistry = 200 * time.Millisecond
 	maxExtraRestart  = 800 * time.Millisecond
-	maxHerdRounds    = 4
-	maxHerdPause     = 700 * time.Millisecond // between two rounds
+	maxOutlive       = 250 * time.Millisecond // of a registry after the stores of its herd
+	maxHerdRestart   = 300 * time.Millisecond
+	maxHerdRounds    = 6
+	maxHerdPause     = 250 * time.Millisecond // between two rounds
+	spareHolderShare = 0.75                   // of the herds: the machine that holds the configuration log stays up
 	signOffKillDelay = 60 * time.Millisecond
 )
 
@@ -86,6 +91,11 @@
 	return slices.DeleteFunc(slices.Clone(t.machines), func(other *machine) bool { return other.Node != node })
 }
 
+// ofRole returns the machines of some roles.
+func ofRole(machines []*machine, roles ...string) []*machine {
+	return slices.DeleteFunc(slices.Clone(machines), func(other *machine) bool { return !slices.Contains(roles, other.Role) })
+}
+
 // core returns the processes of the core machines, without those of one node.
 func (t *troubles) core(without string) []*machine {
 	return slices.DeleteFunc(slices.Clone(t.machines), func(other *machine) bool {
@@ -115,13 +125,13 @@
 	}
 }
 
-// restart starts killed machines within a second: registries first.
-func (t *troubles) restart(ctx context.Context, random *rand.Rand, machines []*machine) {
+// restart starts killed machines, each after minRestart and a random part of maxExtra: registries first.
+func (t *troubles) restart(ctx context.Context, random *rand.Rand, machines []*machine, maxExtra time.Duration) {
 	var pending sync.WaitGroup
 	for _, target := range machines {
-		extra := maxExtraRestart
+		extra := maxExtra
 		if target.Role == message.RoleRegistry {
-			extra = maxExtraRegistry
+			extra = min(extra, maxExtraRegistry)
 		}
 		delay := minRestart + time.Duration(random.Int64N(int64(extra)))
 		pending.Go(func() {
@@ -132,14 +142,33 @@
 	pending.Wait()
 }
 
-// killHerd kills the core machines, all or all but one, a few times in a row, at times with some proxies.
+// updatesStatus holds the part of a registry's status that names the configuration store it follows.
+type updatesStatus struct {
+	Updates struct {
+		From string `json:"from"`
+	} `json:"updates"`
+}
+
+// holderNode returns the core machine whose configuration store the registries follow, or "" if none answers.
+func (t *troubles) holderNode() string {
+	for _, registry := range t.fleet.Of(message.RoleRegistry) {
+		status := updatesStatus{}
+		if fleet.Get("http://"+registry.HTTPAddress+"/v1/status", &status) != http.StatusOK {
+			continue
+		}
+		if node, isStore := strings.CutPrefix(status.Updates.From, message.RoleConfigStore+"/"); isStore {
+			return node
+		}
+	}
+	return ""
+}
+
+// killHerd kills the core machines, mostly all but the holder of the configuration log, a few times in a row,
+// and at times some proxies with them.
 func (t *troubles) killHerd(ctx context.Context, random *rand.Rand) {
-	spared, core := "", t.core("")
-	switch draw := random.Float64(); {
-	case draw < 0.5:
-		spared = core[0].Node // the preferred holder of the configuration log
-	case draw < 0.8:
-		spared = core[random.IntN(len(core))].Node
+	spared := ""
+	if random.Float64() < spareHolderShare {
+		spared = t.holderNode()
 	}
 	herd := t.core(spared)
 	for _, proxy := range t.fleet.Of(message.RoleProxy) {
@@ -150,8 +179,11 @@
 	taken := take(herd)
 	defer release(taken)
 	for range 1 + random.IntN(maxHerdRounds) {
-		t.kill(ctx, random, taken)
-		t.restart(ctx, random, taken)
+		// The registries outlive the stores by a moment, in which orders are under way.
+		t.kill(ctx, random, ofRole(taken, message.RoleConfigStore))
+		sleep(ctx, time.Duration(random.Int64N(int64(maxOutlive))))
+		t.kill(ctx, random, ofRole(taken, message.RoleRegistry, message.RoleProxy))
+		t.restart(ctx, random, taken, maxHerdRestart)
 		sleep(ctx, time.Duration(random.Int64N(int64(maxHerdPause))))
 	}
 }
@@ -161,7 +193,7 @@
 	taken := t.draw(random)
 	defer release(taken)
 	t.kill(ctx, random, taken)
-	t.restart(ctx, random, taken)
+	t.restart(ctx, random, taken, maxExtraRestart)
 }
 
 // freeze stops the processes of one machine and continues them later.
@@ -190,7 +222,7 @@
 			t.kill(ctx, random, []*machine{target})
 		}
 	}
-	t.restart(ctx, random, taken)
+	t.restart(ctx, random, taken, maxExtraRestart)
 }
 
 // reload sends SIGHUP to a few processes.
@@ -233,5 +265,5 @@
 	defer release(taken)
 	sleep(ctx, delay)
 	t.kill(ctx, random, taken)
-	t.restart(ctx, random, taken)
+	t.restart(ctx, random, taken, maxExtraRestart)
 }
