--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -296,15 +296,16 @@
 func (r *runner) playTroubles(ctx context.Context) {
 	troublesCtx, cancel := context.WithTimeout(ctx, r.options.Length)
 	defer cancel()
-	done := make(chan struct{}, troubleSeries)
-	for range troubleSeries {
+	series := r.troubles.series()
+	done := make(chan struct{}, len(series))
+	for _, kinds := range series {
 		random := r.newRandom()
 		r.group.Go("soak.troubles", func(context.Context) {
-			r.troubles.run(troublesCtx, random)
+			r.troubles.run(troublesCtx, random, kinds)
 			done <- struct{}{}
 		})
 	}
-	for range troubleSeries {
+	for range series {
 		<-done
 	}
 }
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -16,7 +16,6 @@
 
 const (
 	maxTroublePause = 1500 * time.Millisecond // between two troubles of a series
-	troubleSeries   = 3                       // that run at the same time
 	stopTimeout     = 7 * time.Second         // after SIGTERM
 
 	minFreeze      = 500 * time.Millisecond
@@ -48,16 +47,18 @@
 	upstreams []*upstream
 }
 
-// kinds are the troubles that a series draws from. Some appear more than once to be drawn more often.
-func (t *troubles) kinds() []func(ctx context.Context, random *rand.Rand) {
-	return []func(ctx context.Context, random *rand.Rand){
-		t.killHerd, t.killHerd, t.killHerd, t.killOne, t.freeze, t.freeze, t.stopGracefully, t.reload, t.signOffAndKill,
-	}
+// trouble is one trouble, from its first signal until its processes are back.
+type trouble func(ctx context.Context, random *rand.Rand)
+
+// series returns the troubles that each series draws from. The first one kills only herds, the others draw
+// from all kinds.
+func (t *troubles) series() [][]trouble {
+	mixed := []trouble{t.killHerd, t.killOne, t.freeze, t.freeze, t.stopGracefully, t.reload, t.signOffAndKill}
+	return [][]trouble{{t.killHerd}, mixed, mixed}
 }
 
 // run plays one series until ctx ends.
-func (t *troubles) run(ctx context.Context, random *rand.Rand) {
-	kinds := t.kinds()
+func (t *troubles) run(ctx context.Context, random *rand.Rand, kinds []trouble) {
 	for ctx.Err() == nil {
 		kinds[random.IntN(len(kinds))](ctx, random)
 		sleep(ctx, time.Duration(random.Int64N(int64(maxTroublePause))))
