--- a/review/_part2/fleet.go
+++ b/review/_part2/fleet.go
@@ -17,9 +17,26 @@
 	"time"
 )
 
-// zoneNames are the zones of the small deployment that the cases start: three core machines and some
-// sidecars, as in the site file of jc-hq.
-var zoneNames = []string{"shah-alam", "petaling", "cyberjaya"}
+// site holds what differs between the two small deployments of the users (SYSTEM.md).
+type site struct {
+	zones           []string
+	region          string
+	sidecarMemory   int // MB
+	coreFraction    float64
+	strict, fencing bool
+	retryAllowance  int
+}
+
+var (
+	jcHQ = site{
+		zones: []string{"shah-alam", "petaling", "cyberjaya"}, region: "klang-valley", sidecarMemory: 244, coreFraction: 0.96,
+		strict: true, fencing: false, retryAllowance: 62,
+	}
+	umuyoboroSMS = site{
+		zones: []string{"nyarugenge", "gasabo", "kicukiro"}, region: "kigali", sidecarMemory: 284, coreFraction: 0.48,
+		strict: false, fencing: true, retryAllowance: 58,
+	}
+)
 
 // record writes a line with the time since the start of the case to record.txt.
 type record struct {
@@ -56,32 +73,32 @@
 	record   *record
 	root     string // the checkout
 	folder   string // temporary
+	site     site
 	ports    ports
 	cores    []*machine
 	sidecars []*machine
 	platform *platformStandIn
-	extra    map[string]any // further bounds
 }
 
 // ports are alike on all machines.
 type ports struct{ control, ingress, egress, readiness, app, first, platform int }
 
 // newFleet lays a deployment with one sidecar for each of the services.
-func newFleet(r *record, root string, services []string) (*fleet, error) {
+func newFleet(r *record, root string, where site, services []string) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, root: root, folder: folder}
+	f := &fleet{record: r, root: root, folder: folder, site: where}
 	net2, net3 := 20+rand.IntN(200), 1+rand.IntN(250)
 	address := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", net2, net3, host) }
-	for index, zone := range zoneNames {
+	for index, zone := range f.site.zones {
 		f.cores = append(f.cores, &machine{name: "core-" + zone + "-1", class: "core", zone: zone, ip: address(10 + index), processes: map[string]*process{}})
 	}
 	for index, service := range services {
-		zone := zoneNames[index%len(zoneNames)]
+		zone := where.zones[index%len(where.zones)]
 		f.sidecars = append(f.sidecars, &machine{
-			name: fmt.Sprintf("sidecar-%s-%d", zone, 1+index/len(zoneNames)), class: "sidecar", zone: zone,
+			name: fmt.Sprintf("sidecar-%s-%d", zone, 1+index/len(where.zones)), class: "sidecar", zone: zone,
 			ip: address(50 + index), service: service, processes: map[string]*process{},
 		})
 	}
@@ -124,21 +141,18 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", core.ip, f.ports.control))
 	}
 	zones := map[string]string{}
-	for _, zone := range zoneNames {
-		zones[zone] = "klang-valley"
+	for _, zone := range f.site.zones {
+		zones[zone] = f.site.region
 	}
 	bounds := map[string]any{
 		"seed-lag-s": 3, "reuse-after-s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch-up-s": 4, "drain_ms": 2000,
 		"grace-s": 6, "answer_hold_ms": 200, "configuration_in_force_ms": 2000, "slip_back_ms": 250, "stretch_ms": 5000,
-		"strict-revocation": true, "key_withdrawal_ms": 5000, "retry_share": 0.2, "retry-window-s": 10,
-		"retry_allowance": 62, "fencing": false, "holder_rest_ms": 3000, "thaw_ms": 300, "usage-window-s": 5,
+		"strict-revocation": f.site.strict, "key_withdrawal_ms": 5000, "retry_share": 0.2, "retry-window-s": 10,
+		"retry_allowance": f.site.retryAllowance, "fencing": f.site.fencing, "holder_rest_ms": 3000, "thaw_ms": 300, "usage-window-s": 5,
 		"usage-error": 0.05, "usage-delay-s": 10, "recovery-s": 15,
 	}
-	for name, value := range f.extra {
-		bounds[name] = value
-	}
 	s := map[string]any{
-		"node-name": m.name, "role": role, "machine-class": m.class, "ip": m.ip, "zone": m.zone, "region": "klang-valley",
+		"node-name": m.name, "role": role, "machine-class": m.class, "ip": m.ip, "zone": m.zone, "region": f.site.region,
 		"zones": zones, "port-range": []int{f.ports.first, f.ports.first + 15}, "seed-nodes": seeds, "bootstrap": bootstrap,
 		"discovery": "static", "entry-mode": "static", "heartbeat_ms": 1500,
 		"invariants":    []string{"base", "drain", "config", "cost", "retry", "recover", "tenants", "leader"},
@@ -157,14 +171,14 @@
 		s["bindings"] = map[string]any{"control-plane": at(f.ports.control)}
 		s["quorum-member"] = true
 		s["data-path"] = filepath.Join(f.folder, m.name, role)
-		s["limits"] = map[string]any{"cpu-fraction": 0.96, "cores": 1, "memory-mb": 280, "max-fds": 4096, "bandwidth-mbps": 1000.0, "disk-mb": 256}
+		s["limits"] = map[string]any{"cpu-fraction": f.site.coreFraction, "cores": 1, "memory-mb": 280, "max-fds": 4096, "bandwidth-mbps": 1000.0, "disk-mb": 256}
 		return s
 	}
 	s["serves"] = []string{"sidecar"}
 	s["bindings"] = map[string]any{"ingress": at(f.ports.ingress), "egress": at(f.ports.egress), "readiness": at(f.ports.readiness), "control-plane": at(f.ports.control)}
 	s["quorum-member"] = false
 	s["data-path"] = nil
-	s["limits"] = map[string]any{"cpu-fraction": 0.32, "cores": 1, "memory-mb": 244, "max-fds": 4100, "bandwidth-mbps": 1000.0, "disk-mb": 0}
+	s["limits"] = map[string]any{"cpu-fraction": 0.32, "cores": 1, "memory-mb": f.site.sidecarMemory, "max-fds": 4100, "bandwidth-mbps": 1000.0, "disk-mb": 0}
 	s["app-addr"] = at(f.ports.app)
 	s["service"] = m.service
 	return s
--- a/review/_part2/half_close.go
+++ b/review/_part2/half_close.go
@@ -13,7 +13,7 @@
 // their answers. Without the trouble all of them wait.
 func halfClose(r *record, root string, trouble bool) ([]string, error) {
 	services := []string{"quoter", "bookings", "fabrication"}
-	f, err := newFleet(r, root, services)
+	f, err := newFleet(r, root, jcHQ, services)
 	if err != nil {
 		return nil, err
 	}
--- a/review/_part2/main.go
+++ b/review/_part2/main.go
@@ -21,7 +21,10 @@
 
 // cases are the cases by name. Each returns what was broken, or nil.
 var cases = map[string]func(r *record, root string, trouble bool) (faults []string, err error){
+	"authority":  authority,
 	"half-close": halfClose,
+	"nested":     nested,
+	"uploads":    uploads,
 }
 
 func main() {
