--- a/review/_part2/main.go
+++ b/review/_part2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(r *record, root string, trouble bool) (faults []string, err error){
 	"authority":  authority,
 	"half-close": halfClose,
+	"leaving":    leaving,
 	"nested":     nested,
 	"uploads":    uploads,
 }
