--- a/review/_part2/invalid.go
+++ b/review/_part2/invalid.go
@@ -13,11 +13,13 @@
 	// badBytes is the size of the invalid configurations with the disruption.
 	badBytes = 4_000_000
 
-	// badOrders is the number of invalid configurations that are sent at once.
+	// badOrders is the number of invalid configurations, badGap the time between them, as in a day of the site file
+	// (bad_config, count = 3, gap_s = 0.6).
 	badOrders = 3
+	badGap    = 600 * time.Millisecond
 )
 
-// invalid: operators send three invalid configurations at once: routes without an authority, a destination and a
+// invalid: operators send three invalid configurations, 0.6 s apart: routes without an authority, a destination and a
 // time-out, many of them. The platform ends each process that holds more than its memory-mb, and starts it again. It
 // is a fault if on half of the core (two machines of three) processes end so three times. Without the trouble the
 // invalid configurations have two such routes.
@@ -64,6 +66,7 @@
 			r.line("operator %d sends an invalid configuration of %d bytes: %.40s...", number, len(bad), bad)
 			r.line("operator %d: %s", number, order(f, bad))
 		}()
+		time.Sleep(badGap)
 	}
 	orders.Wait()
 	time.Sleep(3 * time.Second)
