Route by the whole authority: a port is part of the host

The check and the index of routes kept the port, MatchHost cut it off.

Change. routeconfig.Authority with one constructor, ParseAuthority, used by the check, the index and the match.

Why it works. There is one opinion of what an authority is, so every route that the check accepts can be reached, and by its own authority only.

--- a/internal/routeconfig/check_route.go
+++ b/internal/routeconfig/check_route.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/tidwall/gjson"
 )
@@ -116,7 +115,7 @@
 	if timeout := route.Get("timeout_ms"); !timeout.Exists() {
 		c.add(path+".timeout_ms", "missing")
 	}
-	matchKey := strings.ToLower(route.Get("host").String()) + " " + route.Get("prefix").String()
+	matchKey := string(ParseAuthority(route.Get("host").String())) + " " + route.Get("prefix").String()
 	other, duplicate := c.routesByMatch[matchKey]
 	if duplicate && !route.Get("methods").Exists() {
 		c.add(path, "stands at the place of "+other)
--- a/internal/routeconfig/configuration.go
+++ b/internal/routeconfig/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"strings"
 )
 
 // Service holds the settings of a service.
@@ -15,7 +14,7 @@
 // keyDigest is the SHA-256 digest of a tenant's key.
 type keyDigest = [sha256.Size]byte
 
-// routesByPrefix maps each prefix of a host to the indexes of its routes in Configuration.Routes.
+// routesByPrefix maps each prefix of an authority to the indexes of its routes in Configuration.Routes.
 type routesByPrefix = map[string][]int
 
 // Configuration is one parsed version of a configuration. It is immutable and safe for concurrent use.
@@ -28,8 +27,8 @@
 	hasTenants     bool // the configuration has a list of tenants, which may be empty
 	tenantByKey    map[keyDigest]string
 	tenantsWithKey map[string]bool
-	priorities     map[string]int64          // by tenant, for tenants that have one
-	routesByHost   map[string]routesByPrefix // host in lower case
+	priorities     map[string]int64 // by tenant, for tenants that have one
+	routesByHost   map[Authority]routesByPrefix
 	services       map[string]Service
 	routesByJSON   map[string]*Route // by their JSON text, for Next
 }
@@ -62,11 +61,11 @@
 	return tenant, found
 }
 
-// MatchHost finds the route of a host with the longest prefix of a path. The path is compared as received,
-// without normalisation. A host without routes of its own uses those that are not bound to a host.
+// MatchHost finds the route of a host with the longest prefix of a path. The host is compared as an Authority,
+// with its port. The path is compared as received, without normalisation. A host without routes of its own uses
+// those that are not bound to a host.
 func (c *Configuration) MatchHost(host, method, path string) (Route, bool) {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
-	byPrefix, known := c.routesByHost[host]
+	byPrefix, known := c.routesByHost[ParseAuthority(host)]
 	if !known {
 		return c.Match(method, path)
 	}
--- a/internal/routeconfig/parse.go
+++ b/internal/routeconfig/parse.go
@@ -31,7 +31,7 @@
 		tenantByKey:    map[keyDigest]string{},
 		tenantsWithKey: map[string]bool{},
 		priorities:     map[string]int64{},
-		routesByHost:   map[string]routesByPrefix{},
+		routesByHost:   map[Authority]routesByPrefix{},
 		services:       map[string]Service{},
 	}
 	root := gjson.ParseBytes(body)
--- a/internal/routeconfig/parse_route.go
+++ b/internal/routeconfig/parse_route.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -45,7 +44,7 @@
 func parseRoute(fields routeFields, limits Limits) *Route {
 	route := &Route{
 		Name:          fields["name"].String(),
-		Host:          strings.ToLower(fields["host"].String()),
+		Host:          ParseAuthority(fields["host"].String()),
 		Path:          fields["path"].String(),
 		Prefix:        fields["match"].String() == matchPrefix,
 		Methods:       nameSet(fields["methods"]),
--- a/internal/routeconfig/route.go
+++ b/internal/routeconfig/route.go
@@ -22,7 +22,7 @@
 type Route struct {
 	Name string
 
-	Host    string          // in lower case; "": any
+	Host    Authority       // "": any
 	Path    string          // the path, or the prefix
 	Prefix  bool            // Path is a prefix, of whole segments
 	Methods map[string]bool // nil on a route that is bound to a host: any
