End what a restarted proxy took over from the roster before DRAIN binds

What callers saw.

Cause. leaving is acknowledged from memory. The restarted proxy takes the upstream over from the roster as ready and kept that for heartbeat_ms, as if the upstream had announced itself.

An adopted registration ends adoption_ms after the start of the proxy, unless the upstream announces itself; the platform sets it to two thirds of contact-s. DRAIN binds machines in touch, and a machine is not in touch until contact-s after its start. In the registries' table of heartbeats, draining is final for an incarnation: the report of what was taken over replaced it.

--- a/internal/backend/admission.go
+++ b/internal/backend/admission.go
@@ -71,6 +71,8 @@
 		return errcode.BusyUpstreamGone
 	case now-registered.announcedAt > b.settings.ServingProxyTimeout():
 		return errcode.BusyUpstreamGone
+	case registered.adoptedUntil > 0 && now >= registered.adoptedUntil:
+		return errcode.BusyUpstreamGone
 	case registered.broken && !b.mayRedial(now, registered):
 		return errcode.BusyUpstreamGone
 	case registered.announcement.Draining:
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -51,6 +51,7 @@
 type upstream struct {
 	announcement Announcement
 	announcedAt  time.Duration
+	adoptedUntil time.Duration // end of an adopted registration; 0: the upstream has announced itself
 	lastSeenAt   time.Duration // time of the last announcement or response
 	broken       bool          // a connection was lost, and no heartbeat has arrived since
 	brokenAt     time.Duration
--- a/internal/backend/registration.go
+++ b/internal/backend/registration.go
@@ -11,6 +11,15 @@
 // ended, and decisions on queued requests. A heartbeat is not accepted if a higher incarnation of the
 // upstream is registered. A stale one is accepted and ignored.
 func (b *Backend) Announce(now time.Duration, announcement Announcement) (accepted bool, ended []Announcement, decisions []Decision) {
+	return b.Register(now, announcement, 0)
+}
+
+// Register processes a heartbeat as Announce does or, if adoptedUntil is above 0, the registration of an
+// upstream that has announced itself to an earlier run of this proxy. That upstream gets requests until
+// adoptedUntil, and later only after a heartbeat of its own.
+func (b *Backend) Register(now time.Duration, announcement Announcement, adoptedUntil time.Duration) (
+	accepted bool, ended []Announcement, decisions []Decision,
+) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	registered, known := b.upstreams[announcement.key()]
@@ -26,6 +35,7 @@
 		announcement.Draining = true
 	}
 	registered.announcement, registered.announcedAt, registered.lastSeenAt = announcement, now, now
+	registered.adoptedUntil = adoptedUntil
 	if registered.broken && now > registered.brokenAt {
 		registered.broken = false
 	}
--- a/internal/frontend/registration.go
+++ b/internal/frontend/registration.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"time"
+
 	"beaconvane/internal/backend"
 	"beaconvane/internal/message"
 	"beaconvane/internal/proxy"
@@ -10,12 +12,13 @@
 // higher incarnation of that upstream is known.
 func (d *Dispatcher) Announce(announcement backend.Announcement) bool {
 	d.announcementReceived.Store(true)
-	return d.register(announcement)
+	return d.register(announcement, 0)
 }
 
-// register applies an announcement to the backend and notifies the control state of the result.
-func (d *Dispatcher) register(announcement backend.Announcement) bool {
-	accepted, ended, decisions := d.serving.Announce(d.environment.Now(), announcement)
+// register applies an announcement to the backend and notifies the control state of the result. adoptedUntil
+// is 0 for an announcement of the upstream itself.
+func (d *Dispatcher) register(announcement backend.Announcement, adoptedUntil time.Duration) bool {
+	accepted, ended, decisions := d.serving.Register(d.environment.Now(), announcement, adoptedUntil)
 	if !accepted {
 		return false
 	}
@@ -30,22 +33,29 @@
 	return true
 }
 
-// mayAdoptUpstreams reports whether this proxy started less than a heartbeat timeout ago and no
-// upstream has announced itself since, and upstreams verify their requests' target themselves.
+// mayAdoptUpstreams reports whether this proxy started less than AdoptionTimeout ago and no upstream has
+// announced itself since, and upstreams verify their requests' target themselves.
 func (d *Dispatcher) mayAdoptUpstreams() bool {
 	return d.settings.ProofByTarget() &&
-		d.environment.Now()-d.startedAt < d.settings.HeartbeatTimeout() &&
+		d.environment.Now() < d.adoptionEndsAt() &&
 		!d.announcementReceived.Load()
 }
 
+// adoptionEndsAt returns the time from which only the upstream's own announcement counts.
+func (d *Dispatcher) adoptionEndsAt() time.Duration {
+	return d.startedAt + d.settings.AdoptionTimeout()
+}
+
 // adoptUpstreams registers the upstreams that the roster lists for an earlier run of this proxy. It
 // is safe only where the proof is by target: each request names its upstream, so another process at
-// the address of an upstream that has ended refuses the request.
+// the address of an upstream that has ended refuses the request. An adopted registration ends early: the
+// earlier run may have acknowledged that the upstream leaves, and may have been killed, together with the
+// registries, before the roster had it.
 func (d *Dispatcher) adoptUpstreams(snapshot *proxy.Snapshot) {
 	for _, registrations := range snapshot.Upstreams {
 		for _, registration := range registrations {
 			if d.isOrphan(registration) {
-				d.register(announcementOf(registration))
+				d.register(announcementOf(registration), d.adoptionEndsAt())
 			}
 		}
 	}
--- a/internal/frontend/registration_test.go
+++ b/internal/frontend/registration_test.go
@@ -250,3 +250,48 @@
 	c.Assert(counts(window + 1)["t"], qt.Equals, int64(0))
 	c.Assert(counts(window + 1)["u"], qt.Equals, int64(1))
 }
+
+// Guards against requests at an upstream whose leaving an earlier run of this proxy had acknowledged: what the roster
+// says of it counts for AdoptionTimeout only, unless the upstream announces itself again.
+func TestAdoptionEndsWithoutAnAnnouncement(t *testing.T) {
+	leaving := newAnnouncement("old", "up:1", 3)
+	leaving.Draining = true
+	ready := newAnnouncement("old", "up:1", 2)
+	for name, test := range map[string]struct {
+		announced *backend.Announcement // half way through AdoptionTimeout
+		expected  errcode.Code          // of a request after AdoptionTimeout
+	}{
+		"silent":  {nil, errcode.BusyUpstreamGone},
+		"leaving": {&leaving, errcode.BusyLeaving},
+		"ready":   {&ready, errcode.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			environment, serving, cfg := newServingDispatcher(settings.ProofTarget)
+			request := func(id string) errcode.Code {
+				forward := message.Forward{ID: id, Service: "pay", Instance: "old", Incarnation: 1, Remaining: int64(time.Second)}
+				decisions := serving.HandleForward(environment.now, forward)
+				c.Assert(decisions, qt.HasLen, 1)
+				return decisions[0].Code
+			}
+			environment.dispatcher.UpdateSnapshot(snapshotWith(localRegistration("old", "up:1", message.StateReady, 6)))
+			c.Assert(request("at once"), qt.Equals, errcode.OK)
+			environment.now = cfg.AdoptionTimeout() / 2
+			if test.announced != nil {
+				environment.dispatcher.Announce(*test.announced)
+			}
+			environment.now = cfg.AdoptionTimeout()
+			environment.dispatcher.UpdateSnapshot(snapshotWith(localRegistration("old", "up:1", message.StateReady, 6)))
+			c.Assert(request("later"), qt.Equals, test.expected)
+		})
+	}
+}
+
+// Where AdoptionTimeout is 0, no upstream is adopted.
+func TestAdoptionIsOptional(t *testing.T) {
+	c := qt.New(t)
+	environment, serving, _ := newServingDispatcher(settings.ProofTarget)
+	environment.dispatcher.settings.Bounds.Adoption = 0
+	environment.dispatcher.UpdateSnapshot(snapshotWith(localRegistration("old", "up:1", message.StateReady, 6)))
+	c.Assert(serving.HasInstance("old"), qt.IsFalse)
+}
--- a/internal/registry/heartbeats.go
+++ b/internal/registry/heartbeats.go
@@ -47,7 +47,8 @@
 
 // record stores a heartbeat and returns whether it was accepted. It rejects heartbeats of an
 // earlier incarnation, and those of the same incarnation that were announced earlier, unless they
-// come from the proxy that forwarded the stored one: a proxy may correct its own report.
+// come from the proxy that forwarded the stored one: a proxy may correct its own report. An incarnation that
+// has announced that it drains stays so: a restarted proxy reports what it took over from the roster.
 func (t *heartbeatTable) record(received upstreamHeartbeat) bool {
 	key := received.heartbeat.Registration.Key()
 	incarnation := received.heartbeat.Registration.Incarnation
@@ -59,6 +60,9 @@
 		if incarnation == lastIncarnation && received.announcedAt < last.announcedAt && last.proxy != received.proxy {
 			return false
 		}
+		if incarnation == lastIncarnation && last.heartbeat.Registration.State == message.StateDraining {
+			received.heartbeat.Registration.State = message.StateDraining
+		}
 	}
 	t.latest[key] = received
 	return true
--- a/internal/registry/heartbeats_test.go
+++ b/internal/registry/heartbeats_test.go
@@ -58,3 +58,25 @@
 	table.dropDeregistrations(time.Second + 1)
 	c.Check(table.isDeregistered(registration), qt.IsFalse)
 }
+
+// Guards against an acknowledged drain that is forgotten when the proxy that passed it on restarts and reports the
+// upstream as the roster had it: the state is final for an incarnation.
+func TestDrainIsFinalForAnIncarnation(t *testing.T) {
+	c := qt.New(t)
+	inState := func(state string, incarnation int64, proxy string, at time.Duration) upstreamHeartbeat {
+		received := heartbeatOf(incarnation, proxy, at)
+		received.heartbeat.Registration.State = state
+		return received
+	}
+	table := newHeartbeatTable()
+	latestState := func() string { return table.latest["dispatch/dispatch-1"].heartbeat.Registration.State }
+	table.record(inState(message.StateReady, 1, "proxy-a", time.Second))
+	table.record(inState(message.StateDraining, 1, "proxy-a", 2*time.Second))
+	c.Assert(latestState(), qt.Equals, message.StateDraining)
+	table.record(inState(message.StateReady, 1, "proxy-a", 3*time.Second))
+	c.Assert(latestState(), qt.Equals, message.StateDraining)
+	table.record(inState(message.StateReady, 1, "proxy-b", 4*time.Second))
+	c.Assert(latestState(), qt.Equals, message.StateDraining)
+	table.record(inState(message.StateReady, 2, "proxy-a", 5*time.Second))
+	c.Assert(latestState(), qt.Equals, message.StateReady)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -131,6 +131,7 @@
 	})
 	faults.invalidIf(bounds.Lease < 0 || bounds.Lease > bounds.HolderCooldown/2, "bounds.lease_ms",
 		"want at most half of holder_rest_ms, or 0")
+	faults.invalidIf(bounds.Adoption < 0, "bounds.adoption_ms", "wants 0 or more")
 	faults.invalidIf(bounds.KeyWithdrawal < 0 || bounds.RetryAllowance < 0 || bounds.RetryShare < 0 || bounds.RetryShare >= 1, "bounds",
 		"key_withdrawal_ms and retry_allowance want 0 or more, retry_share 0 to below 1")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	Heartbeat int64 `json:"heartbeat_ms"`
 	// Sync is the longest time that a disk is expected to take for a sync.
 	Sync int64 `json:"sync_ms"`
+	// Adoption is how long after its start a proxy may pass requests to an upstream that has announced itself to an
+	// earlier run only; 0: it waits for an announcement. What the earlier run acknowledged may be forgotten.
+	Adoption int64 `json:"adoption_ms"`
 	// RetryShare is the number of retries allowed for each first attempt within RetryWindow, from 0 to below 1.
 	RetryShare float64 `json:"retry_share"`
 	// RetryWindow is the period over which retries are counted.
@@ -190,7 +193,7 @@
 		Bounds: Bounds{
 			ConfigurationInForce: 2000, KeyWithdrawal: 0, Drain: 2000, RollbackWindow: 250, ResponseDelay: 200,
 			UsageReportDelay: 10000, UsageWindow: 5000, HolderCooldown: 3000, CatchUp: 4000, Restore: 15000, Heartbeat: 3000,
-			Sync: 50, RetryShare: 0.2, RetryWindow: 10000, RetryAllowance: 10,
+			Sync: 50, Adoption: 2000, RetryShare: 0.2, RetryWindow: 10000, RetryAllowance: 10,
 		},
 		Limits: Limits{
 			Queue: 512, Body: 4 << 20, Response: 8 << 20, Configuration: 4 << 20, ConfigurationEntries: 20000, RetainedVersions: 16,
--- a/internal/settings/timers.go
+++ b/internal/settings/timers.go
@@ -97,6 +97,12 @@
 	return min(c.HeartbeatTimeout(), milliseconds(c.Bounds.Drain)*4/5)
 }
 
+// AdoptionTimeout is how long after its start a proxy passes requests to an upstream of which it knows from the
+// roster only, since the upstream announced itself to an earlier run of the proxy.
+func (c Settings) AdoptionTimeout() time.Duration {
+	return min(milliseconds(c.Bounds.Adoption), c.ServingProxyTimeout())
+}
+
 // AddressProofTTL is how long an announcement or a response proves which upstream uses an address.
 func (c Settings) AddressProofTTL() time.Duration { return c.HeartbeatTimeout() / 30 }
 
