Answer callers that end their direction of the connection and read on

What callers saw.

The end of the direction ends the request's context; await returned nil, ServeHTTP returned without writing, and net/http sent an implicit 200.

The request is abandoned and its answer written: 3114 (503, nothing ran) or 3205 (502, may have run), both new. If an outcome is being processed, it is abandoned again at the next tick, so that no further attempt runs for a caller that is gone. The servers no longer answer "OPTIONS *" with net/http's own empty 200.

Why it works. ServeHTTP has no path left that returns without writing.

--- a/internal/api/caller_timeouts_test.go
+++ b/internal/api/caller_timeouts_test.go
@@ -142,3 +142,16 @@
 		})
 	}
 }
+
+// Guards against the HTTP server's own empty 200 for "OPTIONS *": the handler decides on every request.
+func TestServerAnswersNothingByItself(t *testing.T) {
+	c := qt.New(t)
+	address := startCallerServer(c, nil, func(out http.ResponseWriter, in *http.Request) {
+		out.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(out, in.RequestURI)
+	})
+	conn, reader := dialCaller(c, address)
+	_, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(readResponseBody(c, reader), qt.Equals, "*")
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -38,6 +38,8 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// The server would answer "OPTIONS *" with an empty 200 of its own.
+		DisableGeneralOptionsHandler: true,
 	}}
 }
 
--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -60,14 +60,16 @@
 	BusyDeadline             Code = 3111
 	BusyUnproven             Code = 3112
 	BusyBodies               Code = 3113
+	BusyAbandoned            Code = 3114
 )
 
 // Requests that were started but have no complete response of the upstream.
 const (
-	UnknownOutcome  Code = 3201
-	UnknownTimeout  Code = 3202
-	AnswerMalformed Code = 3203
-	AnswerTooLarge  Code = 3204
+	UnknownOutcome   Code = 3201
+	UnknownTimeout   Code = 3202
+	AnswerMalformed  Code = 3203
+	AnswerTooLarge   Code = 3204
+	UnknownAbandoned Code = 3205
 )
 
 // Configurations.
@@ -149,10 +151,12 @@
 	BusyBodies:            {"BusyBodies", 503, "the bodies of other requests take all the memory there is for them; nothing ran"},
 	BusyUnproven:          {"BusyUnproven", 503, "no connection to the upstream that is proven to be its own is free; nothing ran"},
 	BusyDeadline:          {"BusyDeadline", 503, "the time was up before any upstream started; nothing ran"},
+	BusyAbandoned:         {"BusyAbandoned", 503, "the caller ended its direction of the connection before any upstream started; nothing ran"},
 	UnknownOutcome:        {"UnknownOutcome", 502, "the request was started and its answer was lost; it may have run"},
 	UnknownTimeout:        {"UnknownTimeout", 504, "the request was started and the time is up; it may have run"},
 	AnswerMalformed:       {"AnswerMalformed", 502, "the upstream's answer was not whole; the request may have run"},
 	AnswerTooLarge:        {"AnswerTooLarge", 502, "the upstream's answer is over the size cap; the request may have run"},
+	UnknownAbandoned:      {"UnknownAbandoned", 502, "the request was started when the caller ended its direction of the connection; it may have run"},
 	ConfigurationBad:      {"ConfigurationBad", 422, "the configuration has faults; the old one stays in force"},
 	ConfigurationTooLarge: {"ConfigurationTooLarge", 413, "the configuration is over the size or entry limits"},
 	ConfigurationConflict: {"ConfigurationConflict", 409, "the number is taken by other bytes, or is not higher than the current one"},
--- a/internal/frontend/dispatcher.go
+++ b/internal/frontend/dispatcher.go
@@ -119,7 +119,7 @@
 // enqueueSelection enqueues a request for StageSelect, and ends it if the queue is full.
 func (d *Dispatcher) enqueueSelection(pending *PendingRequest) {
 	if !d.environment.Enqueue(StageSelect, pending) {
-		d.respond(pending, d.frontend.abandon(pending.Request, false, errcode.BusyQueueFull))
+		d.respond(pending, d.frontend.abandon(pending.Request, false, abandonCodes{notStarted: errcode.BusyQueueFull}))
 	}
 }
 
@@ -140,7 +140,7 @@
 	request := pending.Request
 	if request.Target.ServingProxyAddress != d.address && d.linkSaturated(request) {
 		d.frontend.release(request)
-		d.respond(pending, d.frontend.abandon(request, false, errcode.BusyQueueFull))
+		d.respond(pending, d.frontend.abandon(request, false, abandonCodes{notStarted: errcode.BusyQueueFull}))
 		return
 	}
 	frame := d.frontend.forwardFrame(d.environment.Now(), request, d.nodeName, strconv.Itoa(request.Attempts))
@@ -190,10 +190,31 @@
 	pending.onDone(response)
 }
 
-// Abandon ends a request whose deadline has passed or whose caller has disconnected. It returns
-// false, and changes nothing, if the request is finished or an outcome of it is being processed;
-// the processing of that outcome then produces the final answer.
+// abandonCodes are the codes of the answer to a request that is abandoned.
+type abandonCodes struct {
+	notStarted errcode.Code // no attempt may have run
+	attemptOut errcode.Code // an attempt was sent and has no outcome yet
+}
+
+var (
+	abandonedAtDeadline = abandonCodes{errcode.BusyDeadline, errcode.UnknownTimeout}
+	abandonedByCaller   = abandonCodes{errcode.BusyAbandoned, errcode.UnknownAbandoned}
+)
+
+// Abandon ends a request whose deadline has passed. It returns false, and changes nothing, if the request
+// is finished or an outcome of it is being processed; the processing of that outcome then produces the
+// final answer or another attempt.
 func (d *Dispatcher) Abandon(pending *PendingRequest) bool {
+	return d.abandon(pending, abandonedAtDeadline)
+}
+
+// AbandonForCaller ends a request whose caller has ended its direction of the connection, as Abandon does.
+func (d *Dispatcher) AbandonForCaller(pending *PendingRequest) bool {
+	return d.abandon(pending, abandonedByCaller)
+}
+
+// abandon ends a request without an outcome, and answers it with one of the codes.
+func (d *Dispatcher) abandon(pending *PendingRequest, codes abandonCodes) bool {
 	attemptID, connection, abandoned := pending.abandon()
 	if !abandoned {
 		return false
@@ -201,7 +222,7 @@
 	if attemptID != "" {
 		d.cancelAttempt(pending.Request, attemptID, connection)
 	}
-	response := d.frontend.abandon(pending.Request, attemptID != "", errcode.BusyDeadline)
+	response := d.frontend.abandon(pending.Request, attemptID != "", codes)
 	d.frontend.countResponse(d.wallClock(), pending.Request, response)
 	pending.onDone(response)
 	return true
--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -46,9 +46,7 @@
 		p.refuse(out, code)
 		return
 	}
-	if response := p.await(in.Context(), request); response != nil {
-		p.writeResponse(out, response)
-	}
+	p.writeResponse(out, p.await(in.Context(), request))
 }
 
 // newRequest creates the Request of an HTTP request whose body has not been read.
@@ -78,8 +76,9 @@
 	return errcode.OK
 }
 
-// await submits a request and waits for its answer. At its deadline the request is abandoned, which
-// produces an answer immediately. If the caller disconnects first, await returns nil.
+// await submits a request and waits for its answer. At its deadline, or when the caller ends its direction
+// of the connection, the request is abandoned, which produces an answer immediately. A caller that has ended
+// its direction may still read: without an answer of the mesh, net/http would send an empty 200.
 func (p *Pipeline) await(caller context.Context, request *Request) *Response {
 	answered := make(chan *Response, 1)
 	admitted := make(chan time.Duration, 1)
@@ -98,10 +97,24 @@
 			p.Abandon(pending)
 			return <-answered
 		case <-caller.Done():
-			p.Abandon(pending)
-			return nil
+			return p.awaitAbandoned(pending, answered)
+		}
+	}
+}
+
+// awaitAbandoned abandons the request of a caller that has ended its direction of the connection. It tries
+// again while an outcome is being processed, since another attempt may follow.
+func (p *Pipeline) awaitAbandoned(pending *PendingRequest, answered <-chan *Response) *Response {
+	retry := time.NewTicker(p.settings.TickEvery())
+	defer retry.Stop()
+	for !p.AbandonForCaller(pending) {
+		select {
+		case response := <-answered:
+			return response
+		case <-retry.C:
 		}
 	}
+	return <-answered
 }
 
 // readBody reads the request's body within its size and time limits. The caller must release the
--- a/internal/frontend/outcome.go
+++ b/internal/frontend/outcome.go
@@ -99,13 +99,13 @@
 
 // abandon returns the answer to a request that ends without an outcome. attemptOut reports whether
 // an attempt was sent; it is then unknown whether the attempt ran.
-func (f *Frontend) abandon(request *Request, attemptOut bool, code errcode.Code) *Response {
+func (f *Frontend) abandon(request *Request, attemptOut bool, codes abandonCodes) *Response {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if attemptOut {
-		return NewRefusal(errcode.UnknownTimeout)
+		return NewRefusal(codes.attemptOut)
 	}
-	return request.refuse(code)
+	return request.refuse(codes.notStarted)
 }
 
 // release decrements the upstream's attempts in flight for an attempt that will have no outcome.
