Bound the memory of configurations before they are parsed

What operators saw.

The limit of entries came after every item of a list had been held in memory to count it. On related paths the depth of nesting, the number of faults, lists inside routes and the orders under way had no limit.

One pass without recursion or allocation counts values and depth first; lists are visited, not held; faults and fields are capped. A registry reads large orders within an eighth of its memory and checks one at a time; what has faults is refused there, not forwarded. A configstore keeps waiting writes compressed, within the same share.

--- a/internal/api/configurations.go
+++ b/internal/api/configurations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,31 +15,31 @@
 	"beaconvane/internal/routeconfig"
 )
 
-// readBody reads a configuration from the request body. If the body exceeds the size limit or can't be
-// read, it responds with ConfigurationTooLarge and returns false.
-func (h *registryHandler) readBody(out http.ResponseWriter, in *http.Request) (body []byte, complete bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(out, in.Body, h.settings.Limits.Configuration+1))
-	if err != nil {
-		WriteCode(out, errcode.ConfigurationTooLarge, "")
-		return nil, false
-	}
-	return body, true
-}
-
 // write commits a configuration. Checking and compressing it here keeps this work off the control
-// goroutine.
+// goroutine. A configuration with faults is refused here, so that it takes no memory anywhere else.
 func (h *registryHandler) write(out http.ResponseWriter, in *http.Request) {
-	body, complete := h.readBody(out, in)
+	body, release, complete := h.orders.read(out, in)
+	defer release()
 	if !complete {
 		return
 	}
-	h.serve(out, in, registry.WriteConfiguration{
-		ConfigName:     configName(in),
-		Version:        pathNumber(in, "version"),
-		Body:           body,
-		CompressedBody: delta.Encode(nil, body),
-		Check:          registry.CheckConfiguration(h.settings, body),
+	write := registry.WriteConfiguration{ConfigName: configName(in), Version: pathNumber(in, "version"), Body: body}
+	ctx, cancel := context.WithTimeout(in.Context(), h.settings.OperatorTimeout(len(body)))
+	defer cancel()
+	checked := h.orders.check(ctx, len(body), func() {
+		write.Check = registry.CheckConfiguration(h.settings, body)
+		if !write.Check.Faulty() {
+			write.CompressedBody = delta.Encode(nil, body)
+		}
 	})
+	switch {
+	case !checked:
+		WriteCode(out, errcode.BusyBodies, "other configurations are being checked")
+	case write.Check.Faulty():
+		writeResponse(out, registry.RefuseConfiguration(write))
+	default:
+		h.serve(out, in, write)
+	}
 }
 
 // awaitInForce responds once a version is in force on every proxy or the caller's wait time (wait_ms)
@@ -91,11 +90,19 @@
 
 // check responds with the faults of a configuration without storing it.
 func (h *registryHandler) check(out http.ResponseWriter, in *http.Request) {
-	body, complete := h.readBody(out, in)
+	body, release, complete := h.orders.read(out, in)
+	defer release()
 	if !complete {
 		return
 	}
-	faults, tooLarge := routeconfig.Check(body, h.settings.ConfigurationLimits())
+	faults, tooLarge := []string(nil), false
+	checked := h.orders.check(in.Context(), len(body), func() {
+		faults, tooLarge = routeconfig.Check(body, h.settings.ConfigurationLimits())
+	})
+	if !checked {
+		WriteCode(out, errcode.BusyBodies, "other configurations are being checked")
+		return
+	}
 	code := errcode.OK
 	switch {
 	case tooLarge:
--- a/internal/api/registry_handler.go
+++ b/internal/api/registry_handler.go
@@ -24,11 +24,12 @@
 type registryHandler struct {
 	settings settings.Settings
 	process  *node.Node
+	orders   *orders
 }
 
 // NewRegistryHandler returns the handler of a registry's HTTP API.
 func NewRegistryHandler(cfg settings.Settings, process *node.Node) http.Handler {
-	handler := &registryHandler{settings: cfg, process: process}
+	handler := &registryHandler{settings: cfg, process: process, orders: newOrders(cfg)}
 	router := newRouter()
 	addCommonRoutes(router, "", process, func() any { return processCounters{Process: process.Counters()} })
 	handler.addRoutes(router)
--- a/internal/configstore/proposal.go
+++ b/internal/configstore/proposal.go
@@ -34,7 +34,7 @@
 		m.respond(env, from, m.notServingResponse(request.RequestID))
 		return
 	}
-	if int64(len(m.writes)) >= m.settings.Limits.Queue {
+	if int64(len(m.writes)) >= m.settings.Limits.Queue || m.pendingWriteBytes()+int64(len(request.Body)) > m.settings.OrderMemory() {
 		m.respond(env, from, message.StoreResponse{
 			RequestID: request.RequestID,
 			Code:      int64(errcode.ConfigurationNoHolder),
@@ -42,13 +42,19 @@
 		})
 		return
 	}
-	if request.Compressed {
-		request = decompressWrite(request, m.settings.Limits.Configuration)
-	}
 	m.writes = append(m.writes, pendingWrite{from, request, env.Now})
 	m.beginWrites(env)
 }
 
+// pendingWriteBytes returns the size of the queued writes. Their bodies stay compressed until it is their turn.
+func (m *Machine) pendingWriteBytes() int64 {
+	size := 0
+	for _, pending := range m.writes {
+		size += len(pending.request.Body)
+	}
+	return int64(size)
+}
+
 // beginWrites processes queued writes until one is in flight or the queue is empty.
 func (m *Machine) beginWrites(env *statemachine.Env) {
 	for !m.proposal.inFlight() && len(m.writes) > 0 {
@@ -61,6 +67,9 @@
 // beginWrite proposes a write, or responds to it if there is nothing to commit. The commit of a proposal
 // proves that this voter still held the lease; any other response must wait for a renewal of the lease.
 func (m *Machine) beginWrite(env *statemachine.Env, next pendingWrite) {
+	if next.request.Compressed {
+		next.request = decompressWrite(next.request, m.settings.Limits.Configuration)
+	}
 	stated := statedVersion(next.request.Body)
 	if next.request.Version == 0 {
 		next.request.Version = stated.Int()
--- a/internal/message/configuration.go
+++ b/internal/message/configuration.go
@@ -25,6 +25,9 @@
 	Faults   []string
 }
 
+// Faulty reports whether the content must be refused.
+func (c ContentCheck) Faulty() bool { return c.TooLarge || len(c.Faults) > 0 }
+
 // WriteRequest asks the holder of the log's lease to commit a version of a configuration.
 type WriteRequest struct {
 	RequestID  int64
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -52,6 +52,21 @@
 	return message.ContentCheck{Done: true, TooLarge: tooLarge, Faults: faults}
 }
 
+// RefuseConfiguration returns the answer to a write of a configuration with faults.
+func RefuseConfiguration(write WriteConfiguration) OperatorResponse {
+	code := errcode.ConfigurationBad
+	if write.Check.TooLarge {
+		code = errcode.ConfigurationTooLarge
+	}
+	return answerJSON(code, writeAnswer{
+		Code:          code,
+		Result:        code.String(),
+		Configuration: write.ConfigName,
+		Version:       write.Version,
+		Faults:        write.Check.Faults,
+	})
+}
+
 // HandleRequest handles a request of the HTTP API or a notification of the process.
 func (m *Machine) HandleRequest(env *statemachine.Env, requestID int64, received any) {
 	switch request := received.(type) {
--- a/internal/routeconfig/bench_test.go
+++ b/internal/routeconfig/bench_test.go
@@ -35,7 +35,7 @@
 	b.ReportAllocs()
 	b.SetBytes(int64(len(body)))
 	for b.Loop() {
-		Parse("main", 7, body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxTimeout: time.Hour, Lenient: true})
+		Parse("main", 7, body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true})
 	}
 }
 
@@ -43,12 +43,12 @@
 	body := largeConfiguration(1400)
 	b.ReportAllocs()
 	for b.Loop() {
-		Check(body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxTimeout: time.Hour, Lenient: true})
+		Check(body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true})
 	}
 }
 
 func BenchmarkNextLarge(b *testing.B) {
-	limits := Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxTimeout: time.Hour, Lenient: true}
+	limits := Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true}
 	body := largeConfiguration(1400)
 	configuration := Parse("main", 7, body, limits)
 	b.ReportAllocs()
--- a/internal/routeconfig/calendar.go
+++ b/internal/routeconfig/calendar.go
@@ -45,18 +45,19 @@
 	if _, err := time.LoadLocation(zone); err != nil || zone == "" {
 		problems = append(problems, "zone: want a named time zone")
 	}
-	entries := value.Get("open").Array()
-	if len(entries) == 0 {
+	entries := value.Get("open")
+	if countItems(entries) == 0 {
 		problems = append(problems, "open: want at least one entry")
 	}
-	for index, entry := range entries {
+	forEachItem(entries, func(index int, entry gjson.Result) bool {
 		if !isCronExpression(entry.Get("at").String()) {
 			problems = append(problems, fmt.Sprintf("open.%d.at: not a cron expression of five fields", index))
 		}
 		if minutes := entry.Get("minutes").Int(); minutes < 1 || minutes > maxOpeningMinutes {
 			problems = append(problems, fmt.Sprintf("open.%d.minutes: want 1 to %d", index, maxOpeningMinutes))
 		}
-	}
+		return len(problems) <= maxFaults
+	})
 	return problems
 }
 
@@ -74,12 +75,13 @@
 		zone = time.UTC
 	}
 	calendar := &Calendar{location: zone}
-	for _, entry := range value.Get("open").Array() {
+	forEachItem(value.Get("open"), func(_ int, entry gjson.Result) bool {
 		if schedule, err := cron.ParseStandard(entry.Get("at").String()); err == nil {
 			length := time.Duration(entry.Get("minutes").Int()) * time.Minute
 			calendar.entries = append(calendar.entries, calendarEntry{schedule, length})
 		}
-	}
+		return true
+	})
 	return calendar
 }
 
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -18,12 +18,15 @@
 	callerLimitFields   = []string{"head_bytes", "body_bytes", "head_ms", "idle_ms"}
 )
 
-// entryLists are the gjson paths of the lists whose entries count towards Limits.MaxEntries.
-var entryLists = []string{"services", "tenants", "tenants.#.keys|@flatten", "routes"}
-
 // rootPath is the path of a fault that concerns the whole configuration.
 const rootPath = "$"
 
+// Limits of what a check collects.
+const (
+	maxFaults = 200  // that are listed
+	maxFields = 1000 // of one object
+)
+
 // fault is one error in a configuration.
 type fault struct {
 	path    string // of the field, such as routes.0.service
@@ -40,6 +43,9 @@
 		problem := fmt.Sprintf("%d bytes, the limit is %d", size, limits.MaxBytes)
 		return []string{fault{rootPath, problem}.String()}, true
 	}
+	if problem := measureStructure(body, limits).problem(limits); problem != "" {
+		return []string{fault{rootPath, problem}.String()}, true
+	}
 	if !gjson.ValidBytes(body) {
 		return []string{fault{rootPath, "not JSON"}.String()}, false
 	}
@@ -58,11 +64,35 @@
 
 // countEntries returns the number of services, tenants, keys and routes.
 func countEntries(root gjson.Result) int64 {
-	count := 0
-	for _, path := range entryLists {
-		count += len(root.Get(path).Array())
+	tenants := root.Get("tenants")
+	count := countItems(root.Get("services")) + countItems(tenants) + countItems(root.Get("routes"))
+	forEachItem(tenants, func(_ int, tenant gjson.Result) bool {
+		count += countItems(tenant.Get("keys"))
+		return true
+	})
+	return count
+}
+
+// countItems returns the number of items of a list; 0 for any other value.
+func countItems(list gjson.Result) int64 {
+	count := int64(0)
+	forEachItem(list, func(int, gjson.Result) bool {
+		count++
+		return true
+	})
+	return count
+}
+
+// forEachItem calls visit for each item of a list, until it returns false. It does not hold all items in memory.
+func forEachItem(list gjson.Result, visit func(index int, item gjson.Result) bool) {
+	if !list.IsArray() {
+		return
 	}
-	return int64(count)
+	index := 0
+	list.ForEach(func(_, item gjson.Result) bool {
+		index++
+		return visit(index-1, item)
+	})
 }
 
 // checker collects the faults of a configuration, and the names, keys and matches that it has already
@@ -105,8 +135,18 @@
 	return lines
 }
 
-// add adds a fault.
-func (c *checker) add(path, problem string) { c.faults = append(c.faults, fault{path, problem}) }
+// add adds a fault. The faults beyond maxFaults are counted as one.
+func (c *checker) add(path, problem string) {
+	switch {
+	case len(c.faults) < maxFaults:
+		c.faults = append(c.faults, fault{path, problem})
+	case len(c.faults) == maxFaults:
+		c.faults = append(c.faults, fault{rootPath, problemMoreFaults})
+	}
+}
+
+// isFull reports whether no further fault would be listed.
+func (c *checker) isFull() bool { return len(c.faults) > maxFaults }
 
 // checkConfiguration checks a configuration. Services and tenants come before routes, which refer to them.
 func (c *checker) checkConfiguration(root gjson.Result) {
@@ -184,6 +224,9 @@
 			c.add(prefix+name, "unknown field")
 		}
 		seen[name] = true
-		return true
+		if len(seen) > maxFields {
+			c.add(path, fmt.Sprintf("more than %d fields", maxFields))
+		}
+		return len(seen) <= maxFields
 	})
 }
--- a/internal/routeconfig/check_route.go
+++ b/internal/routeconfig/check_route.go
@@ -130,22 +130,23 @@
 	if normalized, err := NormalizePath(routePath); routePath != "" && (err != nil || normalized != routePath) {
 		c.add(path+".path", "want a normalised path that begins with /")
 	}
-	methods := route.Get("methods").Array()
-	if len(methods) == 0 {
+	methods := route.Get("methods")
+	if countItems(methods) == 0 {
 		c.add(path+".methods", "want at least one method")
 	}
-	if len(route.Get("callers").Array()) == 0 {
+	if countItems(route.Get("callers")) == 0 {
 		c.add(path+".callers", `want at least one caller, or "*"`)
 	}
 	match := route.Get("match").String()
 	if match == "" {
 		match = matchExact
 	}
-	for _, method := range methods {
+	forEachItem(methods, func(_ int, method gjson.Result) bool {
 		matchKey := match + " " + method.String() + " " + routePath
 		if other, duplicate := c.routesByMatch[matchKey]; duplicate && other != path {
 			c.add(path, "ambiguous with "+other+" for "+method.String())
 		}
 		c.routesByMatch[matchKey] = path
-	}
+		return !c.isFull()
+	})
 }
--- a/internal/routeconfig/check_values.go
+++ b/internal/routeconfig/check_values.go
@@ -11,6 +11,7 @@
 const (
 	problemNotObject             = "want an object"
 	problemNotList               = "want a list"
+	problemMoreFaults            = "there are further faults"
 	problemNotText               = "want a text that is not empty"
 	problemNotBool               = "want true or false"
 	problemNotPositiveInteger    = "want a whole number above 0"
@@ -31,7 +32,8 @@
 	names[name] = true
 }
 
-// checkList checks each item of an optional list. The path of an item ends in its index, from 0.
+// checkList checks the items of an optional list, until no further fault would be listed. The path of an item ends
+// in its index, from 0.
 func (c *checker) checkList(path string, value gjson.Result, checkItem func(path string, item gjson.Result)) {
 	if !value.Exists() {
 		return
@@ -40,9 +42,10 @@
 		c.add(path, problemNotList)
 		return
 	}
-	for index, item := range value.Array() {
+	forEachItem(value, func(index int, item gjson.Result) bool {
 		checkItem(fmt.Sprintf("%s.%d", path, index), item)
-	}
+		return !c.isFull()
+	})
 }
 
 // checkString checks that a value is a string that is not empty, and returns it; "" if it is not.
--- a/internal/routeconfig/limits.go
+++ b/internal/routeconfig/limits.go
@@ -8,6 +8,8 @@
 type Limits struct {
 	MaxBytes   int64
 	MaxEntries int64         // services, tenants, keys and routes together
+	MaxValues  int64         // values and names of fields at all levels together
+	MaxDepth   int64         // of nested objects and lists
 	MaxTimeout time.Duration // of a route; also the timeout of a route without one
 	Lenient    bool
 }
--- a/internal/routeconfig/next_test.go
+++ b/internal/routeconfig/next_test.go
@@ -39,7 +39,7 @@
 // Next, which reuses unchanged routes of any previous version, returns the same configuration as Parse.
 func TestNextMatchesParse(t *testing.T) {
 	c := qt.New(t)
-	limits := Limits{MaxBytes: 1 << 20, MaxEntries: 1 << 10, MaxTimeout: time.Minute, Lenient: true}
+	limits := Limits{MaxBytes: 1 << 20, MaxEntries: 1 << 10, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Minute, Lenient: true}
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		var current *Configuration
--- a/internal/routeconfig/parse.go
+++ b/internal/routeconfig/parse.go
@@ -45,7 +45,7 @@
 
 // parseServices parses services, each of which is a name or an object with further fields.
 func (c *Configuration) parseServices(services gjson.Result) {
-	for _, item := range services.Array() {
+	forEachItem(services, func(_ int, item gjson.Result) bool {
 		service := Service{Name: item.String()}
 		if item.IsObject() {
 			service = Service{
@@ -55,22 +55,25 @@
 			}
 		}
 		c.services[service.Name] = service
-	}
+		return true
+	})
 }
 
 // parseTenants parses the tenants' priorities and keys.
 func (c *Configuration) parseTenants(tenants gjson.Result) {
 	c.hasTenants = tenants.Exists()
-	for _, tenant := range tenants.Array() {
+	forEachItem(tenants, func(_ int, tenant gjson.Result) bool {
 		name := tenant.Get("name").String()
 		if priority := tenant.Get("priority"); priority.Exists() {
 			c.priorities[name] = priority.Int()
 		}
-		for _, key := range tenant.Get("keys").Array() {
+		forEachItem(tenant.Get("keys"), func(_ int, key gjson.Result) bool {
 			c.tenantByKey[sha256.Sum256([]byte(key.String()))] = name
 			c.tenantsWithKey[name] = true
-		}
-	}
+			return true
+		})
+		return true
+	})
 }
 
 // parseRoutes parses the routes that are not in previous, reuses the others, and sorts all of them.
--- a/internal/routeconfig/parse_route.go
+++ b/internal/routeconfig/parse_route.go
@@ -84,10 +84,11 @@
 // parseSplit parses a route's split; nil if there is none.
 func parseSplit(value gjson.Result) []WeightedService {
 	var split []WeightedService
-	for _, share := range value.Array() {
+	forEachItem(value, func(_ int, share gjson.Result) bool {
 		weight := int64(share.Get("weight").Float() * weightScale)
 		split = append(split, WeightedService{share.Get("service").String(), weight})
-	}
+		return true
+	})
 	return split
 }
 
@@ -113,10 +114,10 @@
 	if !value.Exists() {
 		return nil
 	}
-	list := value.Array()
-	names := make(map[string]bool, len(list))
-	for _, item := range list {
+	names := make(map[string]bool, countItems(value))
+	forEachItem(value, func(_ int, item gjson.Result) bool {
 		names[item.String()] = true
-	}
+		return true
+	})
 	return names
 }
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var limits = Limits{MaxBytes: 4000, MaxEntries: 20, MaxTimeout: 5 * time.Second}
+var limits = Limits{MaxBytes: 4000, MaxEntries: 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: 5 * time.Second}
 
 const pathConfiguration = `{"services":["a","b"],"tenants":[{"name":"t","keys":["k1"]},{"name":"u","keys":["k2"]}],
 "routes":[{"name":"all","service":"a","path":"/x","match":"prefix","methods":["GET","POST"],"callers":["*"]},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -145,6 +145,8 @@
 		"answer_bytes":          limits.Response,
 		"configuration_bytes":   limits.Configuration,
 		"configuration_entries": limits.ConfigurationEntries,
+		"configuration_values":  limits.ConfigurationValues,
+		"configuration_depth":   limits.ConfigurationDepth,
 		"kept_configurations":   limits.RetainedVersions,
 		"fanout":                limits.Fanout,
 		"frame_bytes":           limits.Frame,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,10 @@
 	Configuration int64 `json:"configuration_bytes"`
 	// ConfigurationEntries is the largest number of services, tenants, keys and routes in a configuration.
 	ConfigurationEntries int64 `json:"configuration_entries"`
+	// ConfigurationValues is the largest number of values and field names at all levels of a configuration.
+	ConfigurationValues int64 `json:"configuration_values"`
+	// ConfigurationDepth is the deepest nesting of objects and lists in a configuration.
+	ConfigurationDepth int64 `json:"configuration_depth"`
 	// RetainedVersions is how many versions of each configuration a configuration store keeps.
 	RetainedVersions int64 `json:"kept_configurations"`
 	// Fanout is the number of children to which a process distributes updates.
@@ -196,7 +200,8 @@
 			Sync: 50, Adoption: 2000, RetryShare: 0.2, RetryWindow: 10000, RetryAllowance: 10,
 		},
 		Limits: Limits{
-			Queue: 512, Body: 4 << 20, Response: 8 << 20, Configuration: 4 << 20, ConfigurationEntries: 20000, RetainedVersions: 16,
+			Queue: 512, Body: 4 << 20, Response: 8 << 20, Configuration: 4 << 20, ConfigurationEntries: 20000,
+			ConfigurationValues: 800000, ConfigurationDepth: 32, RetainedVersions: 16,
 			Fanout: 2, Frame: 16 << 20, RequestTimeout: 5000, Grace: 10000, SpillMargin: 0.25,
 		},
 	}
@@ -243,6 +248,8 @@
 	return routeconfig.Limits{
 		MaxBytes:   c.Limits.Configuration,
 		MaxEntries: c.Limits.ConfigurationEntries,
+		MaxValues:  c.Limits.ConfigurationValues,
+		MaxDepth:   c.Limits.ConfigurationDepth,
 		MaxTimeout: c.RequestTimeout(),
 		Lenient:    c.UnknownFields == FieldsKeep,
 	}
--- a/internal/settings/timers.go
+++ b/internal/settings/timers.go
@@ -240,6 +240,15 @@
 	return max(c.Limits.Memory<<20/bodyMemoryDivisor, c.Limits.Body)
 }
 
+// OrderMemory is the number of bytes that the configurations of operators may use together in a registry, and the
+// pending writes in a configuration store. It holds at least one of the largest size.
+func (c Settings) OrderMemory() int64 {
+	if c.Limits.Memory == 0 {
+		return c.Limits.Configuration * bodyMemoryDivisor
+	}
+	return max(c.Limits.Memory<<20/bodyMemoryDivisor, c.Limits.Configuration)
+}
+
 // CallerConnections is the number of connections that callers may keep open at a proxy. The remaining file
 // descriptors are reserved for connections to upstreams and between processes. 0: no limit.
 func (c Settings) CallerConnections() int { return int(c.Limits.Descriptors / 2) }
