Bound the memory of large requests and answers in each process

What was seen.

Bodies were limited at the caller's proxy only. A serving proxy made room for every announced frame and held up to five copies of a body; answers had no common limit.

A gate in package transport sees the first bytes of a large frame before there is room for it. A forwarded request that doesn't fit is discarded and answered as not started (3113); an answer that doesn't fit for 0.25 s is given up as of unknown outcome; a response of an upstream is not read until it fits. Bodies are put into frames instead of through the codec, and written to the upstream without a copy; the frames are the same, byte for byte. Package quota replaces the counting in bodyQuota.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -9,6 +9,7 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/goroutine"
 	"beaconvane/internal/message"
+	"beaconvane/internal/quota"
 	"beaconvane/internal/settings"
 )
 
@@ -37,6 +38,8 @@
 	goroutines *goroutine.Group
 	dialer     Dialer
 
+	responses responseMemory
+
 	pool   *connectionPool
 	guards *guardConnections
 	calls  *callRegistry
@@ -49,6 +52,7 @@
 		protocol:   NativeProtocol{},
 		serving:    serving,
 		goroutines: goroutines,
+		responses:  responseMemory{quota.New(cfg.ResponseMemory())},
 		pool:       newConnectionPool(cfg, serving, goroutines),
 		guards:     newGuardConnections(serving, goroutines),
 		calls:      newCallRegistry(),
@@ -64,7 +68,13 @@
 // UseProtocol replaces the protocol towards upstreams. It must be called before the first request.
 func (c *UpstreamClient) UseProtocol(protocol Protocol) { c.protocol = protocol }
 
-// Call sends a request to its upstream and waits for the outcome.
+// Release returns the memory that the body of an outcome of Call takes. It must be called once for each outcome,
+// after the outcome was passed on.
+func (c *UpstreamClient) Release(outcome message.Outcome) {
+	c.responses.release(int64(len(outcome.Body)))
+}
+
+// Call sends a request to its upstream and waits for the outcome. The outcome must be passed to Release.
 func (c *UpstreamClient) Call(decision Decision) message.Outcome {
 	limit := time.Duration(decision.Forward.Remaining)
 	limit -= min(limit/responseReserveDivisor, maxResponseReserve)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -20,6 +21,12 @@
 	RequestHeader    = "X-Request-Id"
 )
 
+// largeRequest is the size of a body from which on it is not copied.
+const largeRequest = 64 << 10
+
+// endOfHead is the empty line that ends the head of a request.
+var endOfHead = []byte("\r\n\r\n")
+
 // exchange sends a request once and reads one complete response. It does not use http.Transport, which
 // resends some requests on its own. reusable reports whether the connection may carry another request.
 func (c *UpstreamClient) exchange(
@@ -27,13 +34,13 @@
 	decision Decision,
 	deadline time.Time,
 ) (outcome message.Outcome, reusable bool, err error) {
-	request, encoded, code := c.encodeRequest(decision, deadline)
+	request, head, code := c.encodeHead(decision, deadline)
 	if code != errcode.OK {
 		return notStarted(code), false, nil
 	}
 	// SetDeadline fails only on a closed connection, on which the write below fails too.
 	_ = connection.conn.SetDeadline(deadline)
-	if _, err := connection.conn.Write(encoded); err != nil {
+	if err := writeRequest(connection.conn, head, decision.Forward.Body); err != nil {
 		return message.Outcome{}, false, errcode.Wrap("backend.write", errcode.UnknownOutcome, err)
 	}
 	matcher := ResponseMatcher{
@@ -42,24 +49,56 @@
 		Target:         decision.Target,
 		NamedResponses: c.settings.ProofByTarget(),
 		request:        request,
+		memory:         c.responses,
+		deadline:       deadline,
 	}
 	matched, err := matcher.Read(connection.responses)
 	connection.keepAlive = matched.Metadata.KeepAlive
 	return matched.Outcome, matched.Keep, err
 }
 
-// encodeRequest encodes a complete request before any byte is sent, so that a request that fails here
-// is known not to have run.
-func (c *UpstreamClient) encodeRequest(decision Decision, deadline time.Time) (*http.Request, []byte, errcode.Code) {
+// writeRequest writes a request. A large body is not copied to be written together with the head.
+func writeRequest(conn net.Conn, head, body []byte) error {
+	if len(body) < largeRequest {
+		_, err := conn.Write(append(head, body...))
+		return err
+	}
+	parts := net.Buffers{head, body}
+	_, err := parts.WriteTo(conn)
+	return err
+}
+
+// encodeHead encodes the head of a request, and checks that its body can be encoded, before any byte is sent, so that
+// a request that fails here is known not to have run. The body is not copied.
+func (c *UpstreamClient) encodeHead(decision Decision, deadline time.Time) (*http.Request, []byte, errcode.Code) {
 	request, err := c.newRequest(decision.Forward, decision.Target, deadline)
 	if err != nil {
 		return nil, nil, errcode.RequestBadPath
 	}
-	encoded := bytes.Buffer{}
+	encoded := headWriter{}
 	if err := request.Write(&encoded); err != nil {
 		return nil, nil, errcode.RequestUnreadable
 	}
-	return request, encoded.Bytes(), errcode.OK
+	return request, encoded.head, errcode.OK
+}
+
+// headWriter keeps what is written to it up to the empty line that ends the head of a request.
+type headWriter struct {
+	head     []byte
+	complete bool
+}
+
+// Write implements io.Writer.
+func (w *headWriter) Write(part []byte) (int, error) {
+	if w.complete {
+		return len(part), nil
+	}
+	begin := max(0, len(w.head)-len(endOfHead)+1)
+	w.head = append(w.head, part...)
+	if end := bytes.Index(w.head[begin:], endOfHead); end >= 0 {
+		w.head, w.complete = w.head[:begin+end+len(endOfHead)], true
+	}
+	return len(part), nil
 }
 
 // newRequest returns the HTTP request to an upstream for a forwarded request.
--- a/internal/backend/matcher.go
+++ b/internal/backend/matcher.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
@@ -33,6 +34,8 @@
 	Target         Target
 	NamedResponses bool // responses name the request that they answer
 	request        *http.Request
+	memory         responseMemory // of the bodies that are read
+	deadline       time.Time      // for the wait for memory
 }
 
 // MatchedResponse is the response to a request. The id of its outcome is not set.
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -60,11 +60,12 @@
 	if response.ContentLength > m.Forward.MaxResponseBytes {
 		return nil, nil, errcode.Wrap("backend.body", errcode.AnswerTooLarge, nil)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, m.Forward.MaxResponseBytes+1))
+	body, err := m.memory.read(response, m.Forward.MaxResponseBytes, m.deadline)
 	if err != nil && safeguard.WholeAnswer.On() {
 		return nil, nil, errcode.Wrap("backend.body", errcode.AnswerMalformed, err)
 	}
 	if int64(len(body)) > m.Forward.MaxResponseBytes {
+		m.memory.release(int64(len(body)))
 		return nil, nil, errcode.Wrap("backend.body", errcode.AnswerTooLarge, nil)
 	}
 	return response, body, nil
--- a/internal/frontend/bodyquota.go
+++ b/internal/frontend/bodyquota.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"beaconvane/internal/errcode"
-	"beaconvane/internal/locking"
+	"beaconvane/internal/quota"
 )
 
 const (
@@ -26,28 +26,7 @@
 
 // bodyQuota limits the total memory for the bodies of callers' requests. A body that exceeds the
 // available quota is refused immediately.
-type bodyQuota struct {
-	lock      locking.Mutex
-	available int64 // bytes
-}
-
-// reserve takes size bytes from the quota. It returns false if fewer are available.
-func (q *bodyQuota) reserve(size int64) bool {
-	q.lock.Lock()
-	defer q.lock.Unlock()
-	if size > q.available {
-		return false
-	}
-	q.available -= size
-	return true
-}
-
-// release returns reserved bytes to the quota.
-func (q *bodyQuota) release(size int64) {
-	q.lock.Lock()
-	defer q.lock.Unlock()
-	q.available += size
-}
+type bodyQuota struct{ *quota.Bytes }
 
 // readBody reads a complete body of at most limit bytes. The caller must release the reserved
 // bytes, also after a refusal.
@@ -63,7 +42,7 @@
 
 // readKnownLength reads a body whose length the request's head declares.
 func (q *bodyQuota) readKnownLength(in io.Reader, length int64) (body []byte, reserved int64, code errcode.Code) {
-	if !q.reserve(length) {
+	if !q.Reserve(length) {
 		return nil, 0, errcode.BusyBodies
 	}
 	body = make([]byte, length)
@@ -77,7 +56,7 @@
 func (q *bodyQuota) readUnknownLength(in io.Reader, limit int64) (body []byte, reserved int64, code errcode.Code) {
 	for {
 		if int64(len(body))+bodyChunk > reserved {
-			if !q.reserve(bodyChunk * growthFactor) {
+			if !q.Reserve(bodyChunk * growthFactor) {
 				return nil, reserved, errcode.BusyBodies
 			}
 			reserved += bodyChunk * growthFactor
--- a/internal/frontend/callerlimits_test.go
+++ b/internal/frontend/callerlimits_test.go
@@ -119,7 +119,7 @@
 	c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(recorder.Header().Get(CodeHeader), qt.Equals, fmt.Sprint(int(errcode.BusyBodies)))
 	c.Assert(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
-	pipeline.bodies.release(4 << 20)
+	pipeline.bodies.Release(4 << 20)
 	c.Assert(statusOf(pipeline, post(2<<20)), qt.Equals, 0)
 }
 
@@ -132,7 +132,7 @@
 func TestSlowBodyIsRefusedAndReleased(t *testing.T) {
 	c := qt.New(t)
 	pipeline := newLimitedPipeline(`{}`, func(*settings.Settings) {})
-	available := pipeline.bodies.available
+	available := pipeline.bodies.Available()
 	for _, length := range []int64{10, -1} {
 		request := httptest.NewRequest(http.MethodPost, "/x", io.NopCloser(timedOutBody{}))
 		request.ContentLength = length
@@ -140,7 +140,7 @@
 		pipeline.ServeHTTP(recorder, request)
 		c.Check(recorder.Code, qt.Equals, http.StatusRequestTimeout)
 		c.Check(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
-		c.Check(pipeline.bodies.available, qt.Equals, available)
+		c.Check(pipeline.bodies.Available(), qt.Equals, available)
 	}
 }
 
--- a/internal/frontend/connections.go
+++ b/internal/frontend/connections.go
@@ -91,7 +91,9 @@
 	if known && pending.claimOutcome(outcome.ID) {
 		// Enqueue can't fail here: the queue holds an outcome of every request in flight.
 		d.environment.Enqueue(StageOutcome, AttemptOutcome{pending, outcome})
+		return
 	}
+	d.answerDropped(outcome.ID)
 }
 
 // notStartedOutcome returns the outcome of an attempt that did not reach its serving proxy.
--- a/internal/frontend/dispatcher.go
+++ b/internal/frontend/dispatcher.go
@@ -32,6 +32,9 @@
 	processStartTime int64         // identifies this run of the process, which has no state of earlier runs' requests
 	startedAt        time.Duration // on the process clock
 
+	forwardEnded  func(attemptID string) // a forwarded attempt has its outcome
+	answerDropped func(attemptID string) // an outcome arrived for an attempt that is not pending
+
 	announcementReceived atomic.Bool // an upstream has announced itself since this process started
 
 	lock        locking.Mutex
@@ -57,6 +60,8 @@
 		nodeName:         self.Name,
 		processStartTime: self.StartTime,
 		startedAt:        environment.Now(),
+		forwardEnded:     func(string) {},
+		answerDropped:    func(string) {},
 		connections:      map[string]Connection{},
 		pending:          map[string]*PendingRequest{},
 		replies:          map[string]func(msg any) error{},
--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -41,12 +41,14 @@
 		return
 	}
 	reserved, code := p.readBody(out, in, request)
-	defer p.bodies.release(reserved)
+	defer p.bodies.Release(reserved)
 	if code != errcode.OK {
 		p.refuse(out, code)
 		return
 	}
-	p.writeResponse(out, p.await(in.Context(), request))
+	response, pending := p.await(in.Context(), request)
+	p.writeResponse(out, response)
+	p.transfers.answers.release(pending.answeredBy())
 }
 
 // newRequest creates the Request of an HTTP request whose body has not been read.
@@ -79,25 +81,25 @@
 // await submits a request and waits for its answer. At its deadline, or when the caller ends its direction
 // of the connection, the request is abandoned, which produces an answer immediately. A caller that has ended
 // its direction may still read: without an answer of the mesh, net/http would send an empty 200.
-func (p *Pipeline) await(caller context.Context, request *Request) *Response {
+func (p *Pipeline) await(caller context.Context, request *Request) (response *Response, pending *PendingRequest) {
 	answered := make(chan *Response, 1)
 	admitted := make(chan time.Duration, 1)
 	timer := time.NewTimer(p.frontend.callerTimeout(request))
 	defer timer.Stop()
-	pending := p.Submit(request,
+	pending = p.Submit(request,
 		func(deadline time.Duration) { admitted <- deadline },
 		func(response *Response) { answered <- response })
 	for {
 		select {
 		case response := <-answered:
-			return response
+			return response, pending
 		case deadline := <-admitted:
 			timer.Reset(deadline - p.goroutines.Now())
 		case <-timer.C:
 			p.Abandon(pending)
-			return <-answered
+			return <-answered, pending
 		case <-caller.Done():
-			return p.awaitAbandoned(pending, answered)
+			return p.awaitAbandoned(pending, answered), pending
 		}
 	}
 }
--- a/internal/frontend/pending.go
+++ b/internal/frontend/pending.go
@@ -19,6 +19,7 @@
 	attemptID  string     // of the attempt in progress; "" for none
 	connection Connection // on which that attempt was sent; nil if this proxy is the serving proxy
 	resolving  bool       // an outcome has arrived; the answer or the next attempt follows
+	resolvedBy string     // the latest attempt that had an outcome
 	finished   bool
 }
 
@@ -48,10 +49,17 @@
 	if p.finished || p.attemptID != attemptID {
 		return false
 	}
-	p.attemptID, p.resolving = "", true
+	p.attemptID, p.resolving, p.resolvedBy = "", true, attemptID
 	return true
 }
 
+// answeredBy returns the id of the latest attempt that had an outcome, or "".
+func (p *PendingRequest) answeredBy() string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.resolvedBy
+}
+
 // sentOn reports whether the latest attempt was sent on the given connection.
 func (p *PendingRequest) sentOn(connection Connection) bool {
 	p.lock.Lock()
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -11,6 +11,7 @@
 	"beaconvane/internal/goroutine"
 	"beaconvane/internal/locking"
 	"beaconvane/internal/message"
+	"beaconvane/internal/quota"
 	"beaconvane/internal/settings"
 	"beaconvane/internal/transport"
 )
@@ -44,6 +45,7 @@
 	startQueue   chan *backend.Decision
 	inFlight     atomic.Int64
 	bodies       bodyQuota
+	transfers    *transferMemory
 	random       *mathrand.Rand
 }
 
@@ -71,8 +73,11 @@
 		startQueue:   make(chan *backend.Decision, capacity*startQueueFactor),
 		random:       mathrand.New(newLockedSource()),
 	}
-	p.bodies.available = cfg.BodyMemory()
+	p.bodies.Bytes = quota.New(cfg.BodyMemory())
+	p.transfers = newTransferMemory(cfg)
 	p.Dispatcher = NewDispatcher(cfg, front, serving, p, self)
+	p.forwardEnded = p.transfers.forwards.release
+	p.answerDropped = p.transfers.answers.release
 	return p
 }
 
@@ -97,6 +102,7 @@
 // Start starts the workers. network carries the frames to other proxies.
 func (p *Pipeline) Start(network *transport.Transport) {
 	p.transport = network
+	network.GateLargeFrames(p.gateLargeFrame)
 	for range stageWorkers {
 		p.goroutines.Go("stage.admit", func(ctx context.Context) { runWorker(ctx, p.admitQueue, p.Admit) })
 		p.goroutines.Go("stage.select", func(ctx context.Context) { runWorker(ctx, p.selectQueue, p.SelectUpstream) })
@@ -123,7 +129,9 @@
 // startCall calls the upstream in a new goroutine.
 func (p *Pipeline) startCall(decision *backend.Decision) {
 	p.goroutines.Go("stage.call", func(context.Context) {
-		p.Complete(*decision, p.client.Call(*decision))
+		outcome := p.client.Call(*decision)
+		p.Complete(*decision, outcome)
+		p.client.Release(outcome)
 	})
 }
 
--- a/internal/frontend/serving.go
+++ b/internal/frontend/serving.go
@@ -5,6 +5,7 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/safeguard"
+	"beaconvane/internal/transport"
 )
 
 // HandleFrame processes a frame that another proxy, or this one, sent to this proxy as a serving
@@ -115,6 +116,12 @@
 		d.frontend.uncountStarted(decision.Window, decision.Forward.Tenant)
 	}
 	outcome, next := d.serving.Complete(d.environment.Now(), decision, outcome)
+	if len(outcome.Body) >= transport.LargeFrameBytes {
+		// The reply waits until it was written.
+		d.execute(next)
+		next = nil
+	}
+	d.forwardEnded(outcome.ID)
 	if reply := d.takeReply(outcome.ID); reply != nil {
 		sendReply(reply, outcome)
 	}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -31,8 +31,9 @@
 var codec = avro.Config{MaxByteSliceSize: maxByteSlice, MaxSliceAllocSize: maxElements}.Freeze()
 
 var (
-	errShortFrame = errors.New("frame is shorter than its kind byte and checksum")
-	errChecksum   = errors.New("frame checksum does not match its content")
+	errShortFrame  = errors.New("frame is shorter than its kind byte and checksum")
+	errPlaceholder = errors.New("the placeholder of a body occurs more than once")
+	errChecksum    = errors.New("frame checksum does not match its content")
 )
 
 // Encode returns the frame of a message: kind byte, Avro record, checksum. The checksum is needed
@@ -43,13 +44,23 @@
 	if !found {
 		return nil, errcode.Wrap("message.encode", errcode.FrameBad, fmt.Errorf("message type %T is not registered", message))
 	}
-	record, err := codec.Marshal(entry.schema, message)
+	body, placeholder, rest := takeBody(message)
+	record, err := codec.Marshal(entry.schema, rest)
 	if err != nil {
 		return nil, errcode.Wrap("message.encode", errcode.FrameBad, err)
 	}
-	frame := make([]byte, 0, kindBytes+len(record)+checksumBytes)
-	frame = append(frame, entry.kind)
-	frame = append(frame, record...)
+	frame, spliced := []byte(nil), false
+	if body != nil {
+		frame, spliced = spliceBody(entry.kind, record, placeholder, body)
+	}
+	if body != nil && !spliced {
+		return nil, errcode.Wrap("message.encode", errcode.FrameBad, errPlaceholder)
+	}
+	if !spliced {
+		frame = make([]byte, 0, kindBytes+len(record)+checksumBytes)
+		frame = append(frame, entry.kind)
+		frame = append(frame, record...)
+	}
 	return binary.BigEndian.AppendUint32(frame, crc32.Checksum(frame, checksumTable)), nil
 }
 
--- a/internal/settings/timers.go
+++ b/internal/settings/timers.go
@@ -240,6 +240,18 @@
 	return max(c.Limits.Memory<<20/bodyMemoryDivisor, c.Limits.Body)
 }
 
+// ForwardMemory is the number of bytes that requests forwarded to the upstreams of a proxy may use together while
+// they arrive, wait and run. It holds at least two copies of the largest body.
+func (c Settings) ForwardMemory() int64 {
+	return max(c.BodyMemory()*2, c.Limits.Body*2+frameOverheadBytes*2)
+}
+
+// ResponseMemory is the number of bytes that the answers which a proxy reads from its upstreams may use together, and
+// again those that arrive for its callers. It holds at least two copies of the largest response.
+func (c Settings) ResponseMemory() int64 {
+	return max(c.BodyMemory(), c.Limits.Response*2+frameOverheadBytes*2)
+}
+
 // OrderMemory is the number of bytes that the configurations of operators may use together in a registry, and the
 // pending writes in a configuration store. It holds at least one of the largest size.
 func (c Settings) OrderMemory() int64 {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -38,8 +39,9 @@
 
 // queuedFrame is a frame in the send queue.
 type queuedFrame struct {
-	frame []byte
-	due   time.Time // earliest time of writing, set by the pacer; zero for immediately
+	frame   []byte
+	due     time.Time     // earliest time of writing, set by the pacer; zero for immediately
+	written chan struct{} // closed once the frame was written; nil if nobody waits
 }
 
 func newConnection(transport *Transport, conn net.Conn, priority sendPriority) *Connection {
@@ -98,7 +100,25 @@
 
 // Post queues a message. If it returns an error, no part of the message was sent. A nil error does not guarantee
 // delivery.
-func (c *Connection) Post(sent any) error {
+func (c *Connection) Post(sent any) error { return c.post(sent, nil) }
+
+// PostReply queues a message as Post does and, if its frame is large, waits until it was written or the connection is
+// closed. The memory of the message is thus in use until PostReply returns.
+func (c *Connection) PostReply(sent any) error {
+	written := make(chan struct{})
+	if err := c.post(sent, written); err != nil {
+		return err
+	}
+	select {
+	case <-written:
+	case <-c.closed:
+	}
+	return nil
+}
+
+// post queues a message. written, which may be nil, is closed at once for a frame that is not large, and otherwise
+// once the frame was written.
+func (c *Connection) post(sent any, written chan struct{}) error {
 	frame, err := message.Encode(sent)
 	if err != nil {
 		return err
@@ -109,8 +129,12 @@
 	if c.Broken() {
 		return errcode.Wrap("transport.post", errcode.ConnectionLost, nil)
 	}
+	if written != nil && len(frame) < LargeFrameBytes {
+		close(written)
+		written = nil
+	}
 	queued := c.transport.pacer.reserve(len(frame)+frameHeaderBytes, func(due time.Time) bool {
-		return c.enqueue(frame, due)
+		return c.enqueue(queuedFrame{frame, due, written})
 	})
 	if !queued {
 		return errcode.Wrap("transport.post", errcode.ConnectionFull, nil)
@@ -119,12 +143,12 @@
 }
 
 // enqueue adds a frame to the queue. It reports false if the queue is full.
-func (c *Connection) enqueue(frame []byte, due time.Time) bool {
+func (c *Connection) enqueue(next queuedFrame) bool {
 	if c.priority == priorityControl {
-		due = time.Time{}
+		next.due = time.Time{}
 	}
 	select {
-	case c.queue <- queuedFrame{frame, due}:
+	case c.queue <- next:
 		return true
 	default:
 		return false
@@ -142,6 +166,9 @@
 			if !c.waitUntilDue(ctx, writer, next.due) || !c.send(writer, next.frame) {
 				return
 			}
+			if next.written != nil {
+				close(next.written)
+			}
 		case <-c.closed:
 			return
 		case <-ctx.Done():
@@ -187,15 +214,52 @@
 func (c *Connection) read(deliver func(received any)) {
 	reader := bufio.NewReaderSize(c.conn, bufferBytes)
 	for {
-		frame, err := readFrame(reader, c.transport.config.FrameLimit)
+		size, err := readFrameSize(reader, c.transport.config.FrameLimit)
 		if err != nil {
 			return
 		}
-		decoded, err := message.Decode(frame)
+		accepted, failed, err := c.passGate(reader, size)
 		if err != nil {
 			return
 		}
-		c.transport.counters.add(protocolTCP, inbound, frame[0], frameHeaderBytes+len(frame))
+		if !accepted {
+			continue
+		}
+		decoded, err := c.readMessage(reader, size)
+		if err != nil {
+			failed()
+			return
+		}
 		deliver(decoded)
 	}
 }
+
+// readMessage reads and decodes a frame whose header has been read.
+func (c *Connection) readMessage(reader io.Reader, size int64) (any, error) {
+	frame, err := readFrameContent(reader, size)
+	if err != nil {
+		return nil, err
+	}
+	decoded, err := message.Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	c.transport.counters.add(protocolTCP, inbound, frame[0], frameHeaderBytes+len(frame))
+	return decoded, nil
+}
+
+// passGate passes a large frame whose header has been read to the gate, and discards it if it is not accepted.
+func (c *Connection) passGate(reader *bufio.Reader, size int64) (accepted bool, failed func(), err error) {
+	if c.transport.gate == nil || size < LargeFrameBytes {
+		return true, func() {}, nil
+	}
+	head, err := reader.Peek(message.PeekBytes)
+	if err != nil {
+		return false, nil, err
+	}
+	accepted, failed = c.transport.gate(head, size, c.Post)
+	if !accepted {
+		_, err = io.CopyN(io.Discard, reader, size)
+	}
+	return accepted, failed, err
+}
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -31,14 +31,28 @@
 // readFrame reads the next frame. If its size is zero or exceeds limit, it returns a frameSizeError after the
 // header.
 func readFrame(reader io.Reader, limit int64) ([]byte, error) {
+	size, err := readFrameSize(reader, limit)
+	if err != nil {
+		return nil, err
+	}
+	return readFrameContent(reader, size)
+}
+
+// readFrameSize reads the header of the next frame. If the size is zero or exceeds limit, it returns a frameSizeError.
+func readFrameSize(reader io.Reader, limit int64) (int64, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	size := int64(binary.BigEndian.Uint32(header[:]))
 	if size == 0 || size > limit {
-		return nil, &frameSizeError{size}
+		return 0, &frameSizeError{size}
 	}
+	return size, nil
+}
+
+// readFrameContent reads a frame whose header has been read.
+func readFrameContent(reader io.Reader, size int64) ([]byte, error) {
 	frame := make([]byte, size)
 	if _, err := io.ReadFull(reader, frame); err != nil {
 		return nil, err
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -48,7 +48,7 @@
 			from = hello.Address
 			return
 		}
-		t.handler(from, received, connection.Post)
+		t.handler(from, received, connection.PostReply)
 	})
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -21,6 +21,14 @@
 // nil for a datagram. Handlers are called concurrently.
 type Handler func(from string, received any, reply func(message any) error)
 
+// LargeFrameBytes is the size from which on a received frame is subject to the gate for large frames.
+const LargeFrameBytes = 64 << 10
+
+// LargeFrameGate decides whether a large frame may be read into memory. It gets the first bytes of the frame, at most
+// message.PeekBytes, and its size. A frame that is not accepted is read and discarded. For an accepted frame, failed
+// is called if it can't be read or decoded. The gate may block, which holds up the connection.
+type LargeFrameGate func(head []byte, size int64, reply func(message any) error) (accepted bool, failed func())
+
 // Transport sends and receives the messages of one process. Its methods are safe for concurrent use after Start.
 type Transport struct {
 	config           Config
@@ -30,6 +38,7 @@
 	listener         net.Listener
 	datagrams        net.PacketConn
 	onConnectionLost func(address string)
+	gate             LargeFrameGate // nil: every frame is accepted
 	counters         frameCounters
 	pacer            pacer
 
@@ -66,6 +75,9 @@
 // closed or can't be established, unless the process is stopping. It must be set before Start.
 func (t *Transport) OnConnectionLost(notify func(address string)) { t.onConnectionLost = notify }
 
+// GateLargeFrames sets the gate for large frames. It must be called before Start.
+func (t *Transport) GateLargeFrames(gate LargeFrameGate) { t.gate = gate }
+
 // LimitRate paces traffic so that all sent messages together stay within a rate. It must be called before Start.
 func (t *Transport) LimitRate(bytesPerSecond int64) { t.pacer.rate = bytesPerSecond }
 
