Pass the target of a request on byte for byte

The target was taken apart and put together by http.Request, which forgets an empty query and encodes some paths anew.

The proxy writes the first line itself, from path and query as received. An empty query is marked by a "?" at the end of Forward.Path; the form of the frames stays.

The targets added to TestRequestTowardsATarget fail on ("//a%2Fb{"; "/a?" and "//a?" can't be told to it).

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"beaconvane/internal/errcode"
@@ -79,7 +80,23 @@
 	if err := request.Write(&encoded); err != nil {
 		return nil, nil, errcode.RequestUnreadable
 	}
-	return request, encoded.head, errcode.OK
+	head, complete := replaceTarget(encoded.head, request.Method, decision.Forward.Target())
+	if !complete {
+		return nil, nil, errcode.RequestBadPath
+	}
+	return request, head, errcode.OK
+}
+
+// replaceTarget replaces the first line of a head, so that the target arrives byte for byte as it was received; net/http
+// encodes some targets anew. It returns false for a target that would not be one.
+func replaceTarget(head []byte, method, target string) (replaced []byte, valid bool) {
+	_, fields, found := bytes.Cut(head, []byte("\r\n"))
+	if !found || strings.ContainsAny(target, " \r\n") {
+		return nil, false
+	}
+	replaced = make([]byte, 0, len(method)+len(target)+len(head))
+	replaced = append(replaced, method+" "+target+" HTTP/1.1\r\n"...)
+	return append(replaced, fields...), true
 }
 
 // headWriter keeps what is written to it up to the empty line that ends the head of a request.
@@ -103,13 +120,12 @@
 
 // newRequest returns the HTTP request to an upstream for a forwarded request.
 func (c *UpstreamClient) newRequest(forward message.Forward, target Target, deadline time.Time) (*http.Request, error) {
-	path, err := url.PathUnescape(forward.Path)
-	if err != nil {
+	if _, err := url.PathUnescape(forward.RoutingPath()); err != nil {
 		return nil, err
 	}
 	request := &http.Request{
 		Method:        forward.Method,
-		URL:           &url.URL{Scheme: "http", Host: target.Address, Path: path, RawPath: forward.Path, RawQuery: forward.RawQuery},
+		URL:           &url.URL{Scheme: "http", Host: target.Address, Path: "/"}, // replaceTarget sets the target
 		Host:          target.Address,
 		Header:        http.Header{},
 		ProtoMajor:    1,
@@ -127,10 +143,6 @@
 	if forward.Host != "" {
 		request.Host = forward.Host
 	}
-	if c.settings.ProofByTarget() && len(forward.Path) > 1 && forward.Path[1] != '/' {
-		// Sends the path byte for byte as it was received.
-		request.URL.Opaque = forward.Path
-	}
 	c.protocol.SetHeaders(request.Header, forward, target, time.Until(deadline))
 	if len(forward.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(forward.Body))
--- a/internal/backend/target_test.go
+++ b/internal/backend/target_test.go
@@ -322,7 +322,7 @@
 	goroutines := goroutine.New()
 	upstream := newPersistentUpstream(c, goroutines, func(*http.Request) string { return namedResponse("", "ok") })
 	fixture := newTargetProofFixture(c, goroutines, upstream.listener.Addr().String())
-	for _, path := range []string{"/pay/%7Ea/b%2fc//d", "/", "//double", "/a;b=c", "/a|b\"c"} {
+	for _, path := range []string{"/pay/%7Ea/b%2fc//d", "/", "//double", "//a%2Fb{", "//a//", "/a?", "//a?", "/a;b=c", "/a|b\"c"} {
 		outcome := fixture.requestNamed(c, path, path)
 		c.Assert(outcome.Kind, qt.Equals, message.Completed)
 		request := <-upstream.requests
--- a/internal/frontend/authorize.go
+++ b/internal/frontend/authorize.go
@@ -27,7 +27,7 @@
 		// The request was admitted under this version or a newer one.
 		return true
 	}
-	route, found := configuration.MatchHost(forward.Host, forward.Method, forward.Path)
+	route, found := configuration.MatchHost(forward.Host, forward.Method, forward.RoutingPath())
 	if !found || !route.RoutesTo(forward.Service) || !route.Allows(forward.Tenant, forward.Caller) {
 		return false
 	}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -32,8 +32,6 @@
 		Tenant:                request.Tenant,
 		Caller:                request.Caller,
 		Method:                request.Method,
-		Path:                  request.Path,
-		RawQuery:              request.RawQuery,
 		Headers:               headerLines(request),
 		Body:                  request.Body,
 		MaxResponseBytes:      f.settings.Limits.Response,
@@ -44,6 +42,7 @@
 		Retried:               request.UpstreamAttempts > 0,
 		Remaining:             int64(remaining - reserve),
 	}
+	forward.SetTarget(request.Path, request.RawQuery, request.HasQuery)
 	if request.Route.LatencyTarget > 0 && !request.nested() {
 		forward.LatencyTargetRemaining = max(int64(request.ArrivedAt+request.Route.LatencyTarget-now), 1)
 	}
--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -59,6 +59,7 @@
 		Method:    in.Method,
 		RawPath:   rawPath(in),
 		RawQuery:  in.URL.RawQuery,
+		HasQuery:  in.URL.ForceQuery || in.URL.RawQuery != "",
 		Header:    in.Header,
 		Host:      in.Host,
 		ArrivedAt: arrivedAt,
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -14,6 +14,7 @@
 	Method    string
 	RawPath   string
 	RawQuery  string
+	HasQuery  bool // tells an empty query from none
 	Header    http.Header
 	Host      string
 	Body      []byte
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -1,5 +1,7 @@
 package message
 
+import "strings"
+
 // HeaderLine is one header field.
 type HeaderLine struct {
 	Name  string
@@ -21,7 +23,7 @@
 	Tenant                 string
 	Caller                 string
 	Method                 string
-	Path                   string
+	Path                   string // with a "?" at its end if the query is empty but present
 	RawQuery               string
 	Headers                []HeaderLine
 	Body                   []byte
@@ -35,6 +37,28 @@
 	Retried                bool   // an earlier attempt of the request reached an upstream or may have reached one
 }
 
+// emptyQuery stands at the end of Forward.Path for a query that is empty but present.
+const emptyQuery = "?"
+
+// SetTarget sets the path and the query. hasQuery tells an empty query from none.
+func (f *Forward) SetTarget(path, rawQuery string, hasQuery bool) {
+	f.Path, f.RawQuery = path, rawQuery
+	if hasQuery && rawQuery == "" {
+		f.Path += emptyQuery
+	}
+}
+
+// RoutingPath returns the path without its query.
+func (f Forward) RoutingPath() string { return strings.TrimSuffix(f.Path, emptyQuery) }
+
+// Target returns the path and the query as they stand in the first line of the request.
+func (f Forward) Target() string {
+	if f.RawQuery == "" {
+		return f.Path
+	}
+	return f.Path + emptyQuery + f.RawQuery
+}
+
 // Outcome answers a Forward or an OutcomeRequest.
 type Outcome struct {
 	ID              string
