Ignore late heartbeats of an upstream that was replaced at its address

A serving proxy remembers who replaced whom at an address. A heartbeat of the replaced upstream changes nothing while the present one has announced itself within half a heartbeat timeout.

TestLateHeartbeatOfAnEarlierLife fails on (the present one is ended).

--- a/internal/backend/admission.go
+++ b/internal/backend/admission.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"time"
 
 	"beaconvane/internal/errcode"
@@ -125,7 +126,7 @@
 	return decisions
 }
 
-// expireRetired removes instances that were retired more than ForgetAfter ago, when no delayed
+// expireRetired removes instances that were retired or replaced more than ForgetAfter ago, when no delayed
 // announcement of theirs can still arrive.
 func (b *Backend) expireRetired(now time.Duration) {
 	for instance, retiredAt := range b.retired {
@@ -133,4 +134,7 @@
 			delete(b.retired, instance)
 		}
 	}
+	maps.DeleteFunc(b.replaced, func(_ string, replaced replacement) bool {
+		return now-replaced.at > b.settings.ForgetAfter()
+	})
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -73,6 +73,7 @@
 	lock         locking.Mutex // guards the fields below
 	upstreams    map[string]*upstream
 	retired      map[string]time.Duration // time of retirement by instance; announcements of these instances are ignored
+	replaced     map[string]replacement   // by key of the upstream that another one replaced at its address
 	delegations  map[string]Delegation    // by delegation token
 	draining     bool
 	lastExpireAt time.Duration
@@ -93,6 +94,7 @@
 		newToken:    randomToken,
 		upstreams:   map[string]*upstream{},
 		retired:     map[string]time.Duration{},
+		replaced:    map[string]replacement{},
 		delegations: map[string]Delegation{},
 		records:     map[string]*attemptRecord{},
 	}
--- a/internal/backend/heartbeats_test.go
+++ b/internal/backend/heartbeats_test.go
@@ -107,3 +107,31 @@
 	serving.Announce(2*time.Second, announcementOf("two", "a:1", 1))
 	c.Assert(serving.HasInstance("two"), qt.IsTrue)
 }
+
+// Guards against a late heartbeat of an upstream's earlier life that ends the present one at the same address.
+func TestLateHeartbeatOfAnEarlierLife(t *testing.T) {
+	c := qt.New(t)
+	serving := New(settings.Default(), func(message.Forward) errcode.Code { return errcode.OK })
+	announce := func(now time.Duration, instance, address string, incarnation, sequence int64) (ended int) {
+		announcement := announcementOf(instance, address, incarnation)
+		announcement.Sequence = sequence
+		accepted, endedAnnouncements, _ := serving.Announce(now, announcement)
+		c.Assert(accepted, qt.IsTrue)
+		return len(endedAnnouncements)
+	}
+	silence := serving.settings.HeartbeatTimeout() / 2
+	announce(0, "earlier", "a:1", 1, 8)
+	c.Assert(announce(time.Second, "present", "a:1", 1, 1), qt.Equals, 1)
+	c.Assert(announce(time.Second+silence, "earlier", "a:1", 1, 9), qt.Equals, 0)
+	c.Assert(serving.HasInstance("present"), qt.IsTrue)
+	c.Assert(serving.HasInstance("earlier"), qt.IsFalse)
+	// The same instance may come elsewhere, or with a later incarnation.
+	c.Assert(announce(2*time.Second, "earlier", "b:1", 1, 10), qt.Equals, 0)
+	c.Assert(serving.HasInstance("earlier"), qt.IsTrue)
+	c.Assert(announce(2*time.Second, "earlier", "a:1", 2, 1), qt.Equals, 1)
+	c.Assert(serving.HasInstance("present"), qt.IsFalse)
+	// If the one that replaced it falls silent, it was a late heartbeat of that one.
+	c.Assert(announce(3*time.Second, "present", "a:1", 1, 2), qt.Equals, 0)
+	c.Assert(announce(2*time.Second+silence+1, "present", "a:1", 1, 3), qt.Equals, 1)
+	c.Assert(serving.HasInstance("present"), qt.IsTrue)
+}
--- a/internal/backend/registration.go
+++ b/internal/backend/registration.go
@@ -23,13 +23,13 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	registered, known := b.upstreams[announcement.key()]
-	if b.isStale(announcement, registered) {
+	if b.isStale(announcement, registered) || b.isOfReplaced(now, announcement) {
 		return true, nil, nil
 	}
 	if known && announcement.Incarnation < registered.announcement.Incarnation {
 		return false, nil, nil
 	}
-	ended, decisions = b.endReplaced(announcement)
+	ended, decisions = b.endReplaced(now, announcement)
 	registered = b.register(announcement.key())
 	if registered.announcement.Draining {
 		announcement.Draining = true
@@ -56,10 +56,35 @@
 		announcement.Incarnation == registered.announcement.Incarnation
 }
 
+// replacement tells which upstream took over the address of another one.
+type replacement struct {
+	incarnation int64  // of the replaced upstream
+	address     string // which both had
+	by          string // key of the upstream that has the address now
+	at          time.Duration
+}
+
+// replacedTimeoutDivisor divides HeartbeatTimeout into the time for which an upstream counts as present at its address
+// after an announcement, against one that it has replaced there.
+const replacedTimeoutDivisor = 2
+
+// isOfReplaced reports whether an announcement is a late one of an upstream that another one has replaced at its
+// address. If the other one falls silent, the announcement counts: then it may have been the late one.
+func (b *Backend) isOfReplaced(now time.Duration, announcement Announcement) bool {
+	replaced, known := b.replaced[announcement.key()]
+	if !known || announcement.Incarnation > replaced.incarnation || announcement.Address != replaced.address {
+		return false
+	}
+	present, registered := b.upstreams[replaced.by]
+	return registered && present.announcement.Address == replaced.address &&
+		now-present.announcedAt <= b.settings.HeartbeatTimeout()/replacedTimeoutDivisor
+}
+
 // endReplaced ends the registrations that an announcement replaces: an older incarnation or
 // another address of the same upstream, and any other upstream at its address. Only the
 // registrations of other upstreams are returned.
-func (b *Backend) endReplaced(announcement Announcement) (ended []Announcement, decisions []Decision) {
+func (b *Backend) endReplaced(now time.Duration, announcement Announcement) (ended []Announcement, decisions []Decision) {
+	delete(b.replaced, announcement.key())
 	for _, key := range b.sortedKeys() {
 		registered := b.upstreams[key]
 		sameUpstream := key == announcement.key()
@@ -68,6 +93,9 @@
 		}
 		if !sameUpstream {
 			ended = append(ended, registered.announcement)
+			b.replaced[key] = replacement{
+				incarnation: registered.announcement.Incarnation, address: announcement.Address, by: announcement.key(), at: now,
+			}
 		}
 		decisions = append(decisions, registered.refuseQueued(errcode.BusyUpstreamGone)...)
 		delete(b.upstreams, key)
