End the time for a request's body with its route's timeout

The read deadline of the body is bounded by the timeout of the route that host and path select; the answer is 408, nothing ran.

--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -127,7 +127,8 @@
 		return 0, errcode.OK
 	}
 	// A body that arrives after the request's deadline is useless.
-	limit := min(request.ArrivedAt+p.frontend.callerTimeout(request)-p.goroutines.Now(), maxBodyTime)
+	timeout := min(p.frontend.callerTimeout(request), p.frontend.routeTimeout(request))
+	limit := min(request.ArrivedAt+timeout-p.goroutines.Now(), maxBodyTime)
 	controller := http.NewResponseController(out)
 	// A response writer without deadline support, as in tests, reads without a time limit.
 	_ = controller.SetReadDeadline(time.Now().Add(limit))
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
 	"beaconvane/internal/routeconfig"
 )
@@ -66,6 +67,22 @@
 	return limit
 }
 
+// routeTimeout returns the timeout of the route that the request will have, as far as it is known before the request
+// is admitted; maxBodyTime if there is none.
+func (f *Frontend) routeTimeout(request *Request) time.Duration {
+	snapshot := f.currentSnapshot()
+	path, code := f.protocol.RoutingPath(request)
+	if snapshot == nil || code != errcode.OK {
+		return maxBodyTime
+	}
+	for _, configuration := range snapshot.Configurations {
+		if route, found := configuration.MatchHost(request.Host, request.Method, path); found {
+			return route.Timeout
+		}
+	}
+	return maxBodyTime
+}
+
 // startupGrace returns how long a request may wait for the first complete snapshot after this proxy
 // has started.
 func (f *Frontend) startupGrace(request *Request) time.Duration {
