Soak: leavings, authorities, clients that give up, large bodies, memory

Drawn from the seed and overlapping with all that was there: upstreams that say leaving, once or repeatedly, at their proxy or another one, with kills around the acknowledgement, and that then sign off; authorities that differ by port and case, judged by ROUTE; clients that pipeline and half-close, close or reset, judged by ANSWER and ONCE; large uploads, answers and configurations, judged by MEMORY, with processes ended beyond their limit. Closing rounds kill core and proxies around leavings with nothing else going on, so that DRAIN applies. Odd seeds rely on proof by target. Settings files leave out bounds and limits that have their default, so that older programs read them.

--- a/cmd/fleet/soak.go
+++ b/cmd/fleet/soak.go
@@ -30,6 +30,12 @@
 		Short: "run real processes under overlapping troubles drawn from a seed, and judge what callers see",
 		Long: "Soak runs a fleet of real processes while signals, restarts, sign-offs and writes of configurations overlap, " +
 			"drawn from a seed. It judges only what callers, upstreams and operators see.\n\n" +
+			"Besides, upstreams say that they leave (once or again and again, at their proxy or at another one), with kills of their " +
+			"proxy and of the core; authorities that differ by port and case come and go; clients pipeline requests and give up in " +
+			"each way (they end their direction and read on, close, or reset); large uploads, answers and configurations come at once. " +
+			"Each process has a memory limit and is ended beyond it. Before the calm time, closing rounds kill the core and proxies " +
+			"around acknowledged leavings, without other troubles. Runs with an odd seed rely on upstreams that refuse requests for " +
+			"another target. The line of a run says how often each was tried, and the highest memory of each role.\n\n" +
 			"Exit status: 0 if all rules held; 1 if a rule was broken, with the rule, the seed, the times and lines of the record; " +
 			"2 if a run could not be played.",
 		Args: cobra.NoArgs,
@@ -42,7 +48,7 @@
 	flags := command.Flags()
 	flags.Uint64Var(&options.Seed, "seed", options.Seed, "seed of the first run; the next runs have the next seeds")
 	flags.IntVar(&options.Count, "count", options.Count, "number of runs")
-	flags.DurationVar(&options.Length, "length", options.Length, "length of the troubles in a run; a run takes some 30 s more")
+	flags.DurationVar(&options.Length, "length", options.Length, "length of the troubles in a run; a run takes a minute and more besides")
 	flags.IntVar(&options.Processes, "processes", options.Processes, "processes of the fleet: six of the core, the others proxies")
 	flags.StringVar(&options.Deployment, "deployment", options.Deployment, "zones and settings: small, umuyoboro or jendela")
 	flags.StringVar(&options.Programs, "programs", options.Programs, "folder of the programs proxy, registry and configstore")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +23,7 @@
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/goroutine"
 	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
 	"beaconvane/internal/stubserver"
 	"beaconvane/internal/workload"
 )
@@ -36,6 +39,7 @@
 	Processes []*Process
 	Upstreams []*stubserver.StubServer
 
+	adjust        func(role string, cfg *settings.Settings)
 	collector     net.Listener
 	seedAddresses []string // addresses of the registries, at which the other processes join
 
@@ -54,7 +58,13 @@
 // New prepares a fleet: it assigns addresses, writes the settings files into a folder and starts the
 // stub usage collector. It starts no process; bin is the folder of the programs.
 func New(deployment workload.Deployment, bin, folder string) (*Fleet, error) {
+	return NewAdjusted(deployment, bin, folder, func(string, *settings.Settings) {})
+}
+
+// NewAdjusted prepares a fleet as New does. adjust may change the settings of each process, given its role.
+func NewAdjusted(deployment workload.Deployment, bin, folder string, adjust func(role string, cfg *settings.Settings)) (*Fleet, error) {
 	f := &Fleet{
+		adjust:         adjust,
 		Deployment:     deployment,
 		Bin:            bin,
 		Folder:         folder,
@@ -148,7 +158,8 @@
 	if placed.role == message.RoleRegistry {
 		cfg.Collector = "http://" + f.collector.Addr().String() + "/usage"
 	}
-	body, err := json.MarshalIndent(cfg, "", "  ")
+	f.adjust(placed.role, &cfg)
+	body, err := encodeSettings(cfg)
 	if err != nil {
 		return nil, errcode.Wrap("fleet.settings", errcode.Internal, err)
 	}
@@ -164,6 +175,29 @@
 	}, nil
 }
 
+// encodeSettings encodes settings without the bounds and limits that have their default, so that a build which does not
+// know some of them reads the file too.
+func encodeSettings(cfg settings.Settings) ([]byte, error) {
+	text, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defaultText, err := json.Marshal(settings.Default())
+	if err != nil {
+		return nil, err
+	}
+	file, defaults := map[string]any{}, map[string]any{}
+	if err := errors.Join(json.Unmarshal(text, &file), json.Unmarshal(defaultText, &defaults)); err != nil {
+		return nil, err
+	}
+	for _, section := range []string{"bounds", "limits"} {
+		values, _ := file[section].(map[string]any)
+		defaultValues, _ := defaults[section].(map[string]any)
+		maps.DeleteFunc(values, func(key string, value any) bool { return value == defaultValues[key] })
+	}
+	return json.MarshalIndent(file, "", "  ")
+}
+
 // freeAddress returns an address with a free port of a loopback host. It binds the port to find it and
 // releases it again, so that another process can take it in between.
 func freeAddress(host string) (string, error) {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/atomic"
+
 	"beaconvane/internal/checker"
 	"beaconvane/internal/errcode"
 	"beaconvane/internal/message"
@@ -34,10 +36,14 @@
 	logPath      string
 	command      *exec.Cmd
 	exited       chan struct{}
+	pid          atomic.Int64
 
 	frozenAt time.Duration
 }
 
+// Pid returns the process id of the latest start; 0 before the first.
+func (p *Process) Pid() int { return int(p.pid.Load()) }
+
 // Settings returns the path of the settings file.
 func (p *Process) Settings() string { return p.settingsPath }
 
@@ -52,6 +58,7 @@
 	if err := process.command.Start(); err != nil {
 		return errcode.Wrap("fleet.start", errcode.Internal, err)
 	}
+	process.pid.Store(int64(process.command.Process.Pid))
 	exited := make(chan struct{})
 	process.exited = exited
 	command := process.command
--- a/internal/frontend/transfers.go
+++ b/internal/frontend/transfers.go
@@ -69,7 +69,7 @@
 // gateLargeFrame implements transport.LargeFrameGate. A forwarded request that does not fit in the memory is refused
 // before it is read, so that nothing of it ran. An answer that does not fit for a while is given up: the request has
 // run, and its caller is told so.
-func (p *Pipeline) gateLargeFrame(head []byte, size int64, reply func(message any) error) (accepted bool, failed func()) {
+func (p *Pipeline) gateLargeFrame(head []byte, size int64, reply func(msg any) error) (accepted bool, failed func()) {
 	attempt, found := message.PeekAttempt(head)
 	switch {
 	case !found:
@@ -81,7 +81,7 @@
 }
 
 // gateForward decides whether a large forwarded request is read.
-func (p *Pipeline) gateForward(attemptID string, size int64, reply func(message any) error) (accepted bool, failed func()) {
+func (p *Pipeline) gateForward(attemptID string, size int64, reply func(msg any) error) (accepted bool, failed func()) {
 	if !p.transfers.forwards.hold(attemptID, size*frameCopies) {
 		sendReply(reply, message.Outcome{ID: attemptID, Kind: message.NotStarted, Code: int64(errcode.BusyBodies)})
 		return false, nil
--- a/internal/frontend/transfers_test.go
+++ b/internal/frontend/transfers_test.go
@@ -148,7 +148,7 @@
 	await := func(id string) *PendingRequest {
 		pending := &PendingRequest{Request: &Request{}}
 		c.Assert(pending.beginAttempt(id, nil), qt.IsTrue)
-		pipeline.Dispatcher.pending[id] = pending
+		pipeline.pending[id] = pending
 		return pending
 	}
 	await("first")
--- a/internal/message/bodies_test.go
+++ b/internal/message/bodies_test.go
@@ -36,7 +36,8 @@
 	c := qt.New(t)
 	frame, err := Encode(Cancel{ID: "an-id"})
 	c.Assert(err, qt.IsNil)
-	for _, head := range [][]byte{frame, {}, {forwardKind}, {forwardKind, 0}, {forwardKind, 200}, {outcomeKind, 100, 'a'}, {forwardKind, 1}} {
+	heads := [][]byte{frame, {}, {forwardKind}, {forwardKind, 0}, {forwardKind, 200}, {outcomeKind, 100, 'a'}, {forwardKind, 1}}
+	for _, head := range heads {
 		_, found := PeekAttempt(head)
 		c.Check(found, qt.IsFalse, qt.Commentf("%v", head))
 	}
--- a/internal/routeconfig/bench_test.go
+++ b/internal/routeconfig/bench_test.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// benchLimits are limits that no benchmark reaches.
+var benchLimits = Limits{
+	MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true,
+}
+
 // largeConfiguration returns a configuration of a large site, with many routes that are bound to hosts.
 func largeConfiguration(routes int) []byte {
 	text := strings.Builder{}
@@ -35,7 +40,7 @@
 	b.ReportAllocs()
 	b.SetBytes(int64(len(body)))
 	for b.Loop() {
-		Parse("main", 7, body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true})
+		Parse("main", 7, body, benchLimits)
 	}
 }
 
@@ -43,12 +48,12 @@
 	body := largeConfiguration(1400)
 	b.ReportAllocs()
 	for b.Loop() {
-		Check(body, Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true})
+		Check(body, benchLimits)
 	}
 }
 
 func BenchmarkNextLarge(b *testing.B) {
-	limits := Limits{MaxBytes: 1 << 24, MaxEntries: 1 << 20, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: time.Hour, Lenient: true}
+	limits := benchLimits
 	body := largeConfiguration(1400)
 	configuration := Parse("main", 7, body, limits)
 	b.ReportAllocs()
--- a/internal/routeconfig/lenient_test.go
+++ b/internal/routeconfig/lenient_test.go
@@ -17,7 +17,9 @@
 	generatorSeed  = 17
 )
 
-var lenientLimits = Limits{MaxBytes: 4 << 20, MaxEntries: 20000, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: 10 * time.Minute, Lenient: true}
+var lenientLimits = Limits{
+	MaxBytes: 4 << 20, MaxEntries: 20000, MaxValues: 1 << 22, MaxDepth: 32, MaxTimeout: 10 * time.Minute, Lenient: true,
+}
 
 // pick returns a random one of some values.
 func pick[T any](random *rand.Rand, from ...T) T { return from[random.IntN(len(from))] }
--- a/internal/routeconfig/memory_test.go
+++ b/internal/routeconfig/memory_test.go
@@ -112,8 +112,9 @@
 		if number > 0 {
 			body.WriteByte(',')
 		}
-		fmt.Fprintf(body, `{"name":"r-%d","host":"host-%d.example","prefix":"/path-%d/","kind":"repeatable","timeout_ms":1200,"aim_ms":500,`+
-			`"priority":2,"attempts":2,"open":false,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"note":"0123456789"}`,
+		fmt.Fprintf(body, `{"name":"r-%d","host":"host-%d.example","prefix":"/path-%d/","kind":"repeatable","timeout_ms":1200,`+
+			`"aim_ms":500,"priority":2,"attempts":2,"open":false,`+
+			`"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"note":"0123456789"}`,
 			number, number, number)
 	}
 	body.WriteString(`]}`)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/atomic"
@@ -40,7 +41,7 @@
 		c.number++
 		method, sent := c.next()
 		sent.sentAt = c.seen.now()
-		sent.send(c.client, method, shopHost, c.seen)
+		sent.send(c.client, method, c.seen)
 		sleep(ctx, minPause+time.Duration(c.random.Int64N(int64(maxExtraPause))))
 	}
 }
@@ -48,7 +49,7 @@
 // next draws the next request: mostly to the main route, else to the at-most-once route, to the route that
 // the newest acknowledged version added, or with an unknown key.
 func (c *caller) next() (method string, sent request) {
-	sent = request{id: fmt.Sprintf("%s-%d", c.name, c.number), proxy: c.proxy, path: mainPath, key: tenantKey}
+	sent = request{id: fmt.Sprintf("%s-%d", c.name, c.number), proxy: c.proxy, host: shopHost, path: mainPath, key: tenantKey}
 	switch draw := c.random.Float64(); {
 	case draw < 0.2:
 		sent.path, sent.once = oncePath, true
@@ -57,18 +58,21 @@
 		sent.path = addedPath(c.acknowledged.Load())
 	case draw < 0.35:
 		sent.key = unknownKey
+	case draw < 0.42:
+		sent.host = []string{portHost, casedHost, strings.ToUpper(portHost), neverHost}[c.random.IntN(4)]
+		c.seen.count(countAuthorities)
 	}
 	return http.MethodGet, sent
 }
 
 // send sends the request and adds what came of it to the observations. The client gives up after its time
 // limit.
-func (r request) send(client *http.Client, method, host string, seen *observations) {
+func (r request) send(client *http.Client, method string, seen *observations) {
 	out, err := http.NewRequest(method, "http://"+r.proxy+r.path, http.NoBody)
 	if err != nil {
 		panic("soak: " + err.Error()) // a programming error: the addresses and paths are valid
 	}
-	out.Host = host
+	out.Host = r.host
 	out.Header.Set(requestIDHeader, r.id)
 	if r.key != "" {
 		out.Header.Set(frontend.APIKeyHeader, r.key)
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -11,6 +11,7 @@
 	onceService      = "alpha"
 	innerService     = "inner"
 	forbiddenService = "gamma"
+	authorityService = "inner" // of the authorities that differ from shopHost by port or case
 )
 
 var (
@@ -20,11 +21,12 @@
 
 // Hosts and paths of the requests.
 const (
-	shopHost  = "shop.example"
-	innerHost = "inner.example"
-	mainPath  = "/x/1"
-	oncePath  = "/once/1"
-	innerPath = "/y/1"
+	shopHost   = "shop.example"
+	innerHost  = "inner.example"
+	mainPath   = "/x/1"
+	mainPrefix = "/x/"
+	oncePath   = "/once/1"
+	innerPath  = "/y/1"
 )
 
 // Keys of the requests. No configuration has ever unknownKey.
@@ -68,14 +70,44 @@
 // addedPath returns the path of the route that a version adds.
 func addedPath(version int64) string { return fmt.Sprintf("/added-%d/1", version) }
 
+// Authorities beside shopHost, which differ from it by port or case. No configuration has neverHost.
+const (
+	portHost  = shopHost + ":8443"
+	casedHost = "Shop.Example:9443"
+	neverHost = shopHost + ":7443"
+)
+
+// hostsOf returns the authorities beside shopHost of which a version has routes.
+func hostsOf(version int64) []string {
+	switch version % 3 {
+	case 0:
+		return []string{portHost}
+	case 1:
+		return []string{portHost, casedHost}
+	}
+	return nil
+}
+
 // newConfiguration returns a valid version.
 func newConfiguration(version int64) configuration {
+	content := mainConfiguration(version)
+	for index, host := range hostsOf(version) {
+		content.Routes = append(content.Routes, route{
+			Name: fmt.Sprintf("authority-%d", index), Host: host, Prefix: mainPrefix, Service: authorityService, Kind: "repeatable",
+			TimeoutMS: routeTimeoutMS,
+		})
+	}
+	return content
+}
+
+// mainConfiguration returns a valid version with routes of one authority for callers.
+func mainConfiguration(version int64) configuration {
 	return configuration{
 		Version:  version,
 		Services: allServices,
 		Tenants:  []tenant{{"tenant-1", []string{tenantKey}}, {"tenant-2", []string{"key-of-tenant-two"}}},
 		Routes: []route{
-			{Name: "main", Host: shopHost, Prefix: "/x/", Service: serviceOf(version), Kind: "repeatable", TimeoutMS: routeTimeoutMS},
+			{Name: "main", Host: shopHost, Prefix: mainPrefix, Service: serviceOf(version), Kind: "repeatable", TimeoutMS: routeTimeoutMS},
 			{Name: "once", Host: shopHost, Prefix: "/once/", Service: onceService, Kind: "once", TimeoutMS: routeTimeoutMS},
 			{
 				Name: "inner", Host: innerHost, Prefix: "/y/", Service: innerService,
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -12,6 +12,7 @@
 type request struct {
 	id       string
 	proxy    string
+	host     string
 	path     string
 	key      string
 	once     bool
@@ -22,6 +23,9 @@
 	answered bool // a status or a closed connection; false: silence until the caller gave up
 }
 
+// isMain reports whether the request was sent to the main route of the main authority.
+func (r request) isMain() bool { return r.path == mainPath && (r.host == "" || r.host == shopHost) }
+
 // execution is one run of a request at an upstream.
 type execution struct {
 	id       string
@@ -35,7 +39,8 @@
 // write is an operator's order to put a version into force.
 type write struct {
 	version int64
-	body    string
+	content configuration
+	body    string // "" for one that is too large to be kept
 	valid   bool
 	sentAt  time.Duration
 	endedAt time.Duration
@@ -60,6 +65,25 @@
 	servesUntil    time.Duration
 }
 
+// leavingNotice is an acknowledged announcement of an upstream that it leaves. It serves on until servesUntil.
+type leavingNotice signOff
+
+// excess is a process that held more than its memory.
+type excess struct {
+	process     string
+	held, limit int64 // MiB
+	at          time.Duration
+}
+
+// Names of the counts in a run's line.
+const (
+	countHalfCloses   = "half-closes"
+	countUploads      = "large uploads"
+	countLargeAnswers = "large answers"
+	countLargeOrders  = "large configurations"
+	countAuthorities  = "requests for other authorities"
+)
+
 // observations collects what callers, upstreams and operators see. It is safe for concurrent use.
 type observations struct {
 	startedAt time.Time
@@ -71,6 +95,11 @@
 	writes     []write
 	reads      []read
 	signOffs   []signOff
+	leavings   []leavingNotice
+	excesses   []excess
+	disrupted  []time.Duration  // signals, starts and ends of processes
+	counts     map[string]int   // how often something was tried, by the names above
+	memory     map[string]int64 // highest memory by role, in MiB
 	lines      []recordLine
 
 	calmFrom  time.Duration // all processes run and no trouble follows; 0 before
@@ -142,6 +171,45 @@
 	o.record("operator reads version %d, sent at %.3f: %d", seen.version, seen.sentAt.Seconds(), seen.status)
 }
 
+func (o *observations) addLeaving(acknowledged leavingNotice) {
+	o.lock.Lock()
+	o.leavings = append(o.leavings, acknowledged)
+	o.lock.Unlock()
+	o.record("leaving of %s acknowledged at %.3f", acknowledged.instance, acknowledged.acknowledgedAt.Seconds())
+}
+
+func (o *observations) addExcess(seen excess) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.excesses = append(o.excesses, seen)
+}
+
+func (o *observations) addMemory(role string, held int64) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.memory == nil {
+		o.memory = map[string]int64{}
+	}
+	o.memory[role] = max(o.memory[role], held)
+}
+
+// addDisruption records that a process was signalled, started or has ended.
+func (o *observations) addDisruption() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.disrupted = append(o.disrupted, o.now())
+}
+
+// count counts that something was tried.
+func (o *observations) count(name string) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.counts == nil {
+		o.counts = map[string]int{}
+	}
+	o.counts[name]++
+}
+
 func (o *observations) addSignOff(acknowledged signOff) {
 	o.lock.Lock()
 	o.signOffs = append(o.signOffs, acknowledged)
--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/atomic"
@@ -21,6 +22,9 @@
 	maxReadPause     = 500 * time.Millisecond
 	maxVersionStep   = 3
 	invalidShare     = 0.4
+	largeShare       = 0.04
+	largeOrderBytes  = 4_190_000
+	largeOrderTime   = 3 * time.Second
 	// sameRegistryShare is the share of orders that all operators send to the same registry, which changes
 	// every sameRegistryTime.
 	sameRegistryShare = 0.7
@@ -45,9 +49,12 @@
 	client := newClient(operatorTimeout)
 	for ctx.Err() == nil {
 		order := newConfiguration(o.nextVersion(random))
-		if random.Float64() < invalidShare {
+		switch draw := random.Float64(); {
+		case draw < largeShare:
+			o.putLarge(ctx, random, order.Version)
+		case draw < invalidShare:
 			o.put(ctx, client, random, order.invalid(), false)
-		} else {
+		default:
 			o.put(ctx, client, random, order, true)
 		}
 		sleep(ctx, time.Duration(random.Int64N(int64(maxOrderPause))))
@@ -57,10 +64,25 @@
 // put sends an order, again and unchanged until it gets a clear answer, and reports whether it was
 // acknowledged.
 func (o *operators) put(ctx context.Context, client *http.Client, random *rand.Rand, order configuration, valid bool) bool {
-	sent := write{version: order.Version, body: string(order.encode()), valid: valid, sentAt: o.seen.now()}
+	sent := write{version: order.Version, content: order, body: string(order.encode()), valid: valid, sentAt: o.seen.now()}
+	return o.putWrite(ctx, client, random, sent, []byte(sent.body))
+}
+
+// putLarge sends an invalid configuration of many values, or a deeply nested one that is cut short.
+func (o *operators) putLarge(ctx context.Context, random *rand.Rand, version int64) {
+	head, item := fmt.Sprintf(`{"version":%d,"routes":[`, version), []string{"0,", "{},", "["}[random.IntN(3)]
+	body := head + strings.Repeat(item, (largeOrderBytes-len(head))/len(item))
+	o.seen.count(countLargeOrders)
+	o.putWrite(ctx, newClient(largeOrderTime), random, write{version: version, sentAt: o.seen.now()}, []byte(body))
+}
+
+// putWrite sends the body of an order, again and unchanged until it gets a clear answer, and reports whether it was
+// acknowledged.
+func (o *operators) putWrite(ctx context.Context, client *http.Client, random *rand.Rand, sent write, body []byte) bool {
+	valid := sent.valid
 	for end := time.Now().Add(operatorPatience); time.Now().Before(end); sleep(ctx, operatorRetry) {
 		url := fmt.Sprintf("http://%s/v1/configurations/main/%d", o.registry(random), sent.version)
-		sent.status, _ = call(client, http.MethodPut, url, []byte(sent.body))
+		sent.status, _ = call(client, http.MethodPut, url, body)
 		o.seen.record("operator asks %s to take version %d, valid %t: %d", url, sent.version, valid, sent.status)
 		if sent.status > 0 && sent.status < http.StatusInternalServerError {
 			break
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -18,6 +18,8 @@
 	RuleInForce  Rule = "IN-FORCE" // an acknowledged version is in force and read back in time
 	RuleDrain    Rule = "DRAIN"    // an upstream gets no new work after its acknowledged sign-off
 	RuleFinal    Rule = "FINAL"    // a request gets a final answer at its deadline
+	RuleRoute    Rule = "ROUTE"    // a request runs at a service to which some configuration sends its authority
+	RuleMemory   Rule = "MEMORY"   // no process holds more than its memory
 	RuleRecovery Rule = "RECOVERY" // service is back in time after the machines are
 )
 
@@ -79,7 +81,8 @@
 		j.services[began.id] = append(j.services[began.id], began.service)
 	}
 	for _, check := range []func(){
-		j.checkWrites, j.checkExecutions, j.checkRequests, j.checkReads, j.checkSignOffs, j.checkFinalAnswers, j.checkRecovery,
+		j.checkWrites, j.checkExecutions, j.checkRequests, j.checkReads, j.checkSignOffs, j.checkLeavings, j.checkAuthorities,
+		j.checkMemory, j.checkFinalAnswers, j.checkRecovery,
 	} {
 		check()
 	}
@@ -190,7 +193,7 @@
 	}
 	oldest := j.newestAcknowledged(sent.sentAt - j.stretch(inForceBound))
 	switch {
-	case sent.path == mainPath:
+	case sent.isMain():
 		for _, service := range j.services[sent.id] {
 			if !j.mayServe(service, oldest, sent.endedAt) {
 				problem := fmt.Sprintf("%s was run by %s, which only versions before %d name", sent.id, service, oldest)
@@ -259,6 +262,81 @@
 	}
 }
 
+// isCalm reports whether no process was signalled, started or has ended in the contact time before a request was sent.
+func (j *judge) isCalm(sentAt time.Duration) bool {
+	for _, at := range j.seen.disrupted {
+		if at <= sentAt && at > sentAt-contactTime {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLeavings checks that machines in touch send an upstream no new work after it was acknowledged that it leaves.
+func (j *judge) checkLeavings() {
+	sentAt := map[string]time.Duration{}
+	for _, sent := range j.seen.requests {
+		sentAt[sent.id] = sent.sentAt
+	}
+	for _, leaving := range j.seen.leavings {
+		from := leaving.acknowledgedAt + j.stretch(drainBound+drainSlack)
+		for _, began := range j.seen.executions {
+			sent, known := sentAt[began.id]
+			if began.instance != leaving.instance || began.at <= from || began.at >= leaving.servesUntil || !known || !j.isCalm(sent) {
+				continue
+			}
+			late := (began.at - leaving.acknowledgedAt).Seconds()
+			problem := fmt.Sprintf("%s ran %s %.1f s after its leaving was acknowledged", leaving.instance, began.id, late)
+			j.add(RuleDrain, began.at, problem, "leaving of "+leaving.instance, " "+began.id+" ", "SIG")
+		}
+	}
+}
+
+// checkAuthorities checks that each request ran at a service to which a configuration that was sent before sends exactly
+// its authority.
+func (j *judge) checkAuthorities() {
+	allowed := map[string]time.Duration{} // by authority, path and service: when it was sent first
+	for _, sent := range j.writes {
+		for _, route := range sent.content.Routes {
+			key := authorityKey(route.Host, route.Prefix, route.Service)
+			if first, known := allowed[key]; !known || sent.sentAt < first {
+				allowed[key] = sent.sentAt
+			}
+		}
+	}
+	for _, sent := range j.seen.requests {
+		if sent.host == "" || sent.path != mainPath {
+			continue
+		}
+		for _, service := range j.services[sent.id] {
+			first, known := allowed[authorityKey(sent.host, mainPrefix, service)]
+			if !known || first > sent.endedAt {
+				problem := fmt.Sprintf("%s for %s was run by %s, to which no configuration sends it", sent.id, sent.host, service)
+				j.add(RuleRoute, sent.sentAt, problem, " "+sent.id+" ")
+			}
+		}
+	}
+}
+
+// authorityKey identifies a route by what ROUTE compares.
+func authorityKey(host, prefix, service string) string {
+	return strings.ToLower(host) + " " + prefix + " " + service
+}
+
+// checkMemory checks that no process held more than its memory. It reports the first excess of each role.
+func (j *judge) checkMemory() {
+	reported := map[string]bool{}
+	for _, seen := range j.seen.excesses {
+		role, _, _ := strings.Cut(seen.process, " ")
+		if reported[role] {
+			continue
+		}
+		reported[role] = true
+		problem := fmt.Sprintf("the %s held %d MiB of %d", seen.process, seen.held, seen.limit)
+		j.add(RuleMemory, seen.at, problem, seen.process)
+	}
+}
+
 // checkFinalAnswers checks that requests at machines in touch have a final answer at their deadline.
 func (j *judge) checkFinalAnswers() {
 	lasting, unanswered := 0, []request{}
@@ -289,7 +367,7 @@
 	sent, served := map[string]int{}, map[string]int{}
 	for _, request := range j.seen.requests {
 		revoked := j.seen.revokedAt > 0 && request.sentAt > j.seen.revokedAt
-		if request.sentAt < deadline || request.path != mainPath || request.key != tenantKey || revoked {
+		if request.sentAt < deadline || !request.isMain() || request.key != tenantKey || revoked {
 			continue
 		}
 		sent[request.proxy]++
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -14,8 +14,11 @@
 	first, second := newConfiguration(3), newConfiguration(4)
 	seen := &observations{startedAt: time.Now(), calmFrom: 30 * time.Second, revokedAt: 60 * time.Second}
 	seen.writes = []write{
-		{version: 3, body: string(first.encode()), valid: true, sentAt: 0, endedAt: time.Second, status: 200},
-		{version: 4, body: string(second.encode()), valid: true, sentAt: 40 * time.Second, endedAt: 41 * time.Second, status: 200},
+		{version: 3, content: first, body: string(first.encode()), valid: true, sentAt: 0, endedAt: time.Second, status: 200},
+		{
+			version: 4, content: second, body: string(second.encode()), valid: true, sentAt: 40 * time.Second, endedAt: 41 * time.Second,
+			status: 200,
+		},
 		{
 			version: 5, body: string(newConfiguration(5).invalid().encode()),
 			sentAt: 41 * time.Second, endedAt: 41 * time.Second, status: 422,
@@ -38,6 +41,12 @@
 	})
 }
 
+// serveFor adds a request to the main route of an authority that a service runs and answers.
+func (o *observations) serveFor(host, id string, at time.Duration, service string) {
+	o.serve(id, at, service)
+	o.requests[len(o.requests)-1].host = host
+}
+
 // addSilent adds requests that a machine in touch never answers.
 func (o *observations) addSilent(count int) {
 	for range count {
@@ -95,6 +104,21 @@
 		"new work after the sign-off": {RuleDrain, func(seen *observations) {
 			seen.signOffs = []signOff{{serviceOf(4) + "-0/1", calm - 3*time.Second, calm + time.Second}}
 		}},
+		"empty success": {RuleAnswer, func(seen *observations) { seen.requests[1].answer = "" }},
+		"new work after leaving": {RuleDrain, func(seen *observations) {
+			seen.leavings = []leavingNotice{{serviceOf(4) + "-0/1", calm - 3*time.Second, calm + time.Second}}
+			seen.disrupted = []time.Duration{calm - contactTime - time.Millisecond}
+		}},
+		"service of the authority without the port": {RuleRoute, func(seen *observations) {
+			seen.serveFor(portHost, "port", calm, serviceOf(4))
+		}},
+		"authority of no configuration": {RuleRoute, func(seen *observations) {
+			seen.serveFor(neverHost, "never", calm, serviceOf(4))
+		}},
+		"authority of a later configuration": {RuleRoute, func(seen *observations) {
+			seen.serveFor(casedHost, "later", 39*time.Second, authorityService)
+		}},
+		"memory": {RuleMemory, func(seen *observations) { seen.excesses = []excess{{"proxy edge-1", 300, proxyMemory, calm}} }},
 		"no final answer": {RuleFinal, func(seen *observations) {
 			seen.addSilent(minUnanswered)
 		}},
@@ -123,6 +147,19 @@
 		"work for the next incarnation": func(seen *observations) {
 			seen.signOffs = []signOff{{serviceOf(4) + "-0/1", 40 * time.Second, 44 * time.Second}}
 		},
+		"work just after leaving": func(seen *observations) {
+			seen.leavings = []leavingNotice{{serviceOf(4) + "-0/1", 49 * time.Second, 53 * time.Second}}
+		},
+		"work after leaving while machines are out of touch": func(seen *observations) {
+			seen.leavings = []leavingNotice{{serviceOf(4) + "-0/1", 46 * time.Second, 53 * time.Second}}
+			seen.disrupted = []time.Duration{48 * time.Second}
+		},
+		"authority in capitals": func(seen *observations) {
+			seen.serveFor("SHOP.EXAMPLE:8443", "capitals", 50*time.Second, authorityService)
+		},
+		"authority that was removed later": func(seen *observations) {
+			seen.serveFor(portHost, "removed", 50*time.Second, authorityService)
+		},
 		"few requests without a final answer": func(seen *observations) {
 			seen.addSilent(minUnanswered - 1)
 		},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +18,7 @@
 	"beaconvane/internal/fleet"
 	"beaconvane/internal/goroutine"
 	"beaconvane/internal/message"
+	"beaconvane/internal/settings"
 )
 
 const (
@@ -99,7 +102,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	processes, err := fleet.New(deployment, options.Programs, folder)
+	processes, err := fleet.NewAdjusted(deployment, options.Programs, folder, adjustSettings(seed))
 	if err != nil {
 		return nil, "", err
 	}
@@ -122,6 +125,27 @@
 	return r.seen.judge(options.stretch), r.seen.summary(), nil
 }
 
+// Settings of the fleets, in bytes and milliseconds.
+const (
+	maxBody         = 24 << 20
+	maxResponse     = 16 << 20
+	maxFrame        = 40 << 20
+	heartbeatMillis = 6000
+)
+
+// adjustSettings returns how a run changes the settings of its processes. Runs with an odd seed rely on upstreams that
+// refuse requests for another target.
+func adjustSettings(seed uint64) func(role string, cfg *settings.Settings) {
+	return func(role string, cfg *settings.Settings) {
+		cfg.Limits.Body, cfg.Limits.Response, cfg.Limits.Frame = maxBody, maxResponse, maxFrame
+		cfg.Limits.Memory = memoryLimit(role)
+		if seed%2 == 1 {
+			cfg.TargetProof = settings.ProofTarget
+			cfg.Bounds.Heartbeat = heartbeatMillis
+		}
+	}
+}
+
 // summary returns the counts of what was observed.
 func (o *observations) summary() string {
 	o.lock.Lock()
@@ -142,8 +166,16 @@
 			signals++
 		}
 	}
-	return fmt.Sprintf("%d of %d requests served, %d of %d writes acknowledged, %d reads, %d sign-offs, %d signals in %.0f s",
-		served, len(o.requests), acknowledged, len(o.writes), len(o.reads), len(o.signOffs), signals, o.now().Seconds())
+	tried := []string{}
+	for _, name := range slices.Sorted(maps.Keys(o.counts)) {
+		tried = append(tried, fmt.Sprintf("%d %s", o.counts[name], name))
+	}
+	for _, role := range slices.Sorted(maps.Keys(o.memory)) {
+		tried = append(tried, fmt.Sprintf("%s %d MiB", role, o.memory[role]))
+	}
+	return fmt.Sprintf("%d of %d requests served, %d of %d writes acknowledged, %d reads, %d sign-offs, %d leavings, %d signals, "+
+		"%s in %.0f s", served, len(o.requests), acknowledged, len(o.writes), len(o.reads), len(o.signOffs), len(o.leavings), signals,
+		strings.Join(tried, ", "), o.now().Seconds())
 }
 
 // prepare starts the processes and the upstreams.
@@ -196,10 +228,21 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	r.startCallers(callersCtx)
+	largeCtx, stopLarge := context.WithCancel(ctx)
+	defer stopLarge()
+	large := r.newRandom()
+	r.group.Go("soak.large", func(context.Context) { sendLarge(largeCtx, r.seen, r.proxiesFrom(0), large) })
 	operatorsCtx, stopOperators := context.WithCancel(ctx)
 	defer stopOperators()
 	operatorsDone := r.startOperators(operatorsCtx)
+	memoryCtx, stopMemory := context.WithCancel(ctx)
+	defer stopMemory()
+	r.group.Go("soak.memory", func(context.Context) { r.troubles.watchMemory(memoryCtx) })
 	r.playTroubles(ctx)
+	r.restoreStopped()
+	stopLarge()
+	sleep(ctx, contactTime)
+	r.troubles.playLeavings(ctx, r.newRandom())
 	r.restoreAll()
 	sleep(ctx, r.options.stretch(recoveryBound)/2)
 	stopOperators()
@@ -263,6 +306,8 @@
 			}
 			r.group.Go("soak.caller", func(context.Context) { sender.run(ctx) })
 		}
+		leaver := &quitter{seen: r.seen, proxy: proxy, name: fmt.Sprintf("q%d", index), random: r.newRandom()}
+		r.group.Go("soak.quitter", func(context.Context) { leaver.run(ctx) })
 	}
 }
 
@@ -310,13 +355,20 @@
 	}
 }
 
-// restoreAll starts every process that has exited. From then on the time is calm.
-func (r *runner) restoreAll() {
+// restoreStopped starts every process that has exited.
+func (r *runner) restoreStopped() {
 	for _, target := range r.troubles.machines {
+		target.lock.Lock()
 		if target.WaitExited(0) {
 			r.troubles.start(target)
 		}
+		target.lock.Unlock()
 	}
+}
+
+// restoreAll starts every process that has exited. From then on the time is calm.
+func (r *runner) restoreAll() {
+	r.restoreStopped()
 	r.seen.record("calm from now on")
 	r.seen.calmFrom = r.seen.now()
 }
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -54,7 +54,7 @@
 // from all kinds.
 func (t *troubles) series() [][]trouble {
 	mixed := []trouble{t.killHerd, t.killOne, t.freeze, t.freeze, t.stopGracefully, t.reload, t.signOffAndKill}
-	return [][]trouble{{t.killHerd}, mixed, mixed}
+	return [][]trouble{{t.killHerd}, mixed, mixed, {t.leave}, {t.leave}, {t.leave}}
 }
 
 // run plays one series until ctx ends.
@@ -76,6 +76,13 @@
 	return taken
 }
 
+// acquire takes machines, and waits for those that are taken. The caller must release them.
+func acquire(machines []*machine) {
+	for _, wanted := range machines {
+		wanted.lock.Lock()
+	}
+}
+
 func release(machines []*machine) {
 	for _, taken := range machines {
 		taken.lock.Unlock()
@@ -113,6 +120,7 @@
 			sleep(ctx, delay)
 			t.seen.record("SIGKILL %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
 			t.fleet.Kill(target.Process)
+			t.seen.addDisruption()
 		})
 	}
 	pending.Wait()
@@ -121,6 +129,8 @@
 // start starts a machine again.
 func (t *troubles) start(target *machine) {
 	t.seen.record("start %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
+	t.seen.addDisruption()
+	defer t.seen.addDisruption()
 	if err := t.fleet.Start(target.Process); err != nil {
 		t.seen.record("start of %s %s failed: %v", target.Role, target.Node, err)
 	}
@@ -204,11 +214,13 @@
 	for _, target := range taken {
 		t.seen.record("SIGSTOP %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
 		t.fleet.Signal(target.Process, syscall.SIGSTOP)
+		t.seen.addDisruption()
 	}
 	sleep(ctx, minFreeze+time.Duration(random.Int64N(int64(maxExtraFreeze))))
 	for _, target := range taken {
 		t.seen.record("SIGCONT %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
 		t.fleet.Signal(target.Process, syscall.SIGCONT)
+		t.seen.addDisruption()
 	}
 }
 
@@ -219,6 +231,7 @@
 	for _, target := range taken {
 		t.seen.record("SIGTERM %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
 		t.fleet.Signal(target.Process, syscall.SIGTERM)
+		t.seen.addDisruption()
 		if !target.WaitExited(stopTimeout) {
 			t.kill(ctx, random, []*machine{target})
 		}
@@ -233,6 +246,7 @@
 		for _, target := range taken {
 			t.seen.record("SIGHUP %s %s at %s ", target.Role, target.Node, target.HTTPAddress)
 			t.fleet.Signal(target.Process, syscall.SIGHUP)
+			t.seen.addDisruption()
 		}
 		release(taken)
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -93,7 +93,7 @@
 	if u.service == rotatingServices[0] && in.URL.Path == mainPath {
 		u.callInner(id)
 	}
-	_, _ = io.WriteString(out, answerText(u.service, id)) // the proxy may have closed the connection
+	_, _ = io.WriteString(out, padded(answerText(u.service, id), in)) // the proxy may have closed the connection
 }
 
 // keySeen reports whether a request shows the upstream a key.
@@ -109,8 +109,10 @@
 	var pending sync.WaitGroup
 	for number := range innerCalls {
 		pending.Go(func() {
-			sent := request{id: fmt.Sprintf("%s-inner-%d", id, number), proxy: u.proxies[0], path: innerPath, sentAt: u.seen.now()}
-			sent.send(u.callClient, http.MethodGet, innerHost, u.seen)
+			sent := request{
+				id: fmt.Sprintf("%s-inner-%d", id, number), proxy: u.proxies[0], host: innerHost, path: innerPath, sentAt: u.seen.now(),
+			}
+			sent.send(u.callClient, http.MethodGet, u.seen)
 		})
 	}
 	pending.Wait()
@@ -128,11 +130,17 @@
 	}
 }
 
+// announced returns the announcement of the present incarnation.
+func (u *upstream) announced(leaving bool) backend.Announcement {
+	return backend.Announcement{
+		Service: u.service, Instance: u.name, Incarnation: u.incarnation.Load(), Address: u.address, Zone: u.zone, Slots: upstreamSlots,
+		Draining: leaving,
+	}
+}
+
 // announceOnce sends one announcement and reports whether a proxy accepted it.
 func (u *upstream) announceOnce() bool {
-	body, _ := json.Marshal(backend.Announcement{
-		Service: u.service, Instance: u.name, Incarnation: u.incarnation.Load(), Address: u.address, Zone: u.zone, Slots: upstreamSlots,
-	})
+	body := u.announcement(false)
 	for _, address := range u.proxies {
 		if u.post(address, "/beacon/announce", body) == http.StatusOK {
 			return true
@@ -156,6 +164,15 @@
 	}
 	defer u.signingOff.Unlock()
 	u.announcing.Store(false)
+	u.signOff(acknowledged)
+	sleep(ctx, servesOnFor+returnsAfter)
+	u.incarnation.Inc()
+	u.announcing.Store(true)
+}
+
+// signOff signs the present incarnation off at the proxy beside this upstream. acknowledged is called at once if that is
+// acknowledged.
+func (u *upstream) signOff(acknowledged func()) {
 	instance := u.instance()
 	body, _ := json.Marshal(signOffBody{u.service, u.name, u.incarnation.Load()})
 	if u.post(u.proxies[0], "/beacon/signoff", body) == http.StatusOK {
@@ -163,9 +180,6 @@
 		acknowledged()
 		u.seen.addSignOff(signOff{instance, acknowledgedAt, acknowledgedAt + servesOnFor})
 	}
-	sleep(ctx, servesOnFor+returnsAfter)
-	u.incarnation.Inc()
-	u.announcing.Store(true)
 }
 
 // post sends a body to a proxy and returns the status, or 0 without a complete answer.
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -28,16 +28,6 @@
 	return err
 }
 
-// readFrame reads the next frame. If its size is zero or exceeds limit, it returns a frameSizeError after the
-// header.
-func readFrame(reader io.Reader, limit int64) ([]byte, error) {
-	size, err := readFrameSize(reader, limit)
-	if err != nil {
-		return nil, err
-	}
-	return readFrameContent(reader, size)
-}
-
 // readFrameSize reads the header of the next frame. If the size is zero or exceeds limit, it returns a frameSizeError.
 func readFrameSize(reader io.Reader, limit int64) (int64, error) {
 	var header [frameHeaderBytes]byte
