--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -20,3 +21,23 @@
 	c.Assert(bytes.Available(), qt.Equals, int64(6))
 	c.Assert(bytes.Reserve(6), qt.IsTrue)
 }
+
+// Guards against bodies that are released but not collected yet, and that a busy process holds beside the next ones.
+func TestLargeReservationsWaitForReleasedMemory(t *testing.T) {
+	c := qt.New(t)
+	collections := func() uint32 {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.NumForcedGC
+	}
+	bytes := New(3 * largeReservation)
+	before := collections()
+	c.Assert(bytes.Reserve(largeReservation), qt.IsTrue)
+	bytes.Release(largeReservation)
+	c.Assert(bytes.Reserve(largeReservation-1), qt.IsTrue)
+	c.Assert(collections(), qt.Equals, before)
+	c.Assert(New(2*largeReservation).Reserve(largeReservation), qt.IsTrue)
+	c.Assert(collections(), qt.Equals, before+1)
+	c.Assert(bytes.Reserve(largeReservation), qt.IsTrue)
+	c.Assert(collections(), qt.Equals, before+1)
+}
