--- a/internal/frontend/halfclose_test.go
+++ b/internal/frontend/halfclose_test.go
@@ -51,7 +51,7 @@
 	}{
 		"before any attempt": {func(*Pipeline, *PendingRequest) {}, errcode.BusyAbandoned},
 		"attempt out":        {func(_ *Pipeline, pending *PendingRequest) { pending.beginAttempt("a", nil) }, errcode.UnknownAbandoned},
-		"may have run":       {func(pipeline *Pipeline, pending *PendingRequest) {
+		"may have run": {func(pipeline *Pipeline, pending *PendingRequest) {
 			pipeline.frontend.lock.Lock() // as for the outcome of an attempt
 			defer pipeline.frontend.lock.Unlock()
 			pending.Request.MayHaveRun = true
